--- /dev/null
+++ b/ibisfront/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The edges: callers, backend servers, the platform and peers."""
--- /dev/null
+++ b/ibisfront/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/ibisfront/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers for tests, public for use by others."""
--- /dev/null
+++ b/ibisfront/testing/nose2_summary.py
@@ -0,0 +1,89 @@
+"""A nose2 plugin: the closing count, and the known red tests.
+
+A test named in ``KNOWN-RED.txt`` (one line each: test, cause, issue) may fail
+without failing the run. It is still counted as failed and printed.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from nose2 import events, result
+
+__all__ = ["SummaryPlugin", "read_known_red"]
+
+MAXIMUM_KNOWN_RED = 3
+
+
+def read_known_red(path: Path) -> dict[str, str]:
+    """Return the known red tests of a file.
+
+    Parameters
+    ----------
+    path : Path
+        The file; it need not exist.
+
+    Returns
+    -------
+    dict of str to str
+        The whole line of each test, by the test's dotted name.
+
+    Raises
+    ------
+    ValueError
+        If more tests are listed than the project allows.
+    """
+    if not path.exists():
+        return {}
+    lines = [line.strip() for line in path.read_text().splitlines()]
+    entries = {line.split(",")[0].strip(): line for line in lines if line}
+    if len(entries) > MAXIMUM_KNOWN_RED:
+        raise ValueError(
+            f"{path} lists {len(entries)} tests; at most {MAXIMUM_KNOWN_RED}"
+            " may be known red: mend one first"
+        )
+    return entries
+
+
+class SummaryPlugin(events.Plugin):  # type: ignore[misc]
+    """Counts outcomes and prints ``N passed, N failed, N skipped`` last."""
+
+    configSection = "ibisfront-summary"  # noqa: N815
+
+    def __init__(self) -> None:
+        self.known_red = read_known_red(
+            Path(self.config.as_str("known-red", "KNOWN-RED.txt"))
+        )
+        self.passed = 0
+        self.failed = 0
+        self.skipped = 0
+        self.known_red_seen: list[str] = []
+
+    def testOutcome(self, event: Any) -> None:  # noqa: N802
+        """Count one outcome."""
+        if event.outcome == result.SKIP:
+            self.skipped += 1
+        elif event.outcome == result.PASS or event.expected:
+            self.passed += 1
+        else:
+            self._count_failure(event)
+
+    def _count_failure(self, event: Any) -> None:
+        self.failed += 1
+        name = event.test.id().splitlines()[0]
+        if name in self.known_red:
+            self.known_red_seen.append(name)
+
+    def afterSummaryReport(self, event: Any) -> None:  # noqa: N802
+        """Print the known red tests, then the count as the last line."""
+        for name in self.known_red_seen:
+            event.stream.writeln(f"KNOWN RED: {self.known_red[name]}")
+        event.stream.writeln(
+            f"{self.passed} passed, {self.failed} failed, {self.skipped} skipped"
+        )
+
+    def wasSuccessful(self, event: Any) -> None:  # noqa: N802
+        """Pass a run in which only known red tests failed."""
+        if self.failed and self.failed == len(self.known_red_seen):
+            event.success = True
