Count subtests once in the closing line

Cause: nose2 reports each passed subtest as an outcome of its own, which the plugin took for a failure (seen: 4 passed, 64 failed on a green run).

--- a/ibisfront/testing/nose2_summary.py
+++ b/ibisfront/testing/nose2_summary.py
@@ -62,6 +62,8 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Count one outcome."""
+        if event.outcome == result.SUBTEST and event.exc_info is None:
+            return  # its test counts it
         if event.outcome == result.SKIP:
             self.skipped += 1
         elif event.outcome == result.PASS or event.expected:
