--- /dev/null
+++ b/ibisfront/adapters/backend.py
@@ -0,0 +1,209 @@
+"""Connections to backend servers, over HTTP by ``httpcore``."""
+
+from __future__ import annotations
+
+import math
+import socket
+from typing import TYPE_CHECKING
+
+import httpcore
+import msgspec
+
+from ibisfront.core.coverage import MissingReason
+from ibisfront.core.query import SubReply, SubRequestError
+
+if TYPE_CHECKING:
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.link import OpenConnection, Work
+    from ibisfront.core.query import SubRequest
+    from ibisfront.core.types import Address
+
+__all__ = ["HttpBackendConnection", "connection_opener"]
+
+_OK = 200
+_NO_DELAY = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+_NOT_RUN_REASONS = {
+    b"shed": MissingReason.SHED,
+    b"draining": MissingReason.DRAINING,
+    b"cold": MissingReason.COLD,
+}
+_BROKEN = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class _RequestBody(msgspec.Struct):
+    """The body that a backend server takes."""
+
+    service: str
+    request: msgspec.Raw
+
+
+class _ReplyHeaders:
+    """The headers of a reply, read once.
+
+    Parameters
+    ----------
+    headers : list of tuple of bytes
+        As ``httpcore`` gives them.
+    """
+
+    __slots__ = ("_values",)
+
+    def __init__(self, headers: list[tuple[bytes, bytes]]) -> None:
+        self._values = {name.lower(): value for name, value in headers}
+
+    @property
+    def request_id(self) -> bytes:
+        """The echoed id; empty if there is none."""
+        return self._values.get(b"x-request-id", b"")
+
+    @property
+    def draining(self) -> bool:
+        """Whether the server says that it is leaving."""
+        return b"x-draining" in self._values
+
+    @property
+    def snapshots(self) -> tuple[str, ...]:
+        """The snapshots that the server says it holds."""
+        value = self._values.get(b"x-snapshots", b"").decode("latin-1")
+        return tuple(name.strip() for name in value.split(",") if name.strip())
+
+    @property
+    def not_run(self) -> MissingReason | None:
+        """Why the server did not run the request; None if it does not say."""
+        return _NOT_RUN_REASONS.get(self._values.get(b"x-not-run", b""))
+
+    @property
+    def retry_after_ms(self) -> float | None:
+        """When the server says to come back."""
+        value = self._values.get(b"retry-after-ms")
+        return float(value) if value is not None and value.isdigit() else None
+
+
+class HttpBackendConnection:
+    """One HTTP/1.1 connection to a backend server.
+
+    Parameters
+    ----------
+    address : str
+        The server's ``IP:PORT``.
+    connection : httpcore.AsyncHTTP11Connection
+        The open connection, owned from now on.
+    clock : Clock
+        The tier's clock.
+    """
+
+    __slots__ = ("_clock", "_connection", "_url")
+
+    def __init__(
+        self,
+        address: Address,
+        connection: httpcore.AsyncHTTP11Connection,
+        clock: Clock,
+    ) -> None:
+        self._connection = connection
+        self._clock = clock
+        self._url = _url(address)
+
+    async def exchange(self, work: Work, sub_request: SubRequest) -> SubReply:
+        """Send a sub-request and return its reply; see ``BackendConnection``."""
+        try:
+            response = await self._connection.handle_async_request(
+                self._request(work, sub_request)
+            )
+            body = await response.aread()
+        except _BROKEN as error:
+            raise SubRequestError(
+                MissingReason.CONNECTION_LOST, not_run=False
+            ) from error
+        headers = _ReplyHeaders(response.headers)
+        # A reply to another sub-request (late or crossed on this connection)
+        # shows as a foreign id. It must not reach this caller; the link closes
+        # the connection after the error, so no later one sees it either.
+        if headers.request_id != sub_request.sub_request_id.encode():
+            raise SubRequestError(MissingReason.WRONG_REPLY, not_run=False)
+        if response.status != _OK:
+            raise _refusal(response.status, headers)
+        return SubReply(body, headers.snapshots, headers.draining)
+
+    def is_usable(self) -> bool:
+        """Return whether the connection is idle and the server still there."""
+        return self._connection.is_idle() and not self._connection.has_expired()
+
+    async def aclose(self) -> None:
+        """Close the connection at once."""
+        await self._connection.aclose()
+
+    def _request(self, work: Work, sub_request: SubRequest) -> httpcore.Request:
+        remaining_ms = sub_request.deadline_at_ms - self._clock.now_ms()
+        body = msgspec.json.encode(
+            _RequestBody(sub_request.service, msgspec.Raw(sub_request.body_json))
+        )
+        headers = [
+            (b"Host", self._url.host),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+            (b"X-Request-Id", sub_request.sub_request_id.encode()),
+            (b"X-Deadline-Ms", str(max(0, math.floor(remaining_ms))).encode()),
+        ]
+        if sub_request.snapshot is not None:
+            headers.append((b"X-Snapshot", sub_request.snapshot.encode()))
+        return httpcore.Request(
+            b"POST",
+            httpcore.URL(
+                scheme=b"http",
+                host=self._url.host,
+                port=self._url.port,
+                target=b"/" + work.encode(),
+            ),
+            headers=headers,
+            content=body,
+        )
+
+
+def connection_opener(clock: Clock) -> OpenConnection:
+    """Return a function that opens connections to backend servers.
+
+    Connecting is apart from sending, so that a connection that cannot be
+    opened is known not to have run anything.
+    """
+    network = httpcore.TrioBackend()
+
+    async def open_connection(address: Address) -> HttpBackendConnection:
+        host, _, port = address.rpartition(":")
+        try:
+            stream = await network.connect_tcp(
+                host, int(port), socket_options=[_NO_DELAY]
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            raise SubRequestError(MissingReason.CONNECT_FAILED, not_run=True) from error
+        connection = httpcore.AsyncHTTP11Connection(_url(address).origin, stream)
+        return HttpBackendConnection(address, connection, clock)
+
+    return open_connection
+
+
+def _url(address: Address) -> httpcore.URL:
+    return httpcore.URL(f"http://{address}/")
+
+
+def _refusal(status: int, headers: _ReplyHeaders) -> SubRequestError:
+    reason, not_run = _reason(status, headers)
+    return SubRequestError(
+        reason,
+        not_run=not_run,
+        retry_after_ms=headers.retry_after_ms,
+        draining=headers.draining,
+        snapshots=headers.snapshots,
+    )
+
+
+def _reason(status: int, headers: _ReplyHeaders) -> tuple[MissingReason, bool]:
+    if status == 503 and headers.not_run is not None:
+        return headers.not_run, True
+    if status == 409:
+        return MissingReason.SNAPSHOT_GONE, True
+    if status == 400:
+        return MissingReason.REFUSED, True
+    if status == 504:
+        return MissingReason.TIMED_OUT, False
+    return MissingReason.SERVER_ERROR, False
--- /dev/null
+++ b/ibisfront/adapters/entrypoint.py
@@ -0,0 +1,43 @@
+"""The one entry point of the adapters: everything that touches the outside."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisfront.adapters.backend import connection_opener
+from ibisfront.adapters.platform import PlatformClient
+
+if TYPE_CHECKING:
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.link import OpenConnection
+    from ibisfront.core.settings import Settings
+
+__all__ = ["AdapterEntrypoint"]
+
+
+class AdapterEntrypoint:
+    """Opens the adapters of one instance.
+
+    A test or an embedding program replaces the outside by a subclass.
+
+    Parameters
+    ----------
+    settings : Settings
+        Where the outside is.
+    clock : Clock
+        The tier's clock.
+    """
+
+    __slots__ = ("_clock", "_settings")
+
+    def __init__(self, settings: Settings, *, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+
+    def open_platform(self) -> PlatformClient:
+        """Return a client of the platform."""
+        return PlatformClient(self._settings.platform.address)
+
+    def connection_opener(self) -> OpenConnection:
+        """Return a function that opens connections to backend servers."""
+        return connection_opener(self._clock)
--- /dev/null
+++ b/ibisfront/adapters/platform.py
@@ -0,0 +1,213 @@
+"""The platform's object API, over HTTP by ``httpcore``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpcore
+import msgspec
+
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.objects import ObjectKind, VersionedObject
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ibisfront.core.types import Address, JsonBytes, Version
+
+__all__ = ["InstanceEntry", "ObjectsRead", "PlatformClient", "WriteConflict"]
+
+_CALL_TIMEOUT_S = 2.0
+
+
+class _ObjectBody(msgspec.Struct):
+    kind: ObjectKind
+    name: str
+    version: int
+    value: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _ObjectsBody(msgspec.Struct):
+    revision: int
+    objects: list[_ObjectBody]
+
+
+class _VersionBody(msgspec.Struct):
+    version: int | None = None
+
+
+class InstanceEntry(msgspec.Struct, frozen=True):
+    """One instance in the platform's list, which lags.
+
+    Attributes
+    ----------
+    name, zone : str
+        The instance and its availability zone.
+    peer_address, admin_address : str
+        Where its peers and its operators reach it.
+    state : str
+        ``live`` or ``leaving``.
+    """
+
+    name: str
+    zone: str
+    peer_address: str
+    admin_address: str
+    state: str = "live"
+
+
+class _InstancesBody(msgspec.Struct):
+    instances: list[InstanceEntry]
+
+
+class ObjectsRead(msgspec.Struct, frozen=True):
+    """Objects as read at one revision of the platform."""
+
+    revision: int
+    objects: tuple[VersionedObject, ...]
+
+
+class WriteConflict(Exception):
+    """A conditional write met another version; it took no effect."""
+
+
+class PlatformClient:
+    """Calls the platform; one call at a time on each connection.
+
+    Parameters
+    ----------
+    address : str
+        The platform's ``IP:PORT``.
+    """
+
+    __slots__ = ("_pool", "_url")
+
+    def __init__(self, address: Address) -> None:
+        self._url = f"http://{address}"
+        self._pool = httpcore.AsyncConnectionPool(retries=0)
+
+    async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
+        """Return an object, or None if there is none.
+
+        Raises
+        ------
+        IbisfrontError
+            ``platform_unavailable``.
+        """
+        response = await self._call("GET", f"/objects/{kind}/{name}")
+        if response.status == 404:
+            return None
+        return _decoded(msgspec.json.decode(response.content, type=_ObjectBody))
+
+    async def list_objects(self, kinds: Sequence[ObjectKind]) -> ObjectsRead:
+        """Return every object of some kinds."""
+        response = await self._call("GET", f"/objects?kinds={','.join(kinds)}")
+        return _objects(response.content)
+
+    async def changes(
+        self, kinds: Sequence[ObjectKind], *, after: Version, wait_ms: float
+    ) -> ObjectsRead | None:
+        """Wait for changes after a revision; None if it is too old."""
+        response = await self._call(
+            "GET",
+            f"/changes?kinds={','.join(kinds)}&after={after}&wait_ms={wait_ms:.0f}",
+            timeout_s=_CALL_TIMEOUT_S + wait_ms / 1000,
+        )
+        return None if response.status == 410 else _objects(response.content)
+
+    async def put(
+        self,
+        kind: ObjectKind,
+        name: str,
+        value_json: JsonBytes,
+        *,
+        if_version: Version | None,
+    ) -> Version:
+        """Replace one version of an object, or create it, and return the new one.
+
+        Parameters
+        ----------
+        kind, name
+            The object.
+        value_json : bytes
+            Its new value.
+        if_version : int or None
+            The version that is replaced; None to create.
+
+        Raises
+        ------
+        WriteConflict
+            If another version is there; nothing was written.
+        IbisfrontError
+            ``write_unknown``: it may or may not have taken effect, now or later.
+        """
+        condition = (
+            (b"If-None-Match", b"*")
+            if if_version is None
+            else (b"If-Match", f'"{if_version}"'.encode())
+        )
+        try:
+            response = await self._call(
+                "PUT", f"/objects/{kind}/{name}", condition, content=value_json
+            )
+        except IbisfrontError as error:
+            raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, error.detail) from error
+        if response.status == 412:
+            raise WriteConflict(f"{kind}/{name} is not at version {if_version}")
+        version = msgspec.json.decode(response.content, type=_VersionBody).version
+        if version is None:
+            raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, "no version in the answer")
+        return version
+
+    async def instances(self) -> list[InstanceEntry]:
+        """Return the platform's list of instances, which lags."""
+        response = await self._call("GET", "/instances")
+        return msgspec.json.decode(response.content, type=_InstancesBody).instances
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._pool.aclose()
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        *headers: tuple[bytes, bytes],
+        content: bytes = b"",
+        timeout_s: float = _CALL_TIMEOUT_S,
+    ) -> httpcore.Response:
+        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), timeout_s)
+        try:
+            response = await self._pool.request(
+                method,
+                self._url + target,
+                headers=list(headers),
+                content=content,
+                extensions={"timeout": timeouts},
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise _unavailable(f"{method} {target}: {error!r}") from error
+        if response.status >= 500 or response.status == 429:
+            raise _unavailable(f"{method} {target}: status {response.status}")
+        return response
+
+
+def _unavailable(detail: str) -> IbisfrontError:
+    return IbisfrontError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
+
+
+def _objects(body: bytes) -> ObjectsRead:
+    decoded = msgspec.json.decode(body, type=_ObjectsBody)
+    objects = tuple(_decoded(item) for item in decoded.objects)
+    return ObjectsRead(decoded.revision, objects)
+
+
+def _decoded(item: _ObjectBody) -> VersionedObject:
+    value = bytes(item.value)
+    return VersionedObject(
+        item.kind, item.name, item.version, None if value == b"null" else value
+    )
--- /dev/null
+++ b/ibisfront/core/rendezvous.py
@@ -0,0 +1,34 @@
+"""Rendezvous hashing: who is responsible for a key, agreed without talking."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ["rendezvous_order"]
+
+
+def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names in the order in which they are preferred for a key.
+
+    When a name joins or leaves, only the keys that it is first for move.
+
+    Parameters
+    ----------
+    key : str
+        What somebody must be responsible for.
+    names : iterable of str
+        The candidates; the result does not depend on their order.
+
+    Examples
+    --------
+    >>> rendezvous_order("register", ["i1", "i2"]) == rendezvous_order(
+    ...     "register", ["i2", "i1"]
+    ... )
+    True
+    """
+    return sorted(names, key=lambda name: (_rank(key, name), name), reverse=True)
+
+
+def _rank(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/ibisfront/core/snapshot.py
@@ -0,0 +1,28 @@
+"""Snapshots of an index, and the services that hold each of them."""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = ["Index", "Snapshot"]
+
+
+class Snapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One published state of an index, with its partition map.
+
+    Attributes
+    ----------
+    name : str
+        The name that backend servers know it by.
+    services : tuple of str
+        The services that hold its parts; each row is in exactly one.
+    """
+
+    name: str
+    services: tuple[str, ...]
+
+
+class Index(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a search covers: its snapshots, oldest first."""
+
+    snapshots: tuple[Snapshot, ...] = ()
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -2,4 +2,171 @@
 
 from __future__ import annotations
 
-__all__: list[str] = []
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING
+
+import trio
+
+from ibisfront.core.admission import Admission
+from ibisfront.core.catalogue import Catalogue
+from ibisfront.core.counters import Counters
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.fanout import Fanout
+from ibisfront.core.ledger import Ledger
+from ibisfront.core.link import BackendLink
+from ibisfront.core.members import Member, Members
+from ibisfront.core.objects import ObjectStore
+from ibisfront.core.query import SubRequest
+from ibisfront.core.watch import follow_platform
+
+if TYPE_CHECKING:
+    from ibisfront.adapters.entrypoint import AdapterEntrypoint
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.query import Answer, CallerRequest, PerformAnswer, SubReply
+    from ibisfront.core.service import BackendServer
+    from ibisfront.core.settings import Settings
+    from ibisfront.core.table import Purpose, Row
+
+__all__ = ["EntryInstance"]
+
+
+class EntryInstance:
+    """One entry instance; all instances are equal.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings.
+    adapters : AdapterEntrypoint
+        The outside.
+    clock : Clock
+        The tier's clock.
+    """
+
+    def __init__(
+        self, settings: Settings, *, adapters: AdapterEntrypoint, clock: Clock
+    ) -> None:
+        self.settings = settings
+        self.counters = Counters()
+        self.members = Members(_own_member(settings, clock))
+        self.store = ObjectStore()
+        self.catalogue = Catalogue(self.store)
+        self.admission = Admission(clock=clock, counters=self.counters)
+        self.fanout = Fanout(
+            catalogue=self.catalogue,
+            clock=clock,
+            counters=self.counters,
+            zone=settings.instance.zone,
+            link_to=self.link_to,
+        )
+        self.ledger = Ledger(
+            run_once=self._run_once, clock=clock, counters=self.counters
+        )
+        self._adapters = adapters
+        self._clock = clock
+        self._links: dict[BackendServer, BackendLink] = {}
+        self._open_connection = adapters.connection_opener()
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run the instance's background tasks until cancelled."""
+        async with AsyncExitStack() as stack:
+            platform = self._adapters.open_platform()
+            stack.push_async_callback(platform.aclose)
+            stack.push_async_callback(self._close_links)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            task_status.started()
+            await follow_platform(
+                platform,
+                self.store,
+                self._clock,
+                wait_ms=self.settings.platform.watch_wait_ms,
+            )
+            nursery.cancel_scope.cancel()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self.catalogue.table is not None
+
+    async def search(self, request: CallerRequest) -> Answer:
+        """Return one whole answer; see ``CallerService``."""
+        row, purpose = self._row(request, "search")
+        async with self.admission.admitted(
+            row, purpose, deadline_at_ms=request.deadline_at_ms
+        ):
+            return await self.fanout.search(request, purpose)
+
+    async def perform(self, request: CallerRequest, key: str) -> PerformAnswer:
+        """Run non-idempotent work at most once; see ``CallerService``."""
+        row, purpose = self._row(request, "perform")
+        async with self.admission.admitted(
+            row, purpose, deadline_at_ms=request.deadline_at_ms
+        ):
+            return await self.ledger.perform(request, purpose, key)
+
+    async def outcome(self, key: str) -> PerformAnswer:
+        """Return the outcome of an earlier ``perform``."""
+        return await self.ledger.outcome(key)
+
+    def link_to(self, server: BackendServer) -> BackendLink:
+        """Return this instance's link to a backend server."""
+        link = self._links.get(server)
+        if link is None:
+            link = BackendLink(
+                server,
+                open_connection=self._open_connection,
+                clock=self._clock,
+                maximum_connections=self.settings.backend.connections_per_server,
+            )
+            self._links[server] = link
+        return link
+
+    def _row(self, request: CallerRequest, kind: str) -> tuple[Row, Purpose]:
+        table = self.catalogue.table
+        if table is None:
+            raise IbisfrontError(ErrorKind.NO_TABLE, "this instance has no table yet")
+        purpose = table.purpose(request.purpose)
+        if purpose is None:
+            raise IbisfrontError(
+                ErrorKind.UNKNOWN_PURPOSE,
+                f"purpose {request.purpose!r} is not in the table",
+            )
+        row = table.row(request.branch, request.purpose)
+        if row is None:
+            raise IbisfrontError(
+                ErrorKind.UNKNOWN_BRANCH,
+                f"branch {request.branch!r} has no row for {request.purpose!r}",
+            )
+        if purpose.kind != kind:
+            raise IbisfrontError(
+                ErrorKind.WRONG_KIND_OF_PURPOSE,
+                f"purpose {purpose.name!r} is for {purpose.kind}",
+            )
+        return row, purpose
+
+    async def _run_once(self, request: CallerRequest, purpose: Purpose) -> SubReply:
+        service = purpose.service or ""
+        server = self.fanout.choose_server(service)
+        sub_request = SubRequest(
+            sub_request_id=request.request_id,
+            service=service,
+            body_json=request.body_json,
+            deadline_at_ms=request.deadline_at_ms,
+        )
+        return await self.link_to(server).call("perform", sub_request)
+
+    async def _close_links(self) -> None:
+        for link in self._links.values():
+            await link.aclose()
+
+
+def _own_member(settings: Settings, clock: Clock) -> Member:
+    return Member(
+        name=settings.instance.name,
+        zone=settings.instance.zone,
+        peer_address=settings.peers.address,
+        admin_address=settings.admin.address,
+        incarnation=int(clock.wall_ms()),
+    )
--- /dev/null
+++ b/ibisfront/testing/deployment.py
@@ -0,0 +1,358 @@
+"""A whole deployment on this machine: stand-ins and entry instances.
+
+Used by the demo, the benchmarks and the tests of real processes. Each
+stand-in and each instance is a process of its own.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+import tomli_w
+import trio
+
+from ibisfront.core.service import BackendServer, Service
+from ibisfront.core.snapshot import Index, Snapshot
+from ibisfront.core.table import TABLE_NAME, Purpose, Row, Table
+from ibisfront.testing.http_client import HttpClient, HttpReply
+from ibisfront.testing.processes import CONTROL, LISTENING, RunningProcess, free_address
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+__all__ = [
+    "ADMIN_TOKEN",
+    "Deployment",
+    "DeploymentShape",
+    "IndexShape",
+    "InstanceProcess",
+    "ServiceShape",
+    "register_shape",
+]
+
+ADMIN_TOKEN = "token-of-the-test-deployment"
+_READY_TIMEOUT_S = 20.0
+_READY_POLL_S = 0.05
+
+
+class ServiceShape(msgspec.Struct, frozen=True):
+    """One service and its backend servers.
+
+    Attributes
+    ----------
+    name : str
+        The service.
+    servers : int
+        How many backend servers; spread over the zones in turn.
+    options : tuple of str
+        Further options of ``python -m ibisfront.testing.backend``.
+    """
+
+    name: str
+    servers: int = 2
+    options: tuple[str, ...] = ()
+
+
+class IndexShape(msgspec.Struct, frozen=True):
+    """One index and the services that hold its snapshots."""
+
+    name: str
+    services: tuple[str, ...]
+    snapshots: tuple[str, ...] = ("snapshot-1",)
+
+
+class DeploymentShape(msgspec.Struct, frozen=True):
+    """What to start.
+
+    Attributes
+    ----------
+    services, indexes : tuple
+        The back end.
+    table : Table
+        The first table.
+    zones : tuple of str
+        The availability zones.
+    instances : int
+        How many entry instances; spread over the zones in turn.
+    settings_text : str
+        Further settings of every instance, as TOML.
+    """
+
+    services: tuple[ServiceShape, ...]
+    indexes: tuple[IndexShape, ...]
+    table: Table
+    zones: tuple[str, ...] = ("z1", "z2", "z3")
+    instances: int = 3
+    settings_text: str = ""
+
+
+class InstanceProcess(msgspec.Struct):
+    """One running entry instance and its addresses."""
+
+    name: str
+    zone: str
+    caller_address: str
+    admin_address: str
+    peer_address: str
+    process: RunningProcess
+
+    def url(self, path: str) -> str:
+        """Return a URL of the callers' listener."""
+        return f"http://{self.caller_address}{path}"
+
+    def admin_url(self, path: str) -> str:
+        """Return a URL of the operators' listener."""
+        return f"http://{self.admin_address}{path}"
+
+
+class Deployment:
+    """Runs a deployment while its context is open.
+
+    Parameters
+    ----------
+    shape : DeploymentShape
+        What to start.
+    """
+
+    def __init__(self, shape: DeploymentShape) -> None:
+        self.shape = shape
+        self.client = HttpClient()
+        self.instances: list[InstanceProcess] = []
+        self.backend_processes: dict[str, RunningProcess] = {}
+        self.backend_servers: dict[str, tuple[BackendServer, ...]] = {}
+        self.backend_controls: dict[str, str] = {}
+        self.platform_address = ""
+        self.platform_control = ""
+        self.folder = Path()
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Deployment:
+        """Start everything; every instance is ready on return."""
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.client.aclose)
+            self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            self._stack = stack
+            await self._start_platform()
+            async with trio.open_nursery() as nursery:
+                for service in self.shape.services:
+                    nursery.start_soon(self._start_service, service)
+            await self._publish()
+            async with trio.open_nursery() as nursery:
+                for number in range(self.shape.instances):
+                    nursery.start_soon(self.start_instance, f"i{number + 1}")
+            self.instances.sort(key=lambda instance: instance.name)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End every process."""
+        await self._stack.aclose()
+
+    async def search(
+        self, instance: InstanceProcess, branch: str, purpose: str, body: object
+    ) -> HttpReply:
+        """Send one search as a caller."""
+        path = f"/v1/branches/{branch}/purposes/{purpose}/query"
+        return await self.client.send("POST", instance.url(path), body=body)
+
+    async def perform(
+        self,
+        instance: InstanceProcess,
+        branch: str,
+        purpose: str,
+        body: object,
+        *,
+        key: str,
+    ) -> HttpReply:
+        """Send one non-idempotent request as a caller."""
+        path = f"/v1/branches/{branch}/purposes/{purpose}/perform"
+        return await self.client.send(
+            "POST", instance.url(path), body=body, headers={"Idempotency-Key": key}
+        )
+
+    async def put_object(self, kind: str, name: str, value: object) -> None:
+        """Create or replace an object of the platform."""
+        url = f"http://{self.platform_address}/objects/{kind}/{name}"
+        known = await self.client.send("GET", url)
+        headers = {"If-None-Match": "*"}
+        if known.status == 200:
+            version = known.decode(_Versioned).version
+            headers = {"If-Match": f'"{version}"'}
+        reply = await self.client.send("PUT", url, body=value, headers=headers)
+        if reply.status != 200:
+            raise RuntimeError(f"PUT {url}: {reply.status} {reply.body!r}")
+
+    async def set_platform_faults(self, **faults: object) -> None:
+        """Set fields of the platform's ``PlatformFaults``."""
+        await self._post(f"http://{self.platform_control}/control/faults", faults)
+
+    async def start_instance(self, name: str) -> InstanceProcess:
+        """Start one more entry instance and wait until it is ready."""
+        number = int(name.removeprefix("i")) - 1
+        zone = self.shape.zones[number % len(self.shape.zones)]
+        caller, admin, peer = (free_address() for _ in range(3))
+        path = self.folder / f"{name}.toml"
+        path.write_text(self._settings(name, zone, caller, admin, peer))
+        process = await self._stack.enter_async_context(
+            RunningProcess(
+                ["-m", "ibisfront.daemon", "--settings", str(path)],
+                log_path=str(self.folder / f"{name}.log"),
+            )
+        )
+        instance = InstanceProcess(name, zone, caller, admin, peer, process)
+        self.instances.append(instance)
+        await self.announce_instances()
+        await self.wait_ready(instance)
+        return instance
+
+    async def announce_instances(self) -> None:
+        """Tell the platform stand-in which instances run."""
+        entries = [
+            _InstanceEntry(
+                instance.name,
+                instance.zone,
+                instance.peer_address,
+                instance.admin_address,
+            )
+            for instance in self.instances
+            if instance.process.exit_code is None
+        ]
+        url = f"http://{self.platform_control}/control/instances"
+        await self._post(url, _InstanceEntries(entries))
+
+    async def wait_ready(self, instance: InstanceProcess) -> None:
+        """Wait until the balancer would send callers to an instance."""
+        with trio.fail_after(_READY_TIMEOUT_S):
+            while not await self._is_ready(instance):  # noqa: ASYNC110
+                await trio.sleep(_READY_POLL_S)
+
+    async def _post(self, url: str, body: object) -> None:
+        reply = await self.client.send("POST", url, body=body)
+        if reply.status != 200:
+            raise RuntimeError(f"POST {url}: {reply.status} {reply.body!r}")
+
+    async def _is_ready(self, instance: InstanceProcess) -> bool:
+        if instance.process.exit_code is not None:
+            log = (self.folder / f"{instance.name}.log").read_text()
+            raise RuntimeError(f"{instance.name} has ended: {log}")
+        try:
+            reply = await self.client.send("GET", instance.url("/readyz"))
+        except OSError:
+            return False
+        except Exception as error:
+            if "Connect" in type(error).__name__:
+                return False
+            raise
+        return reply.status == 200
+
+    async def _start_platform(self) -> None:
+        process = await self._stack.enter_async_context(
+            RunningProcess(["-m", "ibisfront.testing.platform", "--port", "0"])
+        )
+        self.platform_address = await process.printed(LISTENING)
+        self.platform_control = await process.printed(CONTROL)
+
+    async def _start_service(self, service: ServiceShape) -> None:
+        process = await self._stack.enter_async_context(
+            RunningProcess(
+                [
+                    "-m",
+                    "ibisfront.testing.backend",
+                    *("--service", service.name),
+                    *("--port", "0"),
+                    *("--count", str(service.servers)),
+                    *service.options,
+                ]
+            )
+        )
+        self.backend_processes[service.name] = process
+        lines = [await process.printed(LISTENING) for _ in range(service.servers)]
+        self.backend_controls[service.name] = await process.printed(CONTROL)
+        self.backend_servers[service.name] = tuple(
+            BackendServer(
+                name=f"{service.name}-{number}",
+                address=line.split()[0],
+                zone=self.shape.zones[number % len(self.shape.zones)],
+            )
+            for number, line in enumerate(lines)
+        )
+
+    async def _publish(self) -> None:
+        for name, servers in self.backend_servers.items():
+            await self.put_object("service", name, Service(servers))
+        for index in self.shape.indexes:
+            snapshots = tuple(
+                Snapshot(snapshot, index.services) for snapshot in index.snapshots
+            )
+            await self.put_object("index", index.name, Index(snapshots))
+        await self.put_object("table", TABLE_NAME, self.shape.table)
+
+    def _settings(
+        self, name: str, zone: str, caller: str, admin: str, peer: str
+    ) -> str:
+        settings = {
+            "instance": {"name": name, "zone": zone},
+            "callers": {"address": caller},
+            "admin": {"address": admin, "token": ADMIN_TOKEN},
+            "peers": {"address": peer},
+            "platform": {"address": self.platform_address},
+        }
+        return tomli_w.dumps(settings) + "\n" + self.shape.settings_text
+
+
+class _Versioned(msgspec.Struct):
+    version: int
+
+
+class _InstanceEntry(msgspec.Struct):
+    name: str
+    zone: str
+    peer_address: str
+    admin_address: str
+    state: str = "live"
+
+
+class _InstanceEntries(msgspec.Struct):
+    instances: list[_InstanceEntry]
+
+
+def register_shape(services: int = 3, *, instances: int = 3) -> DeploymentShape:
+    """Return a small register in the manner of a mailing house.
+
+    Parameters
+    ----------
+    services : int
+        How many services hold the register.
+    instances : int
+        How many entry instances run.
+    """
+    names = tuple(f"register-{number:02d}" for number in range(services))
+    return DeploymentShape(
+        services=(
+            *(ServiceShape(name) for name in names),
+            ServiceShape("print-queue", servers=3),
+        ),
+        indexes=(IndexShape("register", names),),
+        table=Table(
+            purposes=(
+                Purpose("name-check", "search", index="register", urgent=True),
+                Purpose("bulk-lookup", "search", index="register", prefers="coverage"),
+                Purpose("print-envelopes", "perform", service="print-queue"),
+            ),
+            rows=tuple(
+                Row(branch, purpose, weight=1.0, limit_per_s=500.0, max_in_flight=200)
+                for branch in ("hallgrim", "vestry", "harbour")
+                for purpose in ("name-check", "bulk-lookup", "print-envelopes")
+            ),
+        ),
+        instances=instances,
+    )
--- /dev/null
+++ b/ibisfront/testing/peers.py
@@ -0,0 +1,134 @@
+"""Peers in one process, for tests: a network that can be cut."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.peers import (
+        MessageType,
+        PeerHandler,
+        PeerMessage,
+        PeerReplyHandler,
+    )
+
+__all__ = ["FakePeers", "PeerNetwork"]
+
+
+class PeerNetwork:
+    """Carries messages between the fakes of one test.
+
+    Parameters
+    ----------
+    clock : Clock
+        The test's clock.
+    nursery : trio.Nursery
+        Where deliveries run.
+    delay_ms : float
+        How long each message takes one way.
+    """
+
+    def __init__(
+        self, *, clock: Clock, nursery: trio.Nursery, delay_ms: float = 1.0
+    ) -> None:
+        self.clock = clock
+        self.nursery = nursery
+        self.delay_ms = delay_ms
+        self.peers: dict[str, FakePeers] = {}
+        self._cut: set[frozenset[str]] = set()
+        self.sent = 0
+
+    def join(self, name: str) -> FakePeers:
+        """Return the peers of a new instance, a neighbour of all others."""
+        self.peers[name] = FakePeers(name, self)
+        return self.peers[name]
+
+    def leave(self, name: str) -> None:
+        """Take an instance off the network, without a word."""
+        self.peers.pop(name, None)
+
+    def cut(self, first: str, second: str) -> None:
+        """Lose every message between two instances from now on."""
+        self._cut.add(frozenset((first, second)))
+
+    def mend(self) -> None:
+        """End every cut."""
+        self._cut.clear()
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Return whether a message would arrive now."""
+        return (
+            sender in self.peers
+            and receiver in self.peers
+            and frozenset((sender, receiver)) not in self._cut
+        )
+
+
+class FakePeers:
+    """The peers of one instance in a :class:`PeerNetwork`."""
+
+    def __init__(self, name: str, network: PeerNetwork) -> None:
+        self.name = name
+        self._network = network
+        self._handlers: dict[type[PeerMessage], PeerHandler[PeerMessage]] = {}
+        self._repliers: dict[type[PeerMessage], PeerReplyHandler[PeerMessage]] = {}
+
+    def send(self, name: str, message: PeerMessage) -> bool:
+        """Queue a message; see ``Peers``."""
+        if name not in self._network.peers:
+            return False
+        self._network.sent += 1
+        self._network.nursery.start_soon(self._deliver, name, message)
+        return True
+
+    def send_neighbours(self, message: PeerMessage) -> None:
+        """Queue a message for every other instance; see ``Peers``."""
+        for name in sorted(self._network.peers):
+            if name != self.name:
+                self.send(name, message)
+
+    async def ask(
+        self, name: str, message: PeerMessage, *, timeout_ms: float
+    ) -> PeerMessage | None:
+        """Send a question; see ``Peers``."""
+        network = self._network
+        with network.clock.timeout_ms(timeout_ms):
+            await network.clock.sleep_ms(network.delay_ms)
+            if not network.reaches(self.name, name):
+                await trio.sleep_forever()
+            reply = network.peers[name].reply(self.name, message)
+            await network.clock.sleep_ms(network.delay_ms)
+            if not network.reaches(name, self.name):
+                await trio.sleep_forever()
+            return reply
+        return None
+
+    def handle(
+        self, message_type: type[MessageType], handler: PeerHandler[MessageType]
+    ) -> None:
+        """Call a function for each message of a type; see ``Peers``."""
+        self._handlers[message_type] = handler  # type: ignore[assignment]
+
+    def answer(
+        self, message_type: type[MessageType], handler: PeerReplyHandler[MessageType]
+    ) -> None:
+        """Let a function reply to questions; see ``Peers``."""
+        self._repliers[message_type] = handler  # type: ignore[assignment]
+
+    def reply(self, asker: str, message: PeerMessage) -> PeerMessage:
+        """Return the reply of this instance to a question."""
+        return self._repliers[type(message)](asker, message)
+
+    async def _deliver(self, name: str, message: PeerMessage) -> None:
+        await self._network.clock.sleep_ms(self._network.delay_ms)
+        if self._network.reaches(self.name, name):
+            self._network.peers[name].receive(self.name, message)
+
+    def receive(self, sender: str, message: PeerMessage) -> None:
+        """Hand a message to its handler; dropped if there is none."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(sender, message)
--- /dev/null
+++ b/ibisfront/testing/processes.py
@@ -0,0 +1,138 @@
+"""Starting and ending processes of this project, for tests, demo and bench."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from types import TracebackType
+
+__all__ = ["CONTROL", "LISTENING", "RunningProcess", "free_address"]
+
+LISTENING = "listening "
+"""What a stand-in prints before each address that it listens on."""
+
+CONTROL = "control "
+"""What a stand-in prints before the address that steers its faults."""
+
+_END_TIMEOUT_S = 5.0
+
+
+def free_address() -> str:
+    """Return a loopback address whose port the system has just picked."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class RunningProcess:
+    """A child process; ended, by its id, when its context ends.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        What follows the Python interpreter.
+    log_path : str, optional
+        Where its standard error goes; dropped if left out.
+    """
+
+    def __init__(
+        self, arguments: Sequence[str], *, log_path: str | None = None
+    ) -> None:
+        self._arguments = [sys.executable, *arguments]
+        self._log_path = log_path
+        self._process: subprocess.Popen[bytes] | None = None
+
+    async def __aenter__(self) -> RunningProcess:
+        """Start the process."""
+        target = subprocess.DEVNULL
+        if self._log_path is None:
+            self._process = self._start(target)
+        else:
+            with open(self._log_path, "ab") as log:  # noqa: ASYNC230
+                self._process = self._start(log.fileno())
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """End the process, gently at first."""
+        with trio.CancelScope(shield=True):
+            await self.end()
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._started().pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """How it ended; None while it runs."""
+        return self._started().poll()
+
+    async def printed(self, prefix: str) -> str:
+        """Return what follows a prefix on the next line printed with it.
+
+        Raises
+        ------
+        RuntimeError
+            If the process ended first.
+        """
+        output = self._started().stdout
+        assert output is not None
+        while True:
+            line = await trio.to_thread.run_sync(
+                output.readline, abandon_on_cancel=True
+            )
+            if not line:
+                raise RuntimeError(f"{self._arguments} ended before {prefix!r}")
+            text: str = line.decode().strip()
+            if text.startswith(prefix):
+                return text.removeprefix(prefix)
+
+    def send(self, signal_number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        self._started().send_signal(signal_number)
+
+    async def wait(self) -> int:
+        """Wait until it ends and return how it ended."""
+        return await trio.to_thread.run_sync(
+            self._started().wait, abandon_on_cancel=True
+        )
+
+    async def end(self) -> None:
+        """End the process: resume it, ask, and kill it if it does not go."""
+        process = self._started()
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+            with trio.move_on_after(_END_TIMEOUT_S):
+                await self.wait()
+        if process.poll() is None:
+            process.kill()
+            await self.wait()
+        if process.stdout is not None:
+            process.stdout.close()
+
+    def _start(self, error_target: int) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            self._arguments,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=error_target,
+        )
+
+    def _started(self) -> subprocess.Popen[bytes]:
+        if self._process is None:
+            raise RuntimeError("enter the context first")
+        return self._process
