Queue requests fairly by branch and refuse at once what cannot make it

Cause: admission only counted each row's running requests, so that one branch's flood went to the backend servers whole, nothing was refused before its deadline, and no refusal was counted.

A start-time fair queue (branches, then rows, urgent rows first) now stands before a number of places for each index or service. A full queue turns away the newest bulk of the branch most over its share, so that a flood cannot shut others out. A request whose expected wait (turns before it by the drain rate) eats its deadline is refused on arrival, ran "no", with the time in which the queue drains.

--- a/ibisfront/core/coverage.py
+++ b/ibisfront/core/coverage.py
@@ -50,3 +50,8 @@
     answered: int
     total: int
     missing: tuple[MissingService, ...] = ()
+
+    @property
+    def was_shed(self) -> bool:
+        """Whether an overloaded backend server refused a part."""
+        return any(item.reason is MissingReason.SHED for item in self.missing)
--- /dev/null
+++ b/ibisfront/core/fair_queue.py
@@ -0,0 +1,234 @@
+"""A weighted fair queue: branches share by weight, urgent work first in each.
+
+Start-time fair queueing on two levels. Each branch, and each row within its
+branch, carries a virtual start tag; the smallest tag goes next, and going
+moves the tag on by one over the weight. A flow that was idle starts at the
+present virtual time, so that it gains nothing by having been idle and waits
+for at most one turn of each other flow.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ibisfront.core.errors import IbisfrontError
+
+__all__ = ["FairQueue", "Waiter"]
+
+
+class Waiter:
+    """One request that waits for its place.
+
+    Parameters
+    ----------
+    branch, purpose : str
+        Its row.
+    weight : float
+        The row's weight.
+    urgent : bool
+        Whether it goes before the others of its branch.
+    """
+
+    __slots__ = (
+        "branch",
+        "purpose",
+        "refusal",
+        "settled",
+        "started",
+        "urgent",
+        "weight",
+    )
+
+    def __init__(
+        self, branch: str, purpose: str, *, weight: float, urgent: bool
+    ) -> None:
+        self.branch = branch
+        self.purpose = purpose
+        self.weight = weight
+        self.urgent = urgent
+        self.started = False
+        self.refusal: IbisfrontError | None = None
+        self.settled = trio.Event()
+
+    def start(self) -> None:
+        """Let the request run."""
+        self.started = True
+        self.settled.set()
+
+    def refuse(self, refusal: IbisfrontError) -> None:
+        """Answer the request at once with a refusal."""
+        self.refusal = refusal
+        self.settled.set()
+
+
+class _RowFlow:
+    """The requests of one row that wait or run."""
+
+    __slots__ = ("running", "start_tag", "urgent", "waiting", "weight")
+
+    def __init__(self) -> None:
+        self.weight = 1.0
+        self.urgent = False
+        self.start_tag = 0.0
+        self.running = 0
+        self.waiting: dict[Waiter, None] = {}  # ordered, and removed from anywhere
+
+
+class _BranchFlow:
+    """The rows of one branch."""
+
+    __slots__ = ("rows", "running", "start_tag", "virtual_time", "waiting")
+
+    def __init__(self) -> None:
+        self.start_tag = 0.0
+        self.virtual_time = 0.0
+        self.running = 0
+        self.waiting = 0
+        self.rows: dict[str, _RowFlow] = {}
+
+    @property
+    def weight(self) -> float:
+        """The sum of the weights of the rows in use."""
+        return sum(
+            row.weight for row in self.rows.values() if row.waiting or row.running
+        )
+
+    @property
+    def urgent_waiting(self) -> int:
+        """How many urgent requests wait."""
+        return sum(len(row.waiting) for row in self.rows.values() if row.urgent)
+
+    def next_row(self) -> _RowFlow:
+        """Return the row whose turn it is; at least one must have a waiter."""
+        waiting = (row for row in self.rows.values() if row.waiting)
+        return min(waiting, key=lambda row: (not row.urgent, row.start_tag))
+
+
+class FairQueue:
+    """The waiting and running requests of one group of services."""
+
+    __slots__ = ("_branches", "_virtual_time", "running", "waiting")
+
+    def __init__(self) -> None:
+        self._branches: dict[str, _BranchFlow] = {}
+        self._virtual_time = 0.0
+        self.waiting = 0
+        self.running = 0
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a request at the end of its row."""
+        branch = self._branches.setdefault(waiter.branch, _BranchFlow())
+        row = branch.rows.setdefault(waiter.purpose, _RowFlow())
+        row.weight = waiter.weight
+        row.urgent = waiter.urgent
+        if not branch.waiting:
+            branch.start_tag = max(branch.start_tag, self._virtual_time)
+        if not row.waiting:
+            row.start_tag = max(row.start_tag, branch.virtual_time)
+        row.waiting[waiter] = None
+        branch.waiting += 1
+        self.waiting += 1
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take out a request that still waits."""
+        branch = self._branches[waiter.branch]
+        del branch.rows[waiter.purpose].waiting[waiter]
+        branch.waiting -= 1
+        self.waiting -= 1
+        self._forget_idle(waiter)
+
+    def pop(self, may_go: Callable[[str], bool] | None = None) -> Waiter | None:
+        """Start the request whose turn it is and return it.
+
+        Parameters
+        ----------
+        may_go : callable, optional
+            If given, only urgent requests of the branches that it accepts
+            may go.
+        """
+        names = [
+            name
+            for name, flow in self._branches.items()
+            if flow.waiting
+            and (may_go is None or (flow.urgent_waiting and may_go(name)))
+        ]
+        if not names:
+            return None
+        return self._start(self._branches[min(names, key=self._order)])
+
+    def finish(self, waiter: Waiter) -> None:
+        """Note that a started request has ended."""
+        branch = self._branches[waiter.branch]
+        branch.rows[waiter.purpose].running -= 1
+        branch.running -= 1
+        self.running -= 1
+        self._forget_idle(waiter)
+
+    def is_below_share(self, branch: str, places: float) -> bool:
+        """Return whether a branch runs less than its weight gives of places."""
+        flow = self._branches[branch]
+        return flow.running < places * flow.weight / self._total_weight()
+
+    def turns_before(self, waiter: Waiter) -> float:
+        """Return about how many requests go before one that already waits."""
+        branch = self._branches[waiter.branch]
+        ahead = branch.urgent_waiting if waiter.urgent else branch.waiting
+        contenders = sum(
+            flow.weight for flow in self._branches.values() if flow.waiting
+        )
+        return min(self.waiting, ahead * contenders / branch.weight)
+
+    def longest_over_share(self, places: float) -> Waiter | None:
+        """Return the newest waiter, bulk first, of the branch most over its share.
+
+        Parameters
+        ----------
+        places : float
+            How many waiters the queue takes in all.
+        """
+        total = self._total_weight()
+
+        def excess(flow: _BranchFlow) -> float:
+            return flow.waiting - places * flow.weight / total
+
+        branch = max(self._branches.values(), key=excess)
+        if excess(branch) <= 0:
+            return None
+        rows = [row for row in branch.rows.values() if row.waiting]
+        return next(reversed(min(rows, key=lambda row: row.urgent).waiting))
+
+    def _start(self, branch: _BranchFlow) -> Waiter:
+        row = branch.next_row()
+        self._virtual_time = max(self._virtual_time, branch.start_tag)
+        branch.virtual_time = max(branch.virtual_time, row.start_tag)
+        branch.start_tag += 1.0 / branch.weight
+        row.start_tag += 1.0 / row.weight
+        waiter = next(iter(row.waiting))
+        del row.waiting[waiter]
+        row.running += 1
+        branch.waiting -= 1
+        branch.running += 1
+        self.waiting -= 1
+        self.running += 1
+        waiter.start()
+        return waiter
+
+    def _order(self, name: str) -> tuple[float, bool, str]:
+        branch = self._branches[name]
+        return branch.start_tag, not branch.urgent_waiting, name
+
+    def _total_weight(self) -> float:
+        return sum(flow.weight for flow in self._branches.values())
+
+    def _forget_idle(self, waiter: Waiter) -> None:
+        # Names of branches come from the table and go with its rows; a flow
+        # that is idle and owes no turn is dropped, so that memory stays bound.
+        branch = self._branches[waiter.branch]
+        idle = not branch.waiting and not branch.running
+        if idle and branch.start_tag <= self._virtual_time:
+            del self._branches[waiter.branch]
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -95,8 +95,10 @@
         row, purpose = self._row(request, "search")
         async with self.admission.admitted(
             row, purpose, deadline_at_ms=request.deadline_at_ms
-        ):
-            return await self.fanout.search(request, purpose)
+        ) as place:
+            answer = await self.fanout.search(request, purpose)
+            place.shed = answer.coverage.was_shed
+            return answer
 
     async def perform(self, request: CallerRequest, key: str) -> PerformAnswer:
         """Run non-idempotent work at most once; see ``CallerService``."""
--- /dev/null
+++ b/ibisfront/tests/test_admission.py
@@ -0,0 +1,161 @@
+"""Tests of admission: who is let in, refused at once, or given up on."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from ibisfront.core.admission import Admission
+from ibisfront.core.clock import Clock
+from ibisfront.core.counters import CounterKind, Counters
+from ibisfront.core.errors import ErrorKind, IbisfrontError, Ran
+from ibisfront.core.table import Purpose, Row
+from ibisfront.tests import trio_test
+
+BULK = Purpose("bulk", "search", index="register")
+DESK = Purpose("desk", "search", index="register", urgent=True)
+RUN_MS = 20.0
+
+
+class Caller:
+    """Sends requests and notes how each one went."""
+
+    def __init__(self, admission, clock):
+        self.admission = admission
+        self.clock = clock
+        self.waits_ms = []
+        self.errors = []
+
+    async def send(self, branch, purpose, *, budget_ms=1000.0, run_ms=RUN_MS):
+        """Send one request and hold its place for as long as it runs."""
+        row = Row(branch, purpose.name, limit_per_s=1e6, max_in_flight=10_000)
+        sent_ms = self.clock.now_ms()
+        try:
+            async with self.admission.admitted(
+                row, purpose, deadline_at_ms=sent_ms + budget_ms
+            ):
+                self.waits_ms.append(self.clock.now_ms() - sent_ms)
+                await self.clock.sleep_ms(run_ms)
+        except IbisfrontError as error:
+            error.after_ms = self.clock.now_ms() - sent_ms
+            self.errors.append(error)
+
+
+def new_caller():
+    """Return a caller of a new admission whose run time is known."""
+    clock = Clock()
+    admission = Admission(clock=clock, counters=Counters())
+    admission.group(BULK).limit.duration_ms = RUN_MS
+    return Caller(admission, clock)
+
+
+class AdmissionTest(unittest.TestCase):
+    """Refusals come at once, and places are never lost."""
+
+    @trio_test
+    async def test_urgent_request_finds_a_place_while_bulk_fills_all(self):
+        """A desk check waits behind the bulk run of another branch.
+
+        Seen: name checks take as long as the bulk queue. Order: a branch
+        sends 300 bulk searches, then another's desk sends one check. Cause:
+        one queue in order of arrival before a fixed number of places.
+        """
+        caller = new_caller()
+        async with trio.open_nursery() as nursery:
+            for _ in range(300):
+                nursery.start_soon(caller.send, "flood", BULK)
+            await caller.clock.sleep_ms(5)
+            desk = Caller(caller.admission, caller.clock)
+            await desk.send("vestry", DESK)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(desk.waits_ms, [0.0])
+
+    @trio_test
+    async def test_request_that_cannot_make_it_is_refused_at_once(self):
+        """A caller waits out its whole deadline only to be refused.
+
+        Seen: a refusal after two seconds that could have been said at once.
+        Order: the queue holds more work than drains before the deadline, then
+        a request arrives. Cause: the wait was not weighed on arrival.
+        """
+        caller = new_caller()
+        async with trio.open_nursery() as nursery:
+            for _ in range(200):
+                nursery.start_soon(caller.send, "vestry", BULK)
+            await caller.clock.sleep_ms(5)
+            late = Caller(caller.admission, caller.clock)
+            await late.send("vestry", BULK, budget_ms=100)
+            nursery.cancel_scope.cancel()
+        (error,) = late.errors
+        self.assertIs(error.kind, ErrorKind.DEADLINE_TOO_SHORT)
+        self.assertIs(error.ran, Ran.NO)
+        self.assertEqual(error.after_ms, 0.0)
+        self.assertGreater(error.retry_after_ms, 100)
+
+    @trio_test
+    async def test_request_given_up_on_in_the_queue_is_answered_then(self):
+        caller = new_caller()
+        async with trio.open_nursery() as nursery:
+            for _ in range(18):
+                nursery.start_soon(
+                    lambda: caller.send("vestry", BULK, run_ms=10_000, budget_ms=60_000)
+                )
+            await caller.clock.sleep_ms(5)
+            late = Caller(caller.admission, caller.clock)
+            await late.send("vestry", BULK, budget_ms=100)
+            nursery.cancel_scope.cancel()
+        (error,) = late.errors
+        self.assertIs(error.kind, ErrorKind.DEADLINE_TOO_SHORT)
+        self.assertAlmostEqual(error.after_ms, 100 - RUN_MS, places=3)
+
+    @trio_test
+    async def test_cancelled_requests_give_back_their_places(self):
+        """The tier gets slower with each caller that hangs up.
+
+        Seen: after a wave of callers that disconnect, every request is
+        refused though nothing runs. Order: callers wait or run, then all hang
+        up. Cause: a place or a place in the queue that nobody gives back.
+        """
+        caller = new_caller()
+        async with trio.open_nursery() as nursery:
+            for _ in range(100):
+                nursery.start_soon(caller.send, "vestry", BULK)
+            await caller.clock.sleep_ms(1)
+            nursery.cancel_scope.cancel()
+        queue = caller.admission.group(BULK).queue
+        self.assertEqual((queue.running, queue.waiting), (0, 0))
+        self.assertEqual(caller.admission.running, 0)
+
+    @trio_test
+    async def test_full_queue_refuses_the_flood_and_not_its_victim(self):
+        """One branch's flood fills the queue and shuts every other out.
+
+        Seen: a quiet branch is refused although it sends little. Order: a
+        flood fills the bounded queue, then the quiet branch sends. Cause: a
+        full queue refused whoever came last.
+        """
+        caller = new_caller()
+        flood = Caller(caller.admission, caller.clock)
+        quiet = Caller(caller.admission, caller.clock)
+        async with trio.open_nursery() as nursery:
+            for _ in range(1000):
+                nursery.start_soon(lambda: flood.send("flood", BULK, budget_ms=60_000))
+            await caller.clock.sleep_ms(1)
+            await quiet.send("vestry", BULK)
+            nursery.cancel_scope.cancel()
+        self.assertEqual((len(quiet.waits_ms), quiet.errors), (1, []))
+        self.assertTrue(flood.errors)
+        for error in flood.errors:
+            self.assertIs(error.kind, ErrorKind.OVERLOADED)
+            self.assertLessEqual(error.after_ms, 1.0)  # the quiet one came at 1
+
+    @trio_test
+    async def test_refusals_are_counted_by_reason(self):
+        counters = Counters()
+        admission = Admission(clock=Clock(), counters=counters)
+        row = Row("vestry", "bulk", max_in_flight=0)
+        with self.assertRaises(IbisfrontError):
+            async with admission.admitted(row, BULK, deadline_at_ms=1e9):
+                self.fail("nothing may run")
+        self.assertEqual(counters.value(CounterKind.REFUSALS, "over_limit"), 1)
--- /dev/null
+++ b/ibisfront/tests/test_fair_queue.py
@@ -0,0 +1,83 @@
+"""Tests of the weighted fair queue."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from ibisfront.core.fair_queue import FairQueue, Waiter
+from ibisfront.tests import trio_test
+
+
+def waiter(branch, purpose="bulk", *, weight=1.0, urgent=False):
+    """Return a waiter of a row."""
+    return Waiter(branch, purpose, weight=weight, urgent=urgent)
+
+
+class FairQueueTest(unittest.TestCase):
+    """Who goes next."""
+
+    @trio_test
+    async def test_turns_follow_the_weights(self):
+        queue = FairQueue()
+        for _ in range(60):
+            queue.push(waiter("vestry", weight=3.0))
+            queue.push(waiter("harbour", weight=1.0))
+        first = Counter(queue.pop().branch for _ in range(40))
+        self.assertEqual(first, {"vestry": 30, "harbour": 10})
+
+    @trio_test
+    async def test_an_idle_branch_waits_for_one_turn_of_a_flood_only(self):
+        queue = FairQueue()
+        for _ in range(500):
+            queue.push(waiter("flood"))
+        for _ in range(200):
+            queue.pop()
+        newcomer = waiter("vestry")
+        queue.push(newcomer)
+        self.assertIn(newcomer, [queue.pop() for _ in range(2)])
+
+    @trio_test
+    async def test_an_idle_branch_saves_up_no_turns(self):
+        queue = FairQueue()
+        queue.push(waiter("vestry"))
+        queue.pop()
+        for _ in range(100):
+            queue.push(waiter("flood"))
+        for _ in range(50):
+            queue.pop()
+        for _ in range(50):
+            queue.push(waiter("vestry"))
+        following = Counter(queue.pop().branch for _ in range(40))
+        self.assertLessEqual(abs(following["vestry"] - following["flood"]), 1)
+
+    @trio_test
+    async def test_urgent_goes_before_bulk_of_the_same_branch(self):
+        queue = FairQueue()
+        for _ in range(5):
+            queue.push(waiter("vestry"))
+        urgent = waiter("vestry", "desk", urgent=True)
+        queue.push(urgent)
+        self.assertIs(queue.pop(), urgent)
+
+    @trio_test
+    async def test_a_removed_waiter_never_goes(self):
+        queue = FairQueue()
+        gone, kept = waiter("vestry"), waiter("vestry")
+        queue.push(gone)
+        queue.push(kept)
+        queue.remove(gone)
+        self.assertIs(queue.pop(), kept)
+        self.assertIsNone(queue.pop())
+        self.assertEqual((queue.waiting, queue.running), (0, 1))
+
+    @trio_test
+    async def test_a_full_queue_gives_way_from_the_flood_and_its_bulk_first(self):
+        queue = FairQueue()
+        queue.push(waiter("flood", "desk", urgent=True))
+        newest = waiter("flood")
+        for _ in range(8):
+            queue.push(waiter("flood"))
+        queue.push(newest)
+        queue.push(waiter("vestry"))
+        self.assertIs(queue.longest_over_share(8), newest)
