--- a/ibisfront/testing/platform_state.py
+++ b/ibisfront/testing/platform_state.py
@@ -69,8 +69,9 @@
     """The platform's object API, for use in-process or behind HTTP.
 
     Every call can raise :class:`PlatformRefused` (429 when over the rate) and
-    :class:`AnswerLost`. A value is not to be changed once it was passed in or
-    returned.
+    :class:`AnswerLost`. While it hangs, a call waits until it is cancelled,
+    even if the outage ends. A value is not to be changed once it was passed in
+    or returned.
 
     Parameters
     ----------
@@ -217,8 +218,6 @@
         """
         if value is None:
             raise ValueError("a value cannot be null")
-        if len(msgspec.json.encode(value)) > VALUE_LIMIT_BYTES:
-            raise self._refused(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         return await self._write(_Write(_ObjectKey(kind, name), value, if_version))
 
     async def delete(self, kind: str, name: str, *, if_version: int) -> int:
@@ -285,6 +284,8 @@
         await self._check_outage()
         if not self._writes.take(self._faults.writes_per_second_limit):
             raise self._refused(HTTPStatus.TOO_MANY_REQUESTS)
+        if len(msgspec.json.encode(write.value)) > VALUE_LIMIT_BYTES:
+            raise self._refused(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         await self._slow_down()
         if self._hits(self._faults.lose_requests_fraction):
             raise self._answer_lost()
