Mend the backend stand-in's queue and crashes, and test each fault

Cause, as the review for the tests found: - a request that took a free slot counted as queued for one scheduling step more, so that requests that came together were shed too early; - a crash while the server was down replaced the event that its listener waited for, so that it never listened again; - nothing made a reply whole and another request's: add crossed_answer_fraction.

Ruled out: an own count of the queue, mended by ordering; trio's semaphore knows its waiters exactly.

--- a/ibisfront/testing/backend_state.py
+++ b/ibisfront/testing/backend_state.py
@@ -32,6 +32,7 @@
     NotRun,
     PerformResult,
     SearchResult,
+    WorkRefused,
     WorkRequest,
 )
 
@@ -40,18 +41,6 @@
 FIRST_SNAPSHOT = "snapshot-1"
 
 
-class _Refused(Exception):
-    """Ends a request with a reply other than 200."""
-
-    def __init__(
-        self, status: HTTPStatus, error: str, not_run: NotRun | None = None
-    ) -> None:
-        super().__init__(error)
-        self.status = status
-        self.error = error
-        self.not_run = not_run
-
-
 class FakeBackend:
     """One backend server of one service, for use in-process or behind HTTP.
 
@@ -73,6 +62,8 @@
         milliseconds.
     runs : RunLog
         What ran, by request.
+    settings : BackendSettings
+        Its size and speed.
     """
 
     __slots__ = (
@@ -81,12 +72,10 @@
         "_crash_scopes",
         "_down_until_ms",
         "_faults",
-        "_last_request_id",
+        "_last_reply",
         "_load",
         "_load_at_ms",
-        "_queued",
         "_random",
-        "_settings",
         "_slots",
         "_snapshots",
         "_started_ms",
@@ -95,6 +84,7 @@
         "on_crash",
         "runs",
         "service",
+        "settings",
     )
 
     def __init__(
@@ -108,13 +98,12 @@
         self.service = service
         self.name = name
         self.on_crash: Callable[[float], None] = lambda _down_ms: None
-        self._settings = settings or BackendSettings()
+        self.settings = settings or BackendSettings()
         self._clock = clock or Clock()
-        self._random = random.Random(f"{self._settings.seed}/{name}")
+        self._random = random.Random(f"{self.settings.seed}/{name}")
         self._faults = BackendFaults()
         self._snapshots: tuple[str, ...] = (FIRST_SNAPSHOT,)
-        self._slots = trio.Semaphore(self._settings.slots)
-        self._queued = 0
+        self._slots = trio.Semaphore(self.settings.slots)
         self._counts = BackendCounts()
         self.runs = RunLog()
         self._crash_scopes: set[trio.CancelScope] = set()
@@ -122,15 +111,10 @@
         self._down_until_ms = -math.inf
         self._thawed = trio.Event()
         self._thawed.set()
-        self._last_request_id = ""
+        self._last_reply: BackendReply | None = None
         self._load: LoadReport | None = None
         self._load_at_ms = -math.inf
 
-    @property
-    def settings(self) -> BackendSettings:
-        """The size and speed."""
-        return self._settings
-
     @property
     def faults(self) -> BackendFaults:
         """The faults as set."""
@@ -159,7 +143,7 @@
             name=self.name,
             service=self.service,
             in_flight=self._in_flight(),
-            queued=self._queued,
+            queued=self._queued(),
             snapshots=self._snapshots,
             counts=self._counts,
             faults=self._faults,
@@ -200,7 +184,7 @@
             case LoadLie.IDLE:
                 return msgspec.structs.replace(self._load, in_flight=0, draining=False)
             case LoadLie.BUSY:
-                busy = self._settings.slots + self._settings.queue_limit
+                busy = self.settings.slots + self.settings.queue_limit
                 return msgspec.structs.replace(self._load, in_flight=busy)
         return self._load
 
@@ -237,7 +221,7 @@
 
     def _search(self, work: WorkRequest) -> SearchResult:
         snapshot = work.snapshot or ""
-        rows = search_rows(work.service, snapshot, work.request, self._settings.rows)
+        rows = search_rows(work.service, snapshot, work.request, self.settings.rows)
         return SearchResult(snapshot, rows)
 
     def _perform(self, work: WorkRequest) -> PerformResult:
@@ -279,7 +263,7 @@
             try:
                 await self._run(work)
                 reply = self._reply(work, HTTPStatus.OK, execute(work))
-            except _Refused as refused:
+            except WorkRefused as refused:
                 reply = self._refusal(work, refused)
         if scope.cancelled_caught:
             self._counts.deadline_exceeded += 1
@@ -305,7 +289,7 @@
             self._slots.release()
         if self._hits(self._faults.fail_fraction):
             self._counts.failed += 1
-            raise _Refused(HTTPStatus.INTERNAL_SERVER_ERROR, "failed")
+            raise WorkRefused(HTTPStatus.INTERNAL_SERVER_ERROR, "failed")
 
     async def _crash_here(self) -> None:
         self.crash()
@@ -314,37 +298,36 @@
     def _check_can_run(self, work: WorkRequest) -> None:
         if work.service != self.service:
             self._counts.refused_bad += 1
-            raise _Refused(HTTPStatus.BAD_REQUEST, f"not {work.service} here")
+            raise WorkRefused(HTTPStatus.BAD_REQUEST, f"not {work.service} here")
         if self._is_cold() and self._faults.cold_start is ColdStart.REFUSE:
             self._counts.refused_cold += 1
-            raise _Refused(HTTPStatus.SERVICE_UNAVAILABLE, "cold", NotRun.COLD)
+            raise WorkRefused(HTTPStatus.SERVICE_UNAVAILABLE, "cold", NotRun.COLD)
         if self._faults.draining:
             self._counts.refused_draining += 1
-            raise _Refused(HTTPStatus.SERVICE_UNAVAILABLE, "draining", NotRun.DRAINING)
+            raise WorkRefused(
+                HTTPStatus.SERVICE_UNAVAILABLE, "draining", NotRun.DRAINING
+            )
         self._check_snapshot(work)
-        is_full = self._slots.value == 0 and self._queued >= self._settings.queue_limit
+        is_full = self._slots.value == 0 and self._queued() >= self.settings.queue_limit
         if self._faults.shedding or is_full:
             self._counts.shed += 1
-            raise _Refused(HTTPStatus.SERVICE_UNAVAILABLE, "shed", NotRun.SHED)
+            raise WorkRefused(HTTPStatus.SERVICE_UNAVAILABLE, "shed", NotRun.SHED)
 
     def _check_snapshot(self, work: WorkRequest) -> None:
         if work.snapshot is not None and work.snapshot not in self._snapshots:
             self._counts.refused_snapshot += 1
-            raise _Refused(HTTPStatus.CONFLICT, f"does not hold {work.snapshot}")
+            raise WorkRefused(HTTPStatus.CONFLICT, f"does not hold {work.snapshot}")
 
     async def _wait_for_slot(self) -> None:
-        self._queued += 1
         if self._slots.value == 0:
-            self._counts.queued_peak = max(self._counts.queued_peak, self._queued)
-        try:
-            await self._slots.acquire()
-        finally:
-            self._queued -= 1
+            queued = self._queued() + 1
+            self._counts.queued_peak = max(self._counts.queued_peak, queued)
+        await self._slots.acquire()
         peak = max(self._counts.in_flight_peak, self._in_flight())
         self._counts.in_flight_peak = peak
 
     def _service_time_ms(self) -> float:
-        settings = self._settings
+        settings = self.settings
         spread = math.exp(self._random.gauss(0.0, settings.service_sigma))
         duration_ms = settings.service_median_ms * spread
         if self._hits(self._faults.straggle_fraction):
@@ -363,10 +346,12 @@
             raise ConnectionLost
         if self._hits(faults.duplicate_answer_fraction):
             reply = msgspec.structs.replace(reply, copies=2)
-        other_id, self._last_request_id = self._last_request_id, reply.request_id
+        other, self._last_reply = self._last_reply or reply, reply
+        if self._hits(faults.crossed_answer_fraction):
+            return other
         if self._hits(faults.wrong_id_fraction):
-            wrong_id = other_id or f"not-{reply.request_id}"
-            reply = msgspec.structs.replace(reply, request_id=wrong_id)
+            wrong_id = f"not-{reply.request_id}"
+            return msgspec.structs.replace(reply, request_id=wrong_id)
         return reply
 
     def _reply(
@@ -383,14 +368,14 @@
             draining=self._faults.draining,
         )
 
-    def _refusal(self, work: WorkRequest, refused: _Refused) -> BackendReply:
+    def _refusal(self, work: WorkRequest, refused: WorkRefused) -> BackendReply:
         reply = self._reply(work, refused.status, ErrorBody(refused.error))
         if refused.not_run is None:
             return reply
         return msgspec.structs.replace(
             reply,
             not_run=refused.not_run,
-            retry_after_ms=self._settings.retry_after_ms,
+            retry_after_ms=self.settings.retry_after_ms,
         )
 
     def _has_crash_marker(self, work: WorkRequest) -> bool:
@@ -405,13 +390,16 @@
     def _is_cold(self) -> bool:
         return self._clock.now_ms() < self._started_ms + self._faults.cold_ms
 
+    def _queued(self) -> int:
+        return self._slots.statistics().tasks_waiting
+
     def _in_flight(self) -> int:
-        return self._settings.slots - self._slots.value
+        return self.settings.slots - self._slots.value
 
     def _true_load(self) -> LoadReport:
         return LoadReport(
-            in_flight=self._in_flight() + self._queued,
-            slots=self._settings.slots,
+            in_flight=self._in_flight() + self._queued(),
+            slots=self.settings.slots,
             draining=self._faults.draining,
             snapshots=self._snapshots,
         )
--- a/ibisfront/testing/backend_types.py
+++ b/ibisfront/testing/backend_types.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Any
 
 import msgspec
@@ -23,6 +24,7 @@
     "PerformRun",
     "SearchResult",
     "SearchRow",
+    "WorkRefused",
     "WorkRequest",
 ]
 
@@ -125,7 +127,10 @@
     lose_answer_fraction : float
         The share of answers lost: the connection closes in place of it.
     wrong_id_fraction : float
-        The share of replies that echo another request's id.
+        The share of replies that echo another request's id, the rest being
+        right.
+    crossed_answer_fraction : float
+        The share of replies replaced as a whole by the reply before.
     late_answer_fraction, late_answer_ms : float
         The share of answers held back after the run, and for how long.
     duplicate_answer_fraction : float
@@ -151,6 +156,7 @@
     fail_fraction: float = 0.0
     lose_answer_fraction: float = 0.0
     wrong_id_fraction: float = 0.0
+    crossed_answer_fraction: float = 0.0
     late_answer_fraction: float = 0.0
     late_answer_ms: float = 0.0
     duplicate_answer_fraction: float = 0.0
@@ -345,3 +351,25 @@
 
 class ConnectionLost(Exception):
     """The connection was lost in place of an answer."""
+
+
+class WorkRefused(Exception):
+    """Ends a request with a reply other than 200.
+
+    Parameters
+    ----------
+    status : HTTPStatus
+        The reply's status.
+    error : str
+        What the reply's body says.
+    not_run : NotRun, optional
+        Why it did not run, for a 503.
+    """
+
+    def __init__(
+        self, status: HTTPStatus, error: str, not_run: NotRun | None = None
+    ) -> None:
+        super().__init__(error)
+        self.status = status
+        self.error = error
+        self.not_run = not_run
--- a/ibisfront/testing/http_server.py
+++ b/ibisfront/testing/http_server.py
@@ -203,8 +203,9 @@
 
     def close_listener(self) -> None:
         """Stop listening, so that new connections are refused."""
-        self._listening = trio.Event()
-        self._listener_scope.cancel()
+        if self._listening.is_set():
+            self._listening = trio.Event()
+            self._listener_scope.cancel()
 
     def open_listener(self) -> None:
         """Listen again on the same port."""
