--- a/ibisfront/tests/test_testing_backend.py
+++ b/ibisfront/tests/test_testing_backend.py
@@ -495,6 +495,25 @@
             self.assertEqual(received.count(b"HTTP/1.1 200"), 2)
             self.assertEqual(face.backend.state().counts.runs, 1)
 
+    @trio_test_real_clock
+    async def test_reset_and_restart(self):
+        settings = msgspec.structs.replace(FAST, service_median_ms=3_600_000.0)
+        async with open_backend(settings, cold_ms=3_600_000.0) as (face, control, pool):
+            async with trio.open_nursery() as nursery:
+
+                async def search():
+                    with self.assertRaises(httpcore.NetworkError):
+                        await post_search(pool, face)
+
+                nursery.start_soon(search)
+                while face.backend.state().in_flight == 0:
+                    await trio.lowlevel.checkpoint()
+                await post_control(pool, control, "reset")
+            self.assertEqual(face.backend.state().in_flight, 0)
+            await post_control(pool, control, "restart")
+            response = await post_search(pool, face)
+            self.assertEqual(headers_of(response)["x-not-run"], "cold")
+
     @trio_test_real_clock
     async def test_control(self):
         async with open_backend() as (face, control, pool):
