Measure the whole tier by scenario, and check the proofs page

Cause: nothing measured tail latency, coverage and extra load together, and no check tied the claims of docs/PROOFS.md to tests that ran. What it does: python -m benchmarks runs a deployment for each scenario with an open-loop load process, ours beside the baseline policy, prints a table, writes JSON and an HTML page, and fails on a broken bound (ratios and counts only). make test now fails if a test that the page names did not run. Ruled out: asv and pyperf for the whole path (they time functions, not a tier under a fault); they stay possible for the hot paths.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 test: $(VENV)/.ready  ## run every test; ends with the count of passed, failed and skipped
 	$(PYTHON) -m nose2 --config unittest.cfg
+	@$(PYTHON) -m ibisfront.testing.proofs
 
 lint: $(VENV)/.ready  ## formatter, linter, type checker and import layers
 	$(PYTHON) -m ruff format --check .
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,67 @@
+"""``python -m benchmarks``: run, report and check the bounds."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+import msgspec
+import trio
+
+from benchmarks.bounds import broken_bounds, read_bounds
+from benchmarks.report import html_page, text_table
+from benchmarks.runner import BASELINE, OURS, Run, run_scenario
+from benchmarks.scenarios import SCENARIOS, scenario_named
+from benchmarks.shapes import LISTING, MAILING
+
+_RESULTS = Path("bench-results")
+_LISTING_SCENARIOS = ("healthy", "stragglers", "server frozen", "rolling restart")
+
+
+def main() -> int:
+    """Run what the options choose; 1 if a bound is broken."""
+    options = _options()
+    runs = trio.run(_run_all, options)
+    broken = broken_bounds(runs, read_bounds())
+    _RESULTS.mkdir(exist_ok=True)
+    (_RESULTS / "runs.json").write_bytes(msgspec.json.encode(runs))
+    (_RESULTS / "report.html").write_text(html_page(runs, broken))
+    print(text_table(runs))
+    for line in broken:
+        print(f"BROKEN: {line}")
+    print(f"{len(runs)} runs, {len(broken)} broken bounds; see {_RESULTS}/report.html")
+    return 1 if broken else 0
+
+
+def _options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks")
+    parser.add_argument("--scenario", action="append", help="only this one; repeatable")
+    parser.add_argument("--user", choices=(MAILING, LISTING), action="append")
+    parser.add_argument("--policy", choices=(OURS, BASELINE), action="append")
+    parser.add_argument("--seed", type=int, default=1)
+    return parser.parse_args()
+
+
+async def _run_all(options: argparse.Namespace) -> list[Run]:
+    runs: list[Run] = []
+    chosen = [scenario_named(name) for name in options.scenario or ()] or SCENARIOS
+    for user in options.user or (MAILING, LISTING):
+        for scenario in chosen:
+            if (
+                not options.scenario
+                and user == LISTING
+                and scenario.name not in _LISTING_SCENARIOS
+            ):
+                continue
+            for policy in options.policy or (OURS, BASELINE):
+                run = await run_scenario(
+                    scenario, user=user, policy=policy, seed=options.seed
+                )
+                runs.append(run)
+                print(text_table([run]).splitlines()[-1], file=sys.stderr, flush=True)
+    return runs
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import signal
 import tempfile
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -18,6 +19,7 @@
 from ibisfront.core.service import BackendServer, Service
 from ibisfront.core.snapshot import Index, Snapshot
 from ibisfront.core.table import TABLE_NAME, Purpose, Row, Table
+from ibisfront.testing.backend_types import BackendState, PerformRun
 from ibisfront.testing.http_client import HttpClient, HttpReply
 from ibisfront.testing.processes import CONTROL, LISTENING, RunningProcess, free_address
 
@@ -195,11 +197,58 @@
         """Set fields of the platform's ``PlatformFaults``."""
         await self._post(f"http://{self.platform_control}/control/faults", faults)
 
-    async def start_instance(self, name: str) -> InstanceProcess:
-        """Start one more entry instance and wait until it is ready."""
+    async def command_backend(
+        self, server: str, command: str, **fields: object
+    ) -> None:
+        """Send a command to a backend server's stand-in, by its name.
+
+        Parameters
+        ----------
+        server : str
+            Such as ``register-00-1``.
+        command : str
+            ``faults``, ``snapshots``, ``silence``, ``reset``, ``crash`` or
+            ``restart``.
+        **fields
+            The command's body.
+        """
+        control = self.backend_controls[server.rpartition("-")[0]]
+        await self._post(f"http://{control}/control/servers/{server}/{command}", fields)
+
+    async def backend_states(self) -> list[BackendState]:
+        """Return what every backend server's stand-in has counted."""
+        states: list[BackendState] = []
+        for control in self.backend_controls.values():
+            reply = await self.client.send("GET", f"http://{control}/control/servers")
+            states.extend(report.state for report in reply.decode(list[_Report]))
+        return states
+
+    async def performed(self, server: str) -> list[PerformRun]:
+        """Return each run of non-idempotent work at a backend server."""
+        control = self.backend_controls[server.rpartition("-")[0]]
+        url = f"http://{control}/control/servers/{server}/runs"
+        reply = await self.client.send("GET", url)
+        return reply.decode(_Runs).performed
+
+    async def start_instance(
+        self, name: str, *, like: InstanceProcess | None = None
+    ) -> InstanceProcess:
+        """Start one more entry instance and wait until it is ready.
+
+        Parameters
+        ----------
+        name : str
+            ``i1``, ``i2`` and so on; the number decides the zone.
+        like : InstanceProcess, optional
+            An ended instance whose addresses the new one takes over.
+        """
         number = int(name.removeprefix("i")) - 1
         zone = self.shape.zones[number % len(self.shape.zones)]
-        caller, admin, peer = (free_address() for _ in range(3))
+        if like is None:
+            caller, admin, peer = (free_address() for _ in range(3))
+        else:
+            caller, admin = like.caller_address, like.admin_address
+            peer = like.peer_address
         path = self.folder / f"{name}.toml"
         path.write_text(self._settings(name, zone, caller, admin, peer))
         process = await self._stack.enter_async_context(
@@ -214,6 +263,19 @@
         await self.wait_ready(instance)
         return instance
 
+    async def stop_instance(self, instance: InstanceProcess) -> int:
+        """Stop an instance in the planned way and return its exit code."""
+        instance.process.send(signal.SIGTERM)
+        exit_code = await instance.process.wait()
+        self.instances.remove(instance)
+        await self.announce_instances()
+        return exit_code
+
+    async def replace_instance(self, instance: InstanceProcess) -> InstanceProcess:
+        """Stop an instance and start one of its name and addresses."""
+        await self.stop_instance(instance)
+        return await self.start_instance(instance.name, like=instance)
+
     async def announce_instances(self) -> None:
         """Tell the platform stand-in which instances run."""
         entries = [
@@ -309,6 +371,14 @@
         return tomli_w.dumps(settings) + "\n" + self.shape.settings_text
 
 
+class _Report(msgspec.Struct):
+    state: BackendState
+
+
+class _Runs(msgspec.Struct):
+    performed: list[PerformRun]
+
+
 class _Versioned(msgspec.Struct):
     version: int
 
--- a/ibisfront/testing/nose2_summary.py
+++ b/ibisfront/testing/nose2_summary.py
@@ -59,6 +59,8 @@
         self.failed = 0
         self.skipped = 0
         self.known_red_seen: list[str] = []
+        self.ran_path = Path(self.config.as_str("ran", "bench-results/tests-ran.txt"))
+        self.ran: list[str] = []
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Count one outcome."""
@@ -66,7 +68,9 @@
             return  # its test counts it
         if event.outcome == result.SKIP:
             self.skipped += 1
-        elif event.outcome == result.PASS or event.expected:
+            return
+        self.ran.append(event.test.id().splitlines()[0])
+        if event.outcome == result.PASS or event.expected:
             self.passed += 1
         else:
             self._count_failure(event)
@@ -79,6 +83,8 @@
 
     def afterSummaryReport(self, event: Any) -> None:  # noqa: N802
         """Print the known red tests, then the count as the last line."""
+        self.ran_path.parent.mkdir(exist_ok=True)
+        self.ran_path.write_text("\n".join(sorted(set(self.ran))) + "\n")
         for name in self.known_red_seen:
             event.stream.writeln(f"KNOWN RED: {self.known_red[name]}")
         event.stream.writeln(
--- /dev/null
+++ b/ibisfront/testing/proofs.py
@@ -0,0 +1,96 @@
+"""Checks that every test named in ``docs/PROOFS.md`` exists and ran.
+
+``python -m ibisfront.testing.proofs`` reads the page and the list of tests
+that the last run of ``make test`` wrote, and fails on any difference.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["Proof", "faults_of", "main", "read_proofs"]
+
+PROOFS_PATH = Path("docs/PROOFS.md")
+RAN_PATH = Path("bench-results/tests-ran.txt")
+STATES = ("proved", "partly", "not proved")
+
+_COLUMNS = 6
+_TEST_NAME = re.compile(r"`([\w.]+\.test_\w+)`")
+_STATE = re.compile(r"(proved|partly|not proved)\b")
+
+
+class Proof(msgspec.Struct, frozen=True):
+    """One row of the page.
+
+    Attributes
+    ----------
+    promise : str
+        The promise, or the failure that threatens it.
+    tests : tuple of str
+        The dotted names of the tests, below ``ibisfront.tests`` or
+        ``properties``.
+    state : str
+        ``proved``, ``partly`` or ``not proved``, and why.
+    """
+
+    promise: str
+    tests: tuple[str, ...]
+    state: str
+
+
+def read_proofs(text: str) -> list[Proof]:
+    """Return the rows of the page's tables."""
+    rows = [_cells(line) for line in text.splitlines() if line.startswith("|")]
+    return [
+        Proof(cells[0], tuple(_TEST_NAME.findall(cells[2])), cells[5])
+        for cells in rows
+        if len(cells) == _COLUMNS and not _is_heading(cells)
+    ]
+
+
+def faults_of(proofs: Sequence[Proof], ran: Sequence[str]) -> list[str]:
+    """Return what is wrong with the page, a line each."""
+    faults = []
+    for proof in proofs:
+        state = _STATE.match(proof.state)
+        if state is None:
+            faults.append(f"{proof.promise!r}: the state must be one of {STATES}")
+        elif state.group() != "not proved" and not proof.tests:
+            faults.append(f"{proof.promise!r} is {state.group()} but names no test")
+        faults.extend(
+            f"{proof.promise!r}: {test} did not run"
+            for test in proof.tests
+            if not any(name.endswith("." + test) or name == test for name in ran)
+        )
+    return faults
+
+
+def main() -> int:
+    """Check the page; 1 if anything is wrong with it."""
+    proofs = read_proofs(PROOFS_PATH.read_text())
+    faults = faults_of(proofs, RAN_PATH.read_text().split())
+    if not proofs:
+        faults.append(f"{PROOFS_PATH} has no rows")
+    for fault in faults:
+        sys.stderr.write(f"PROOFS: {fault}\n")
+    return 1 if faults else 0
+
+
+def _cells(line: str) -> list[str]:
+    return [cell.strip() for cell in line.strip("|").split("|")]
+
+
+def _is_heading(cells: list[str]) -> bool:
+    return cells[0] in ("Promise", "Failure") or set(cells[0]) <= set("-: ")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
