Stop in order: not ready, lag, finish, hand back, close

Cause: the listener and all idle connections closed at SIGTERM, while the balancer still sent callers there.

The stop begins with /readyz, accepts for the balancer's lag, asks for the close of each connection in its responses, waits for the last request and a quiet moment, calls the leaving hooks, and only then lets hypercorn close, which drops idle connections without a word. A lapse of the bound and a second signal are logged, with a line for each request that is cut off.

--- a/ibisfront/adapters/http.py
+++ b/ibisfront/adapters/http.py
@@ -12,6 +12,10 @@
 from ibisfront.core.errors import ANSWERS, ErrorKind, IbisfrontError, Ran
 
 __all__ = [
+    "AsgiApplication",
+    "AsgiMessage",
+    "AsgiReceive",
+    "AsgiSend",
     "Handler",
     "HttpRequest",
     "HttpResponse",
--- a/ibisfront/core/settings.py
+++ b/ibisfront/core/settings.py
@@ -17,6 +17,7 @@
     "PeerSettings",
     "PlatformSettings",
     "Settings",
+    "StopSettings",
     "read_settings",
 ]
 
@@ -64,6 +65,23 @@
     connections_per_server: int = 4
 
 
+class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a planned stop goes.
+
+    Attributes
+    ----------
+    balancer_lag_ms : int
+        How long the balancer may go on sending callers to an instance that
+        is no longer ready.
+    finish_ms : int
+        How long requests in flight may run on after that; longer than the
+        longest deadline, or a planned stop cuts off requests.
+    """
+
+    balancer_lag_ms: int = 3_000
+    finish_ms: int = 31_000
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything that a settings file says."""
 
@@ -73,6 +91,7 @@
     peers: PeerSettings
     platform: PlatformSettings
     backend: BackendSettings = BackendSettings()
+    stop: StopSettings = StopSettings()
 
 
 def read_settings(path: Path) -> Settings:
--- a/ibisfront/daemon.py
+++ b/ibisfront/daemon.py
@@ -17,6 +17,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from ibisfront.adapters.callers import caller_routes
+from ibisfront.adapters.closing import closing_application
 from ibisfront.adapters.entrypoint import AdapterEntrypoint
 from ibisfront.adapters.http import (
     HttpRequest,
@@ -28,9 +29,12 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.errors import IbisfrontError
 from ibisfront.core.settings import read_settings
+from ibisfront.core.stopping import stop_in_order
 from ibisfront.instance import EntryInstance
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from hypercorn.typing import ASGIFramework
 
     from ibisfront.core.settings import Settings
@@ -39,7 +43,7 @@
 
 _LOG = logging.getLogger("ibisfront")
 _EXIT_BAD_SETTINGS = 2
-_GRACEFUL_TIMEOUT_S = 30.0
+_CLOSE_TIMEOUT_S = 1.0
 
 
 def main() -> None:
@@ -65,9 +69,9 @@
     clock = Clock()
     adapters = AdapterEntrypoint(settings, clock=clock)
     instance = EntryInstance(settings, adapters=adapters, clock=clock)
-    stopping = trio.Event()
+    closing = trio.Event()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_signals, stopping)
+        nursery.start_soon(_stop_on_signal, instance, clock, closing)
         await nursery.start(instance.run)
         application = asgi_application(
             (
@@ -79,12 +83,14 @@
         )
         config = hypercorn.config.Config()
         config.bind = [settings.callers.address]
-        config.graceful_timeout = _GRACEFUL_TIMEOUT_S
+        # The stop waits for every request before it sets the trigger; what the
+        # server itself still finds running then has had its time.
+        config.graceful_timeout = _CLOSE_TIMEOUT_S
         serve = partial(
             hypercorn.trio.serve,
-            cast("ASGIFramework", application),
+            cast("ASGIFramework", closing_application(application, instance.stopping)),
             config,
-            shutdown_trigger=stopping.wait,
+            shutdown_trigger=closing.wait,
         )
         _LOG.info("instance: %s starts.", settings.instance.name)
         await serve()
@@ -107,10 +113,28 @@
     )
 
 
-async def _watch_signals(stopping: trio.Event) -> None:
+async def _stop_on_signal(
+    instance: EntryInstance, clock: Clock, closing: trio.Event
+) -> None:
+    again = trio.Event()
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stopping.set()
+        await anext(signals)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_note_next_signal, signals, again)
+            await stop_in_order(
+                instance.stopping,
+                clock=clock,
+                settings=instance.settings.stop,
+                again=again,
+            )
+            nursery.cancel_scope.cancel()
+        closing.set()
+        await trio.sleep_forever()  # later signals must not end the process early
+
+
+async def _note_next_signal(signals: AsyncIterator[int], again: trio.Event) -> None:
+    await anext(signals)
+    again.set()
 
 
 def _report_fault(error: BaseException) -> None:
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -17,6 +17,7 @@
 from ibisfront.core.members import Member, Members
 from ibisfront.core.objects import ObjectStore
 from ibisfront.core.query import SubRequest
+from ibisfront.core.stopping import Stopping
 from ibisfront.core.watch import follow_platform
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
     ) -> None:
         self.settings = settings
         self.counters = Counters()
+        self.stopping = Stopping(clock=clock)
         self.members = Members(_own_member(settings, clock))
         self.store = ObjectStore()
         self.catalogue = Catalogue(self.store)
@@ -88,7 +90,7 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.catalogue.table is not None
+        return self.catalogue.table is not None and not self.stopping.begun
 
     async def search(self, request: CallerRequest) -> Answer:
         """Return one whole answer; see ``CallerService``."""
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -82,6 +82,8 @@
         How many entry instances; spread over the zones in turn.
     settings_text : str
         Further settings of every instance, as TOML.
+    balancer_lag_ms : int
+        How long an instance accepts requests after its stop began.
     """
 
     services: tuple[ServiceShape, ...]
@@ -90,6 +92,7 @@
     zones: tuple[str, ...] = ("z1", "z2", "z3")
     instances: int = 3
     settings_text: str = ""
+    balancer_lag_ms: int = 0
 
 
 class InstanceProcess(msgspec.Struct):
@@ -367,6 +370,7 @@
             "admin": {"address": admin, "token": ADMIN_TOKEN},
             "peers": {"address": peer},
             "platform": {"address": self.platform_address},
+            "stop": {"balancer_lag_ms": self.shape.balancer_lag_ms},
         }
         return tomli_w.dumps(settings) + "\n" + self.shape.settings_text
 
--- /dev/null
+++ b/ibisfront/tests/test_stopping.py
@@ -0,0 +1,105 @@
+"""Tests of the order of a planned stop, with mock time."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.core.settings import StopSettings
+from ibisfront.core.stopping import QUIET_MS, Stopping, stop_in_order
+from ibisfront.tests import trio_test
+
+SETTINGS = StopSettings(balancer_lag_ms=3_000, finish_ms=10_000)
+LOGGER = "ibisfront"
+
+
+async def run_request(stopping, clock, *, start_ms, run_ms):
+    """Run one request from a time on."""
+    await clock.sleep_ms(start_ms)
+    with stopping.request(f"request of {start_ms}"):
+        await clock.sleep_ms(run_ms)
+
+
+async def stop_with(requests, *, again_ms=None, hooks=()):
+    """Stop beside some requests; return what was cut off, and when it ended."""
+    clock = Clock()
+    stopping = Stopping(clock=clock)
+    for hook in hooks:
+        stopping.on_leaving(hook)
+    again = trio.Event()
+    started_ms = clock.now_ms()
+
+    async def signal_again():
+        await clock.sleep_ms(again_ms)
+        again.set()
+
+    async with trio.open_nursery() as nursery:
+        for start_ms, run_ms in requests:
+            nursery.start_soon(
+                lambda start_ms=start_ms, run_ms=run_ms: run_request(
+                    stopping, clock, start_ms=start_ms, run_ms=run_ms
+                )
+            )
+        if again_ms is not None:
+            nursery.start_soon(signal_again)
+        cut_off = await stop_in_order(
+            stopping, clock=clock, settings=SETTINGS, again=again
+        )
+        ended_ms = clock.now_ms() - started_ms
+        nursery.cancel_scope.cancel()
+    return cut_off, ended_ms
+
+
+class StopInOrderTest(unittest.TestCase):
+    """A planned stop cuts off nothing and ends in a bounded time."""
+
+    @trio_test
+    async def test_an_idle_instance_waits_for_the_balancer_only(self):
+        cut_off, ended_ms = await stop_with([])
+        self.assertEqual(cut_off, [])
+        self.assertAlmostEqual(ended_ms, 3_000 + QUIET_MS, places=3)
+
+    @trio_test
+    async def test_requests_after_the_signal_and_after_the_lag_are_finished(self):
+        """A restart loses the requests that a slow balancer still sends.
+
+        Seen: callers get a reset during a rolling restart. Order: SIGTERM,
+        then the balancer goes on sending for its lag, and one request comes a
+        moment after it. Cause: the listener was closed at the signal.
+        """
+        cut_off, ended_ms = await stop_with([(2_900, 500), (3_450, 200)])
+        self.assertEqual(cut_off, [])
+        self.assertAlmostEqual(ended_ms, 3_650 + QUIET_MS, places=3)
+
+    @trio_test
+    async def test_a_request_beyond_the_bound_is_cut_off_and_named(self):
+        with self.assertLogs(LOGGER) as logs:
+            cut_off, ended_ms = await stop_with([(0, 60_000)])
+        self.assertEqual(cut_off, ["request of 0"])
+        self.assertEqual(ended_ms, 13_000)
+        text = "\n".join(logs.output)
+        self.assertIn("The bound of 13000 ms has lapsed.", text)
+        self.assertIn("Cut off: request of 0.", text)
+
+    @trio_test
+    async def test_a_second_signal_ends_the_stop_and_says_so(self):
+        with self.assertLogs(LOGGER) as logs:
+            cut_off, ended_ms = await stop_with([(0, 60_000)], again_ms=500)
+        self.assertEqual((len(cut_off), ended_ms), (1, 500))
+        self.assertIn("A second signal ends the stop at once.", "\n".join(logs.output))
+
+    @trio_test
+    async def test_hooks_run_last_and_cannot_hold_the_stop_up(self):
+        called_ms = []
+
+        async def note_time():
+            called_ms.append(trio.current_time() * 1000)
+
+        cut_off, ended_ms = await stop_with(
+            [(0, 5_000)], hooks=(note_time, trio.sleep_forever)
+        )
+        self.assertEqual(cut_off, [])
+        self.assertEqual(len(called_ms), 1)
+        self.assertAlmostEqual(ended_ms, 5_000 + QUIET_MS + 1_000, places=3)
