--- a/benchmarks/runner.py
+++ b/benchmarks/runner.py
@@ -52,7 +52,9 @@
     seed : int
         Decides the arrivals.
     """
-    shape = shape_of(user, settings_text=_POLICY_SETTINGS[policy])
+    shape = shape_of(
+        user, settings_text=_POLICY_SETTINGS[policy], relayed=scenario.relayed
+    )
     async with Deployment(shape) as deployment:
         plan = LoadPlan(
             targets=tuple(
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -41,12 +41,15 @@
         Runs beside the load from the start of the run.
     duration_s : float
         How long requests are sent.
+    relayed : bool
+        Whether the deployment's zones can be cut off from each other.
     """
 
     name: str
     classes: tuple[LoadClass, ...]
     fault: Fault
     duration_s: float = 6.0
+    relayed: bool = False
 
 
 def _ordinary_load() -> tuple[LoadClass, ...]:
@@ -111,6 +114,13 @@
     await deployment.set_platform_faults(outage="none")
 
 
+async def _zone_cut(deployment: Deployment) -> None:
+    await trio.sleep(_FAULT_AT_S)
+    await deployment.cut_zone(deployment.shape.zones[-1])
+    await trio.sleep(_FAULT_FOR_S)
+    await deployment.mend_cuts()
+
+
 async def _crashing_request(deployment: Deployment) -> None:
     for servers in deployment.backend_servers.values():
         for server in servers:
@@ -174,6 +184,7 @@
     ),
     Scenario("crashing request", (*_ORDINARY, _CRASHING), _crashing_request),
     Scenario("platform out", _ORDINARY, _platform_outage),
+    Scenario("zone cut off", _ORDINARY, _zone_cut, relayed=True),
     Scenario("instance killed", _ORDINARY, _kill_instance),
     Scenario("instance frozen", _ORDINARY, _freeze_instance),
     Scenario("rolling restart", _ORDINARY, _rolling_restart, 12.0),
--- a/benchmarks/shapes.py
+++ b/benchmarks/shapes.py
@@ -22,11 +22,12 @@
 _SERVICES = 20
 _INSTANCES = 6
 _BRANCHES = (FLOODED_BRANCH, "branch-b", "branch-c")
+_BALANCER_LAG_MS = 1200
 _LIMIT_PER_S = 400.0
 _MAX_IN_FLIGHT = 300
 
 
-def shape_of(user: str, *, settings_text: str) -> DeploymentShape:
+def shape_of(user: str, *, settings_text: str, relayed: bool) -> DeploymentShape:
     """Return the deployment of a user.
 
     Parameters
@@ -35,6 +36,8 @@
         Whose.
     settings_text : str
         Further settings of every instance, as TOML.
+    relayed : bool
+        Whether its zones can be cut off from each other.
     """
     names = tuple(f"part-{number:02d}" for number in range(_SERVICES))
     queue_servers = 5 if user == MAILING else 3
@@ -52,6 +55,8 @@
         table=_table(user),
         instances=_INSTANCES,
         settings_text=settings_text,
+        relayed=relayed,
+        balancer_lag_ms=_BALANCER_LAG_MS,
     )
 
 
--- a/ibisfront/adapters/backend.py
+++ b/ibisfront/adapters/backend.py
@@ -160,7 +160,9 @@
         )
 
 
-def connection_opener(clock: Clock) -> OpenConnection:
+def connection_opener(
+    clock: Clock, *, outgoing_ip: str | None = None
+) -> OpenConnection:
     """Return a function that opens connections to backend servers.
 
     Connecting is apart from sending, so that a connection that cannot be
@@ -172,7 +174,10 @@
         host, _, port = address.rpartition(":")
         try:
             stream = await network.connect_tcp(
-                host, int(port), socket_options=[_NO_DELAY]
+                host,
+                int(port),
+                local_address=outgoing_ip,
+                socket_options=[_NO_DELAY],
             )
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise SubRequestError(MissingReason.CONNECT_FAILED, not_run=True) from error
--- a/ibisfront/adapters/entrypoint.py
+++ b/ibisfront/adapters/entrypoint.py
@@ -36,8 +36,13 @@
 
     def open_platform(self) -> PlatformClient:
         """Return a client of the platform."""
-        return PlatformClient(self._settings.platform.address)
+        return PlatformClient(
+            self._settings.platform.address,
+            outgoing_ip=self._settings.instance.outgoing_ip,
+        )
 
     def connection_opener(self) -> OpenConnection:
         """Return a function that opens connections to backend servers."""
-        return connection_opener(self._clock)
+        return connection_opener(
+            self._clock, outgoing_ip=self._settings.instance.outgoing_ip
+        )
--- a/ibisfront/adapters/platform.py
+++ b/ibisfront/adapters/platform.py
@@ -78,13 +78,15 @@
     ----------
     address : str
         The platform's ``IP:PORT``.
+    outgoing_ip : str, optional
+        The address that its connections come from.
     """
 
     __slots__ = ("_pool", "_url")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, *, outgoing_ip: str | None = None) -> None:
         self._url = f"http://{address}"
-        self._pool = httpcore.AsyncConnectionPool(retries=0)
+        self._pool = httpcore.AsyncConnectionPool(retries=0, local_address=outgoing_ip)
 
     async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
         """Return an object, or None if there is none.
--- a/ibisfront/core/settings.py
+++ b/ibisfront/core/settings.py
@@ -23,10 +23,15 @@
 
 
 class InstanceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Who this instance is."""
+    """Who this instance is.
+
+    ``outgoing_ip`` is the address that its own connections come from; the
+    system picks one if it is left out.
+    """
 
     name: str
     zone: str
+    outgoing_ip: str | None = None
 
 
 class CallerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -46,10 +51,20 @@
 
 
 class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The listener for the other instances, and first addresses to try."""
+    """The listener for the other instances, and first addresses to try.
+
+    ``advertised_address`` is where the others reach the listener, if that is
+    not the address that it listens on.
+    """
 
     address: Address
     seeds: tuple[Address, ...] = ()
+    advertised_address: Address | None = None
+
+    @property
+    def reached_at(self) -> Address:
+        """Where the other instances reach the listener."""
+        return self.advertised_address or self.address
 
 
 class PlatformSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -170,7 +170,7 @@
     return Member(
         name=settings.instance.name,
         zone=settings.instance.zone,
-        peer_address=settings.peers.address,
+        peer_address=settings.peers.reached_at,
         admin_address=settings.admin.address,
         incarnation=int(clock.wall_ms()),
     )
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -21,7 +21,14 @@
 from ibisfront.core.table import TABLE_NAME, Purpose, Row, Table
 from ibisfront.testing.backend_types import BackendState, PerformRun
 from ibisfront.testing.http_client import HttpClient, HttpReply
-from ibisfront.testing.processes import CONTROL, LISTENING, RunningProcess, free_address
+from ibisfront.testing.processes import (
+    CONTROL,
+    LISTENING,
+    LOOPBACK,
+    RunningProcess,
+    free_address,
+)
+from ibisfront.testing.relay import Cut, Cuts, RelayAddress, RelayTarget
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -36,6 +43,9 @@
     "register_shape",
 ]
 
+PLATFORM_PLACE = "platform"
+"""The platform's side of a cut."""
+
 ADMIN_TOKEN = "token-of-the-test-deployment"
 _READY_TIMEOUT_S = 20.0
 _READY_POLL_S = 0.05
@@ -84,6 +94,8 @@
         Further settings of every instance, as TOML.
     balancer_lag_ms : int
         How long an instance accepts requests after its stop began.
+    relayed : bool
+        Whether all paths but the callers' pass a relay that can cut zones.
     """
 
     services: tuple[ServiceShape, ...]
@@ -93,6 +105,7 @@
     instances: int = 3
     settings_text: str = ""
     balancer_lag_ms: int = 0
+    relayed: bool = False
 
 
 class InstanceProcess(msgspec.Struct):
@@ -103,6 +116,7 @@
     caller_address: str
     admin_address: str
     peer_address: str
+    listening_peer_address: str
     process: RunningProcess
 
     def url(self, path: str) -> str:
@@ -132,6 +146,8 @@
         self.backend_controls: dict[str, str] = {}
         self.platform_address = ""
         self.platform_control = ""
+        self._platform_seen = ""
+        self.relay_control = ""
         self.folder = Path()
         self._stack = AsyncExitStack()
 
@@ -141,6 +157,7 @@
             stack.push_async_callback(self.client.aclose)
             self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
             self._stack = stack
+            await self._start_relay()
             await self._start_platform()
             async with trio.open_nursery() as nursery:
                 for service in self.shape.services:
@@ -248,19 +265,26 @@
         number = int(name.removeprefix("i")) - 1
         zone = self.shape.zones[number % len(self.shape.zones)]
         if like is None:
-            caller, admin, peer = (free_address() for _ in range(3))
+            host = self.place_of(zone)
+            caller, admin, peer = (free_address(host) for _ in range(3))
+            advertised = await self._relayed(peer, host)
         else:
             caller, admin = like.caller_address, like.admin_address
-            peer = like.peer_address
+            peer, advertised = like.listening_peer_address, like.peer_address
+        settings = self._settings(name, zone, caller, admin)
+        settings["peers"] = {"address": peer}
+        if advertised != peer:
+            settings["peers"]["advertised_address"] = advertised
+            settings["instance"]["outgoing_ip"] = self.place_of(zone)
         path = self.folder / f"{name}.toml"
-        path.write_text(self._settings(name, zone, caller, admin, peer))
+        path.write_text(tomli_w.dumps(settings) + "\n" + self.shape.settings_text)
         process = await self._stack.enter_async_context(
             RunningProcess(
                 ["-m", "ibisfront.daemon", "--settings", str(path)],
                 log_path=str(self.folder / f"{name}.log"),
             )
         )
-        instance = InstanceProcess(name, zone, caller, admin, peer, process)
+        instance = InstanceProcess(name, zone, caller, admin, advertised, peer, process)
         self.instances.append(instance)
         await self.announce_instances()
         await self.wait_ready(instance)
@@ -279,6 +303,27 @@
         await self.stop_instance(instance)
         return await self.start_instance(instance.name, like=instance)
 
+    def place_of(self, zone: str) -> str:
+        """Return the IP that a zone's instances connect from."""
+        if not self.shape.relayed:
+            return LOOPBACK
+        return f"127.0.{self.shape.zones.index(zone) + 1}.1"
+
+    async def cut_zone(self, zone: str, *, platform: bool = True) -> None:
+        """Cut a zone off from the other zones and from the platform."""
+        others = [self.place_of(other) for other in self.shape.zones if other != zone]
+        if platform:
+            others.append(PLATFORM_PLACE)
+        cuts = tuple(Cut(self.place_of(zone), other) for other in others)
+        await self._set_cuts(Cuts(cuts))
+
+    async def mend_cuts(self) -> None:
+        """End every cut."""
+        await self._set_cuts(Cuts())
+
+    async def _set_cuts(self, cuts: Cuts) -> None:
+        await self._post(f"http://{self.relay_control}/control/cuts", cuts)
+
     async def announce_instances(self) -> None:
         """Tell the platform stand-in which instances run."""
         entries = [
@@ -325,6 +370,7 @@
         )
         self.platform_address = await process.printed(LISTENING)
         self.platform_control = await process.printed(CONTROL)
+        self._platform_seen = await self._relayed(self.platform_address, PLATFORM_PLACE)
 
     async def _start_service(self, service: ServiceShape) -> None:
         process = await self._stack.enter_async_context(
@@ -343,14 +389,38 @@
         lines = [await process.printed(LISTENING) for _ in range(service.servers)]
         self.backend_controls[service.name] = await process.printed(CONTROL)
         self.backend_servers[service.name] = tuple(
-            BackendServer(
-                name=f"{service.name}-{number}",
-                address=line.split()[0],
-                zone=self.shape.zones[number % len(self.shape.zones)],
-            )
-            for number, line in enumerate(lines)
+            [
+                await self._backend_server(service.name, number, line.split()[0])
+                for number, line in enumerate(lines)
+            ]
         )
 
+    async def _backend_server(
+        self, service: str, number: int, address: str
+    ) -> BackendServer:
+        zone = self.shape.zones[number % len(self.shape.zones)]
+        return BackendServer(
+            name=f"{service}-{number}",
+            address=await self._relayed(address, self.place_of(zone)),
+            zone=zone,
+        )
+
+    async def _start_relay(self) -> None:
+        if not self.shape.relayed:
+            return
+        process = await self._stack.enter_async_context(
+            RunningProcess(["-m", "ibisfront.testing.relay"])
+        )
+        self.relay_control = await process.printed(CONTROL)
+
+    async def _relayed(self, address: str, place: str) -> str:
+        if not self.shape.relayed:
+            return address
+        url = f"http://{self.relay_control}/control/relays"
+        target = RelayTarget(address, place)
+        reply = await self.client.send("POST", url, body=target)
+        return reply.decode(RelayAddress).address
+
     async def _publish(self) -> None:
         for name, servers in self.backend_servers.items():
             await self.put_object("service", name, Service(servers))
@@ -362,17 +432,15 @@
         await self.put_object("table", TABLE_NAME, self.shape.table)
 
     def _settings(
-        self, name: str, zone: str, caller: str, admin: str, peer: str
-    ) -> str:
-        settings = {
+        self, name: str, zone: str, caller: str, admin: str
+    ) -> dict[str, dict[str, str]]:
+        return {
             "instance": {"name": name, "zone": zone},
             "callers": {"address": caller},
             "admin": {"address": admin, "token": ADMIN_TOKEN},
-            "peers": {"address": peer},
-            "platform": {"address": self.platform_address},
+            "platform": {"address": self._platform_seen},
             "stop": {"balancer_lag_ms": self.shape.balancer_lag_ms},
         }
-        return tomli_w.dumps(settings) + "\n" + self.shape.settings_text
 
 
 class _Report(msgspec.Struct):
--- a/ibisfront/testing/processes.py
+++ b/ibisfront/testing/processes.py
@@ -14,7 +14,9 @@
     from collections.abc import Sequence
     from types import TracebackType
 
-__all__ = ["CONTROL", "LISTENING", "RunningProcess", "free_address"]
+__all__ = ["CONTROL", "LISTENING", "LOOPBACK", "RunningProcess", "free_address"]
+
+LOOPBACK = "127.0.0.1"
 
 LISTENING = "listening "
 """What a stand-in prints before each address that it listens on."""
@@ -25,11 +27,11 @@
 _END_TIMEOUT_S = 5.0
 
 
-def free_address() -> str:
+def free_address(host: str = LOOPBACK) -> str:
     """Return a loopback address whose port the system has just picked."""
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 class RunningProcess:
