--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -433,7 +433,7 @@
 
     def _settings(
         self, name: str, zone: str, caller: str, admin: str
-    ) -> dict[str, dict[str, str]]:
+    ) -> dict[str, dict[str, str | int]]:
         return {
             "instance": {"name": name, "zone": zone},
             "callers": {"address": caller},
