Claim non-idempotent requests in a ledger before they are sent

A key's record in the platform names the one attempt that may be sent; it is written by conditional update before a byte leaves, many claims in one write. In the process an attempt is either sent or dropped, never both, so that "not run" holds however late the claim lands.

WriteConflict moves to core/objects.py, since the ledger in core catches it.

--- a/ibisfront/adapters/platform.py
+++ b/ibisfront/adapters/platform.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
-from ibisfront.core.objects import ObjectKind, VersionedObject
+from ibisfront.core.objects import ObjectKind, VersionedObject, WriteConflict
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -67,10 +67,6 @@
     objects: tuple[VersionedObject, ...]
 
 
-class WriteConflict(Exception):
-    """A conditional write met another version; it took no effect."""
-
-
 class PlatformClient:
     """Calls the platform; one call at a time on each connection.
 
--- /dev/null
+++ b/ibisfront/core/attempts.py
@@ -0,0 +1,198 @@
+"""The attempts of this process: whether each may still be sent."""
+
+from __future__ import annotations
+
+import itertools
+from collections import OrderedDict
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import trio
+
+from ibisfront.core.claim import AttemptId, ClaimRecord, ClaimState, kept_record
+
+if TYPE_CHECKING:
+    from ibisfront.core.idempotency_key import IdempotencyKey
+
+__all__ = ["Attempt", "AttemptRegistry", "AttemptState"]
+
+_REMEMBERED_ATTEMPTS = 10_000
+
+
+class AttemptState(StrEnum):
+    """The states of an attempt; ``dropped`` and ``settled`` are final."""
+
+    OPEN = "open"
+    SENT = "sent"
+    DROPPED = "dropped"
+    SETTLED = "settled"
+
+
+class Attempt:
+    """One copy of a request at this instance.
+
+    All steps are synchronous. The step to ``sent`` and the step to
+    ``dropped`` exclude each other, so that whoever was told "not run" after
+    :meth:`drop` can rely on it, however late the claim's write lands and
+    however long the process was paused.
+
+    Parameters
+    ----------
+    attempt_id : AttemptId
+        Its name.
+    key : IdempotencyKey
+        The key of its request.
+    fingerprint : str
+        Of its request.
+    deadline_at_ms : float
+        When its caller stops waiting, by the tier's clock.
+
+    Attributes
+    ----------
+    state : AttemptState
+        How far it is.
+    submitted : bool
+        Whether a claim of it may be in the ledger, or get there yet.
+    caller_answered : bool
+        Whether its caller was told something or is gone.
+    outcome : ClaimRecord or None
+        What became of it, once it is settled.
+    ended : trio.Event
+        Set when it is dropped or settled.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "caller_answered",
+        "deadline_at_ms",
+        "ended",
+        "fingerprint",
+        "key",
+        "outcome",
+        "state",
+        "submitted",
+    )
+
+    def __init__(
+        self,
+        attempt_id: AttemptId,
+        key: IdempotencyKey,
+        *,
+        fingerprint: str,
+        deadline_at_ms: float,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.key = key
+        self.fingerprint = fingerprint
+        self.deadline_at_ms = deadline_at_ms
+        self.state = AttemptState.OPEN
+        self.submitted = False
+        self.caller_answered = False
+        self.outcome: ClaimRecord | None = None
+        self.ended = trio.Event()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether it may be sent yet, or was sent and has no outcome."""
+        return self.state in (AttemptState.OPEN, AttemptState.SENT)
+
+    def start_send(self, *, now_ms: float) -> bool:
+        """Take the step to ``sent``; return whether it may be sent.
+
+        Called with no ``await`` before the first byte. A process that was
+        paused finds its deadline passed here; a caller that was answered
+        meanwhile does not get its work run behind its back.
+        """
+        may_send = (
+            self.state is AttemptState.OPEN
+            and not self.caller_answered
+            and now_ms < self.deadline_at_ms
+        )
+        if may_send:
+            self.state = AttemptState.SENT
+        return may_send
+
+    def reopen(self) -> None:
+        """Go back to ``open``: the backend server said that it did not run it."""
+        if self.state is AttemptState.SENT:
+            self.state = AttemptState.OPEN
+
+    def drop(self) -> bool:
+        """Give it up unless it was sent; return whether it can never run."""
+        if self.state is AttemptState.OPEN:
+            self.state = AttemptState.DROPPED
+            self.ended.set()
+        return self.state is AttemptState.DROPPED
+
+    def settle(self, outcome: ClaimRecord) -> None:
+        """Note what became of it."""
+        if self.is_active:
+            self.state = AttemptState.SETTLED
+            self.outcome = outcome
+            self.ended.set()
+
+    def forget_large_result(self) -> None:
+        """Keep no more of the outcome than the ledger does."""
+        if self.outcome is not None:
+            self.outcome = kept_record(self.outcome)
+
+    def record(
+        self, state: ClaimState = ClaimState.CLAIMED, reason: str = ""
+    ) -> ClaimRecord:
+        """Return a record of it for the ledger."""
+        return ClaimRecord(self.fingerprint, self.attempt_id, state, reason)
+
+
+class AttemptRegistry:
+    """Every recent attempt of this process.
+
+    Parameters
+    ----------
+    instance : str
+        This instance's name.
+    process : str
+        The random name of this process.
+    """
+
+    __slots__ = ("_active", "_attempts", "_instance", "_numbers", "_process")
+
+    def __init__(self, *, instance: str, process: str) -> None:
+        self._instance = instance
+        self._process = process
+        self._numbers = itertools.count(1)
+        self._attempts: OrderedDict[AttemptId, Attempt] = OrderedDict()
+        self._active: dict[str, Attempt] = {}
+
+    def open(
+        self, key: IdempotencyKey, *, fingerprint: str, deadline_at_ms: float
+    ) -> Attempt:
+        """Return a new attempt."""
+        attempt_id = AttemptId(self._instance, self._process, next(self._numbers))
+        attempt = Attempt(
+            attempt_id, key, fingerprint=fingerprint, deadline_at_ms=deadline_at_ms
+        )
+        self._attempts[attempt_id] = attempt
+        self._active[key.text] = attempt
+        self._forget_oldest()
+        return attempt
+
+    def active(self, key: IdempotencyKey) -> Attempt | None:
+        """Return the attempt of a key that is under way here, if any."""
+        found = self._active.get(key.text)
+        if found is not None and not found.is_active:
+            del self._active[key.text]
+            return None
+        return found
+
+    def get(self, attempt_id: AttemptId) -> Attempt | None:
+        """Return an attempt of this process; None if it is not remembered."""
+        return self._attempts.get(attempt_id)
+
+    def _forget_oldest(self) -> None:
+        while len(self._attempts) > _REMEMBERED_ATTEMPTS:
+            oldest_id, oldest = next(iter(self._attempts.items()))
+            if oldest.is_active:
+                return
+            del self._attempts[oldest_id]
+            if self._active.get(oldest.key.text) is oldest:
+                del self._active[oldest.key.text]
--- /dev/null
+++ b/ibisfront/core/claim_answers.py
@@ -0,0 +1,72 @@
+"""What a caller is told of the record of its key."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ibisfront.core.claim import ClaimRecord, ClaimState
+from ibisfront.core.coverage import MissingReason
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.query import PerformAnswer
+
+__all__ = ["answer_of", "not_run_error", "outcome_unknown"]
+
+_NO_SERVER_REASONS = (
+    MissingReason.NO_SERVER.value,
+    MissingReason.CONNECT_FAILED.value,
+)
+
+
+def answer_of(
+    record: ClaimRecord, *, request_id: str, key: str, repeated: bool
+) -> PerformAnswer:
+    """Return the answer of a request that ran.
+
+    Raises
+    ------
+    IbisfrontError
+        If it did not run to a result, with what is known.
+    """
+    if record.state is ClaimState.RAN:
+        result = record.result_json
+        return PerformAnswer(
+            request_id=request_id,
+            key=key,
+            result_json=msgspec.Raw((result or "null").encode()),
+            repeated=repeated,
+            result_kept=result is not None,
+        )
+    raise _error_of(record, key)
+
+
+def outcome_unknown(key: str, detail: str) -> IbisfrontError:
+    """Return the error of a request that may have run."""
+    return IbisfrontError(ErrorKind.OUTCOME_UNKNOWN, f"{key}: {detail}")
+
+
+def not_run_error(record: ClaimRecord, key: str) -> IbisfrontError:
+    """Return the error of a copy that was claimed and did not run."""
+    if record.reason == MissingReason.TIMED_OUT:
+        return IbisfrontError(
+            ErrorKind.DEADLINE_TOO_SHORT, f"{key} was not sent before its deadline"
+        )
+    kind = ErrorKind.BACKEND_REFUSED
+    if record.reason in _NO_SERVER_REASONS:
+        kind = ErrorKind.NO_BACKEND
+    return IbisfrontError(kind, f"{key} was not run: {record.reason}")
+
+
+def _error_of(record: ClaimRecord, key: str) -> IbisfrontError:
+    match record.state:
+        case ClaimState.FAILED:
+            return IbisfrontError(
+                ErrorKind.BACKEND_FAILED, f"{key} ran and failed: {record.reason}"
+            )
+        case ClaimState.REVOKED:
+            return IbisfrontError(ErrorKind.CLAIM_WITHDRAWN, f"{key} was revoked")
+        case ClaimState.NOT_RUN:
+            return not_run_error(record, key)
+        case ClaimState.UNKNOWN:
+            return outcome_unknown(key, f"its answer was lost: {record.reason}")
+        case _:
+            return outcome_unknown(key, "another copy holds the claim")
--- /dev/null
+++ b/ibisfront/core/ledger_messages.py
@@ -0,0 +1,59 @@
+"""What instances ask each other about attempts."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ibisfront.core.attempts import Attempt, AttemptState
+from ibisfront.core.claim import AttemptId, ClaimRecord, ClaimState, kept_record
+from ibisfront.core.peers import PeerMessage
+from ibisfront.core.types import JsonBytes
+
+__all__ = ["AttemptAnswer", "AttemptQuestion", "attempt_answer"]
+
+
+class AttemptQuestion(PeerMessage, frozen=True, tag="attempt_question"):
+    """Asks the instance of an attempt what became of it."""
+
+    attempt: AttemptId
+
+
+class AttemptAnswer(PeerMessage, frozen=True, tag="attempt_answer"):
+    """The reply of the instance.
+
+    Attributes
+    ----------
+    state : AttemptState or None
+        Its state; None if this process does not know the attempt, which then
+        may have run.
+    outcome_json : bytes
+        The ``ClaimRecord`` of what became of it; empty if it is not settled.
+    """
+
+    state: AttemptState | None = None
+    outcome_json: JsonBytes = b""
+
+    @property
+    def outcome(self) -> ClaimRecord | None:
+        """What became of the attempt, if it is settled."""
+        if not self.outcome_json:
+            return None
+        return msgspec.json.decode(self.outcome_json, type=ClaimRecord)
+
+    @property
+    def is_dead(self) -> bool:
+        """Whether it is certain that the attempt did not and will not run."""
+        if self.state is AttemptState.DROPPED:
+            return True
+        outcome = self.outcome
+        return outcome is not None and outcome.state is ClaimState.NOT_RUN
+
+
+def attempt_answer(attempt: Attempt | None) -> AttemptAnswer:
+    """Return what this process says of one of its attempts."""
+    if attempt is None:
+        return AttemptAnswer()
+    if attempt.outcome is None:
+        return AttemptAnswer(attempt.state)
+    kept = kept_record(attempt.outcome)
+    return AttemptAnswer(attempt.state, msgspec.json.encode(kept))
--- /dev/null
+++ b/ibisfront/core/ledger_writer.py
@@ -0,0 +1,295 @@
+"""Group commit: one conditional write carries all changes that wait."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from contextlib import suppress
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
+
+from ibisfront.core.counters import CounterKind
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.ledger_bucket import (
+    BATCH_LIMIT,
+    Bucket,
+    bucket_name,
+    plan_changes,
+)
+from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.core.objects import ObjectKind, VersionedObject, WriteConflict
+
+if TYPE_CHECKING:
+    import trio
+
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.ledger_bucket import Change
+    from ibisfront.core.types import JsonBytes, Version
+
+__all__ = ["BucketView", "LedgerPlatform", "LedgerWriter", "read_bucket"]
+
+_LOG = part_logger(LogPart.LEDGER)
+
+_KEPT_LANES = 64
+_FIRST_BACKOFF_MS = 20.0
+_MAXIMUM_BACKOFF_MS = 2_000.0
+_MAXIMUM_GAP_MS = 200.0
+_GAP_STEP_MS = 5.0
+_FAILURES_OF_AN_OUTAGE = 3
+_FIRST_PROBE_MS = 500.0
+_MAXIMUM_PROBE_MS = 5_000.0
+_PROBED_NAME = "000-00"
+
+
+class LedgerPlatform(Protocol):
+    """The calls of the platform that the ledger needs."""
+
+    async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
+        """Return an object, perhaps an older version of it."""
+        ...
+
+    async def put(
+        self,
+        kind: ObjectKind,
+        name: str,
+        value_json: JsonBytes,
+        *,
+        if_version: Version | None,
+    ) -> Version:
+        """Replace one version of an object and return the new one.
+
+        Raises
+        ------
+        WriteConflict
+            If another version is there; nothing was written.
+        IbisfrontError
+            If the write may take effect, now or later.
+        """
+        ...
+
+
+class BucketView(msgspec.Struct, frozen=True):
+    """An object as last read or written here; it may be out of date.
+
+    Attributes
+    ----------
+    version : int or None
+        Its version; None if there is none.
+    bucket : Bucket
+        Its value.
+    size_bytes : int
+        The value's size.
+    """
+
+    version: int | None
+    bucket: Bucket
+    size_bytes: int
+
+
+class _Lane:
+    """The changes of one object that wait, and what is known of the object."""
+
+    __slots__ = ("gap_ms", "is_running", "name", "pending", "view")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.pending: list[Change] = []
+        self.view: BucketView | None = None
+        self.is_running = False
+        self.gap_ms = 0.0
+
+    def drop_abandoned(self) -> bool:
+        """Forget the changes that nobody needs; return whether others wait."""
+        self.pending = [item for item in self.pending if not item.is_abandoned()]
+        return bool(self.pending)
+
+
+class LedgerWriter:
+    """Writes changes to the ledger's objects, one write of each at a time.
+
+    Parameters
+    ----------
+    platform : LedgerPlatform
+        Where the objects are.
+    nursery : trio.Nursery
+        Where the writes run.
+    clock : Clock
+        The tier's clock.
+    counters : Counters
+        Where writes are counted.
+    seed : int
+        Of the jitter between retries.
+
+    Attributes
+    ----------
+    is_platform_out : bool
+        Whether the platform failed several calls in a row, so that a new
+        claim had better be refused at once than wait for its deadline.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_counters",
+        "_failures",
+        "_lanes",
+        "_nursery",
+        "_platform",
+        "_random",
+        "is_platform_out",
+    )
+
+    def __init__(
+        self,
+        platform: LedgerPlatform,
+        *,
+        nursery: trio.Nursery,
+        clock: Clock,
+        counters: Counters,
+        seed: int,
+    ) -> None:
+        self._platform = platform
+        self._nursery = nursery
+        self._clock = clock
+        self._counters = counters
+        self._random = random.Random(seed)
+        self._lanes: OrderedDict[str, _Lane] = OrderedDict()
+        self._failures = 0
+        self.is_platform_out = False
+
+    def submit(self, change: Change, *, fresh: bool = False) -> None:
+        """Queue a change; it joins the next write of its object.
+
+        Parameters
+        ----------
+        change : Change
+            The change; its ``resolve`` is called once it is in force.
+        fresh : bool
+            Whether to read the object anew first.
+        """
+        lane = self._lane(bucket_name(change.key))
+        if fresh:
+            lane.view = None
+        lane.pending.append(change)
+        if not lane.is_running:
+            lane.is_running = True
+            self._nursery.start_soon(self._run_lane, lane)
+
+    def _lane(self, name: str) -> _Lane:
+        lane = self._lanes.setdefault(name, _Lane(name))
+        self._lanes.move_to_end(name)
+        if len(self._lanes) > _KEPT_LANES:
+            idle = [item for item in self._lanes.values() if not item.is_running]
+            for item in idle[: len(self._lanes) - _KEPT_LANES]:
+                if item is not lane:
+                    del self._lanes[item.name]
+        return lane
+
+    async def _run_lane(self, lane: _Lane) -> None:
+        backoff_ms = _FIRST_BACKOFF_MS
+        try:
+            while lane.drop_abandoned():
+                if await self._commit(lane):
+                    backoff_ms = _FIRST_BACKOFF_MS
+                    continue
+                await self._clock.sleep_ms(self._jittered(backoff_ms))
+                backoff_ms = min(2 * backoff_ms, _MAXIMUM_BACKOFF_MS)
+        finally:
+            lane.is_running = False
+
+    async def _commit(self, lane: _Lane) -> bool:
+        """Bring one batch into force; return False if the platform failed."""
+        try:
+            if lane.view is None:
+                lane.view = await read_bucket(self._platform, lane.name)
+            await self._clock.sleep_ms(self._jittered(lane.gap_ms))
+            await self._write_batch(lane, lane.view)
+        except WriteConflict:
+            self._note_conflict(lane)
+        except IbisfrontError as error:
+            self._note_failure(lane, error)
+            return False
+        self._note_success()
+        return True
+
+    async def _write_batch(self, lane: _Lane, view: BucketView) -> None:
+        batch = lane.pending[:BATCH_LIMIT]
+        plan = plan_changes(view.bucket, batch, size_bytes=view.size_bytes)
+        if plan.value_json is not None:
+            # A write whose answer is lost leaves this function by an error and
+            # the batch stays in the queue. The next round reads the object and
+            # decides each change anew: a claim that took effect is seen by its
+            # attempt id; one that did not, or not yet, is written again on the
+            # version read, whose success is the end of the lost write, since
+            # that one was conditional on an older version.
+            version = await self._platform.put(
+                ObjectKind.LEDGER,
+                lane.name,
+                plan.value_json,
+                if_version=view.version,
+            )
+            lane.view = BucketView(version, plan.bucket, len(plan.value_json))
+            lane.gap_ms = max(0.0, lane.gap_ms - _GAP_STEP_MS)
+            self._counters.add(CounterKind.CLAIMS, "group_writes")
+            self._counters.add(CounterKind.CLAIMS, "changes_written", len(batch))
+        del lane.pending[: len(batch)]
+        for change, result in zip(batch, plan.results, strict=True):
+            change.resolve(result)
+
+    def _note_conflict(self, lane: _Lane) -> None:
+        # Another instance writes the same object. To write less often lets
+        # more changes join each write, so that two instances that share an
+        # object do not keep failing each other's writes.
+        lane.view = None
+        lane.gap_ms = min(max(2 * lane.gap_ms, _GAP_STEP_MS), _MAXIMUM_GAP_MS)
+        self._counters.add(CounterKind.CLAIMS, "write_conflicts")
+
+    def _note_failure(self, lane: _Lane, error: IbisfrontError) -> None:
+        lane.view = None
+        self._failures += 1
+        self._counters.add(CounterKind.CLAIMS, f"failed_{error.kind.value}")
+        if self._failures >= _FAILURES_OF_AN_OUTAGE and not self.is_platform_out:
+            self.is_platform_out = True
+            _LOG.warning("The platform does not answer; new claims are refused.")
+            self._nursery.start_soon(self._probe)
+
+    def _note_success(self) -> None:
+        self._failures = 0
+        if self.is_platform_out:
+            self.is_platform_out = False
+            _LOG.info("The platform answers again; claims are taken.")
+
+    async def _probe(self) -> None:
+        """Find out when the platform answers again."""
+        wait_ms = _FIRST_PROBE_MS
+        while self.is_platform_out:
+            await self._clock.sleep_ms(self._jittered(wait_ms))
+            wait_ms = min(2 * wait_ms, _MAXIMUM_PROBE_MS)
+            with suppress(IbisfrontError):
+                await read_bucket(self._platform, _PROBED_NAME)
+                self._note_success()
+
+    def _jittered(self, duration_ms: float) -> float:
+        return duration_ms * (0.5 + self._random.random())
+
+
+async def read_bucket(platform: LedgerPlatform, name: str) -> BucketView:
+    """Return an object of the ledger, perhaps an older version of it.
+
+    Raises
+    ------
+    IbisfrontError
+        ``platform_unavailable``.
+    """
+    found = await platform.get(ObjectKind.LEDGER, name)
+    if found is None or found.value_json is None:
+        return BucketView(None, Bucket(), 0)
+    try:
+        bucket = msgspec.json.decode(found.value_json, type=Bucket)
+    except msgspec.MsgspecError as error:
+        raise IbisfrontError(
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            f"{ObjectKind.LEDGER}/{name} cannot be read: {error}",
+        ) from error
+    return BucketView(found.version, bucket, len(found.value_json))
--- a/ibisfront/core/objects.py
+++ b/ibisfront/core/objects.py
@@ -11,7 +11,13 @@
 if TYPE_CHECKING:
     from ibisfront.core.types import JsonBytes, Version
 
-__all__ = ["SPREAD_KINDS", "ObjectKind", "ObjectStore", "VersionedObject"]
+__all__ = [
+    "SPREAD_KINDS",
+    "ObjectKind",
+    "ObjectStore",
+    "VersionedObject",
+    "WriteConflict",
+]
 
 
 class ObjectKind(StrEnum):
@@ -27,6 +33,10 @@
 """The kinds that every instance holds a copy of."""
 
 
+class WriteConflict(Exception):
+    """A conditional write met another version; it took no effect."""
+
+
 class VersionedObject(msgspec.Struct, frozen=True):
     """One object at one version.
 
--- a/ibisfront/core/query.py
+++ b/ibisfront/core/query.py
@@ -73,12 +73,16 @@
         What the backend server answered.
     repeated : bool
         Whether this is the kept outcome of an earlier copy.
+    result_kept : bool
+        False if it ran but its result was too large to keep; the result is
+        then null.
     """
 
     request_id: str
     key: str
     result_json: msgspec.Raw
     repeated: bool = False
+    result_kept: bool = True
 
 
 class SubRequest(msgspec.Struct, frozen=True):
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -16,14 +16,14 @@
 from ibisfront.core.link import BackendLink
 from ibisfront.core.members import Member, Members
 from ibisfront.core.objects import ObjectStore
-from ibisfront.core.query import SubRequest
+from ibisfront.core.perform_sender import PerformSender
 from ibisfront.core.stopping import Stopping
 from ibisfront.core.watch import follow_platform
 
 if TYPE_CHECKING:
     from ibisfront.adapters.entrypoint import AdapterEntrypoint
     from ibisfront.core.clock import Clock
-    from ibisfront.core.query import Answer, CallerRequest, PerformAnswer, SubReply
+    from ibisfront.core.query import Answer, CallerRequest, PerformAnswer
     from ibisfront.core.service import BackendServer
     from ibisfront.core.settings import Settings
     from ibisfront.core.table import Purpose, Row
@@ -61,13 +61,24 @@
             zone=settings.instance.zone,
             link_to=self.link_to,
         )
-        self.ledger = Ledger(
-            run_once=self._run_once, clock=clock, counters=self.counters
-        )
         self._adapters = adapters
         self._clock = clock
         self._links: dict[BackendServer, BackendLink] = {}
         self._open_connection = adapters.connection_opener()
+        sender = PerformSender(
+            catalogue=self.catalogue,
+            open_connection=self._open_connection,
+            clock=clock,
+            counters=self.counters,
+            zone=settings.instance.zone,
+            maximum_connections=settings.backend.connections_per_server,
+        )
+        self.ledger = Ledger(
+            instance=settings.instance.name,
+            run_once=sender.send,
+            clock=clock,
+            counters=self.counters,
+        )
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -78,6 +89,7 @@
             stack.push_async_callback(platform.aclose)
             stack.push_async_callback(self._close_links)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            await nursery.start(self.ledger.run, platform)
             task_status.started()
             await follow_platform(
                 platform,
@@ -150,17 +162,6 @@
             )
         return row, purpose
 
-    async def _run_once(self, request: CallerRequest, purpose: Purpose) -> SubReply:
-        service = purpose.service or ""
-        server = self.fanout.choose_server(service)
-        sub_request = SubRequest(
-            sub_request_id=request.request_id,
-            service=service,
-            body_json=request.body_json,
-            deadline_at_ms=request.deadline_at_ms,
-        )
-        return await self.link_to(server).call("perform", sub_request)
-
     async def _close_links(self) -> None:
         for link in self._links.values():
             await link.aclose()
