Share objects, members and server signs over peer streams

Instances knew only what each read from the platform itself: every one held a watch, and one that started during an outage had no table. They now keep msgpack streams to their neighbours, hand changes on, and take what they lack from each other; two instances of each zone watch the platform.

--- /dev/null
+++ b/ibisfront/adapters/peer_transport.py
@@ -0,0 +1,71 @@
+"""How streams between instances are opened: TCP here, memory in tests."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+import trio
+
+if TYPE_CHECKING:
+    from ibisfront.core.types import Address
+
+__all__ = ["AcceptStream", "PeerTransport", "TcpTransport"]
+
+AcceptStream: TypeAlias = Callable[[trio.abc.Stream], Awaitable[None]]
+"""Runs one stream that a peer has opened, until it ends."""
+
+
+class PeerTransport(Protocol):
+    """Opens and accepts streams."""
+
+    async def dial(self, address: Address) -> trio.abc.Stream:
+        """Return a new stream; raise ``OSError`` if there is none."""
+        ...
+
+    async def listen(
+        self,
+        accept: AcceptStream,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept streams until cancelled; started once peers can dial."""
+        ...
+
+
+class TcpTransport:
+    """Streams over TCP.
+
+    Parameters
+    ----------
+    own_address : str
+        The ``IP:PORT`` to listen on.
+    outgoing_ip : str, optional
+        The IP that streams are opened from; the system's choice if left out.
+    """
+
+    __slots__ = ("_outgoing_ip", "_own_address")
+
+    def __init__(self, own_address: Address, *, outgoing_ip: str | None = None) -> None:
+        self._own_address = own_address
+        self._outgoing_ip = outgoing_ip
+
+    async def dial(self, address: Address) -> trio.abc.Stream:
+        """Return a new stream; raise ``OSError`` if there is none."""
+        host, _, port = address.rpartition(":")
+        return await trio.open_tcp_stream(
+            host.strip("[]"), int(port), local_address=self._outgoing_ip
+        )
+
+    async def listen(
+        self,
+        accept: AcceptStream,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept streams until cancelled; started once peers can dial."""
+        host, _, port = self._own_address.rpartition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
+        async with trio.open_nursery() as nursery:
+            serve = partial(trio.serve_listeners, accept, listeners)
+            await nursery.start(serve)
+            task_status.started()
--- a/ibisfront/adapters/platform.py
+++ b/ibisfront/adapters/platform.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import httpcore
 import msgspec
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.members import Member
 from ibisfront.core.objects import ObjectKind, VersionedObject, WriteConflict
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 __all__ = ["InstanceEntry", "ObjectsRead", "PlatformClient", "WriteConflict"]
 
 _CALL_TIMEOUT_S = 2.0
+_Body = TypeVar("_Body", bound=msgspec.Struct)
 
 
 class _ObjectBody(msgspec.Struct):
@@ -95,12 +97,12 @@
         response = await self._call("GET", f"/objects/{kind}/{name}")
         if response.status == 404:
             return None
-        return _decoded(msgspec.json.decode(response.content, type=_ObjectBody))
+        return _decoded(_body(response, _ObjectBody))
 
     async def list_objects(self, kinds: Sequence[ObjectKind]) -> ObjectsRead:
         """Return every object of some kinds."""
         response = await self._call("GET", f"/objects?kinds={','.join(kinds)}")
-        return _objects(response.content)
+        return _objects(response)
 
     async def changes(
         self, kinds: Sequence[ObjectKind], *, after: Version, wait_ms: float
@@ -111,7 +113,7 @@
             f"/changes?kinds={','.join(kinds)}&after={after}&wait_ms={wait_ms:.0f}",
             timeout_s=_CALL_TIMEOUT_S + wait_ms / 1000,
         )
-        return None if response.status == 410 else _objects(response.content)
+        return None if response.status == 410 else _objects(response)
 
     async def put(
         self,
@@ -152,7 +154,12 @@
             raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, error.detail) from error
         if response.status == 412:
             raise WriteConflict(f"{kind}/{name} is not at version {if_version}")
-        version = msgspec.json.decode(response.content, type=_VersionBody).version
+        if response.status != 200:
+            raise IbisfrontError(
+                ErrorKind.BAD_REQUEST,
+                f"the platform refused {kind}/{name} with {response.status}",
+            )
+        version = _body(response, _VersionBody).version
         if version is None:
             raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, "no version in the answer")
         return version
@@ -160,7 +167,15 @@
     async def instances(self) -> list[InstanceEntry]:
         """Return the platform's list of instances, which lags."""
         response = await self._call("GET", "/instances")
-        return msgspec.json.decode(response.content, type=_InstancesBody).instances
+        return _body(response, _InstancesBody).instances
+
+    async def members(self) -> list[Member]:
+        """Return the listed instances that are live, as first contacts."""
+        return [
+            Member(item.name, item.zone, item.peer_address, item.admin_address)
+            for item in await self.instances()
+            if item.state == "live"
+        ]
 
     async def aclose(self) -> None:
         """Close every connection."""
@@ -198,8 +213,17 @@
     return IbisfrontError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
 
 
-def _objects(body: bytes) -> ObjectsRead:
-    decoded = msgspec.json.decode(body, type=_ObjectsBody)
+def _body(response: httpcore.Response, body_type: type[_Body]) -> _Body:
+    # A proxy on the way, or a platform at fault, can answer with something
+    # else than the object API. To the parts above that is an outage.
+    try:
+        return msgspec.json.decode(response.content, type=body_type)
+    except msgspec.MsgspecError as error:
+        raise _unavailable(f"status {response.status}: {error}") from error
+
+
+def _objects(response: httpcore.Response) -> ObjectsRead:
+    decoded = _body(response, _ObjectsBody)
     objects = tuple(_decoded(item) for item in decoded.objects)
     return ObjectsRead(decoded.revision, objects)
 
--- a/ibisfront/core/catalogue.py
+++ b/ibisfront/core/catalogue.py
@@ -6,10 +6,13 @@
 
 import msgspec
 
-from ibisfront.core.objects import ObjectKind
+from ibisfront.core.counters import CounterKind, Counters
+from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.core.objects import ObjectKind, ObjectName
 from ibisfront.core.service import Service
 from ibisfront.core.snapshot import Index
 from ibisfront.core.table import TABLE_NAME, Table
+from ibisfront.core.table_check import table_problems
 
 if TYPE_CHECKING:
     from ibisfront.core.objects import ObjectStore, VersionedObject
@@ -19,22 +22,43 @@
 
 _Decoded = TypeVar("_Decoded")
 
+_VALUE_TYPES: dict[ObjectKind, type] = {
+    ObjectKind.TABLE: Table,
+    ObjectKind.SERVICE: Service,
+    ObjectKind.INDEX: Index,
+    ObjectKind.LEDGER: object,
+}
+_LOG = part_logger(LogPart.TABLE)
+
+
+class _Good(msgspec.Struct, frozen=True):
+    """The newest value of an object that could be decoded, and its version."""
+
+    version: Version
+    value: object
+
 
 class Catalogue:
     """Typed access to the objects of a store, each version decoded once.
 
+    A value that is no table, service or index never replaces a good one: the
+    last good value stays in force until a good one comes.
+
     Parameters
     ----------
     store : ObjectStore
         Where the objects are; the catalogue follows its changes.
+    counters : Counters, optional
+        Where changes of the table are counted by outcome.
     """
 
-    __slots__ = ("_decoded", "_store")
+    __slots__ = ("_counters", "_good", "_store")
 
-    def __init__(self, store: ObjectStore) -> None:
+    def __init__(self, store: ObjectStore, counters: Counters | None = None) -> None:
         self._store = store
-        self._decoded: dict[tuple[ObjectKind, str], object] = {}
-        store.subscribe(self._forget)
+        self._counters = Counters() if counters is None else counters
+        self._good: dict[ObjectName, _Good] = {}
+        store.subscribe(self._object_changed)
 
     @property
     def table(self) -> Table | None:
@@ -44,7 +68,7 @@
     @property
     def table_version(self) -> Version:
         """The version of the table in force; 0 if none is known."""
-        found = self._store.get(ObjectKind.TABLE, TABLE_NAME)
+        found = self._good.get(ObjectName(ObjectKind.TABLE, TABLE_NAME))
         return 0 if found is None else found.version
 
     def service(self, name: str) -> Service | None:
@@ -62,15 +86,51 @@
     def _get(
         self, kind: ObjectKind, name: str, decoded_type: type[_Decoded]
     ) -> _Decoded | None:
-        known = self._decoded.get((kind, name))
-        if isinstance(known, decoded_type):
-            return known
-        found = self._store.get(kind, name)
-        if found is None or found.value_json is None:
+        good = self._good.get(ObjectName(kind, name))
+        if good is None or not isinstance(good.value, decoded_type):
             return None
-        decoded = msgspec.json.decode(found.value_json, type=decoded_type)
-        self._decoded[(kind, name)] = decoded
-        return decoded
-
-    def _forget(self, changed: VersionedObject) -> None:
-        self._decoded.pop((changed.kind, changed.name), None)
+        return good.value
+
+    def _object_changed(self, changed: VersionedObject) -> None:
+        name = ObjectName(changed.kind, changed.name)
+        if changed.value_json is None:
+            self._object_deleted(name, changed.version)
+            return
+        # An operator's tool of another release, or a hand, can write a value
+        # that is no table. It shows here first; putting it in force would
+        # refuse every request of every branch, so that the last good one stays.
+        try:
+            value = _decode(changed)
+        except msgspec.MsgspecError as error:
+            self._refused(name, changed.version, str(error))
+            return
+        problems = table_problems(value) if isinstance(value, Table) else []
+        if problems:
+            self._refused(name, changed.version, " ".join(problems))
+            return
+        self._good[name] = _Good(changed.version, value)
+        if changed.kind is ObjectKind.TABLE:
+            self._counters.add(CounterKind.TABLE_CHANGES, "in_force")
+            _LOG.info("Version %d is in force.", changed.version)
+
+    def _object_deleted(self, name: ObjectName, version: Version) -> None:
+        if name.kind is ObjectKind.TABLE:
+            self._refused(name, version, "it was deleted; the last one stays")
+            return
+        self._good.pop(name, None)
+
+    def _refused(self, name: ObjectName, version: Version, reason: str) -> None:
+        self._counters.add(CounterKind.TABLE_CHANGES, f"refused_{name.kind}")
+        _LOG.error(
+            "Version %d of %s %s is not put in force: %s",
+            version,
+            name.kind,
+            name.name,
+            reason,
+        )
+
+
+def _decode(changed: VersionedObject) -> object:
+    return msgspec.json.decode(
+        changed.value_json or b"null", type=_VALUE_TYPES[changed.kind]
+    )
--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -27,8 +27,10 @@
     QUARANTINES = "quarantines"
     PLATFORM_CALLS = "platform_calls"
     PEER_MESSAGES = "peer_messages"
+    PEER_BYTES = "peer_bytes"
     MEMBER_CHANGES = "member_changes"
     TABLE_CHANGES = "table_changes"
+    OBJECT_CHANGES = "object_changes"
     CLAIMS = "claims"
     SHARES = "shares"
 
--- a/ibisfront/core/members.py
+++ b/ibisfront/core/members.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import hashlib
+from collections.abc import Callable
 from enum import IntEnum
 
 import msgspec
 
 from ibisfront.core.types import Address
 
-__all__ = ["Member", "MemberState", "Members"]
+__all__ = ["DIGEST_BUCKETS", "Member", "MemberState", "Members"]
+
+DIGEST_BUCKETS = 64
+"""Into how many parts the members are hashed to find where two views differ."""
 
 
 class MemberState(IntEnum):
@@ -20,7 +25,10 @@
     LEFT = 3
 
 
-class Member(msgspec.Struct, frozen=True):
+_SERVING = frozenset((MemberState.LIVE, MemberState.SUSPECT))
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
     """One entry instance.
 
     Attributes
@@ -54,17 +62,41 @@
         This instance.
     """
 
-    __slots__ = ("_members", "own_name")
+    __slots__ = ("_buckets", "_listeners", "_members", "own_name")
 
     def __init__(self, own: Member) -> None:
         self.own_name = own.name
-        self._members = {own.name: own}
+        self._members: dict[str, Member] = {}
+        self._buckets = [0] * DIGEST_BUCKETS
+        self._listeners: list[Callable[[Member], None]] = []
+        self._replace(own)
 
     @property
     def own(self) -> Member:
         """The member that this instance is."""
         return self._members[self.own_name]
 
+    @property
+    def digest(self) -> int:
+        """A fingerprint of all serving members; equal for equal views."""
+        folded = 0
+        for bucket in self._buckets:
+            folded ^= bucket
+        return folded
+
+    @property
+    def bucket_digests(self) -> tuple[int, ...]:
+        """The fingerprint of each bucket of members."""
+        return tuple(self._buckets)
+
+    def in_bucket(self, bucket: int) -> list[Member]:
+        """Return the members of one bucket, whatever their states."""
+        return [item for item in self._members.values() if _bucket(item.name) == bucket]
+
+    def subscribe(self, listener: Callable[[Member], None]) -> None:
+        """Call a function for each member that changes from now on."""
+        self._listeners.append(listener)
+
     def get(self, name: str) -> Member | None:
         """Return a member, whatever its state, or None if it is unknown."""
         return self._members.get(name)
@@ -77,14 +109,39 @@
         """Return the members that have not left: the dead may only be cut off."""
         return self._in_states(MemberState.LIVE, MemberState.SUSPECT, MemberState.DEAD)
 
+    def in_state(self, state: MemberState) -> list[Member]:
+        """Return the members believed to be in one state, by name."""
+        return self._in_states(state)
+
     def merge(self, member: Member) -> bool:
         """Take in news of a member; return whether it was news."""
         known = self._members.get(member.name)
         if known is not None and _rank(known) >= _rank(member):
             return False
-        self._members[member.name] = member
+        # A tombstone that was forgotten here comes back from an instance that
+        # still holds it, and would go round for ever: the end of a member
+        # that is unknown is no news.
+        if known is None and member.state not in _SERVING:
+            return False
+        self._replace(member)
+        for listener in self._listeners:
+            listener(member)
         return True
 
+    def forget(self, name: str) -> None:
+        """Drop a member that is dead or has left."""
+        known = self._members.get(name)
+        if known is not None and known.state not in _SERVING:
+            del self._members[name]
+
+    def _replace(self, member: Member) -> None:
+        known = self._members.get(member.name)
+        bucket = _bucket(member.name)
+        if known is not None:
+            self._buckets[bucket] ^= _fingerprint(known)
+        self._members[member.name] = member
+        self._buckets[bucket] ^= _fingerprint(member)
+
     def _in_states(self, *states: MemberState) -> list[Member]:
         found = [item for item in self._members.values() if item.state in states]
         return sorted(found, key=lambda member: member.name)
@@ -92,3 +149,19 @@
 
 def _rank(member: Member) -> tuple[int, MemberState]:
     return member.incarnation, member.state
+
+
+def _hash(text: str) -> int:
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
+
+
+def _bucket(name: str) -> int:
+    return _hash(name) % DIGEST_BUCKETS
+
+
+def _fingerprint(member: Member) -> int:
+    # Tombstones are forgotten at different moments, which must not look like
+    # a difference worth a comparison: they do not count.
+    if member.state not in _SERVING:
+        return 0
+    return _hash(f"{member.name}\0{member.incarnation}\0{member.state}")
--- a/ibisfront/core/peers.py
+++ b/ibisfront/core/peers.py
@@ -10,11 +10,13 @@
 __all__ = ["PeerHandler", "PeerMessage", "PeerReplyHandler", "Peers"]
 
 
-class PeerMessage(msgspec.Struct, frozen=True):
+class PeerMessage(msgspec.Struct, frozen=True, array_like=True):
     """The base of every message between instances.
 
     Each message class is declared with ``tag=`` and listed in
-    ``ibisfront.adapters.peer_codec``, the one closed list.
+    ``ibisfront.adapters.peer_codec``, the one closed list. Messages travel as
+    arrays: a new field goes last and has a default, so that instances of two
+    releases understand each other during a rolling restart.
     """
 
 
--- /dev/null
+++ b/ibisfront/core/service_edit.py
@@ -0,0 +1,156 @@
+"""Editing the membership of services: add, drain or remove a server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.objects import ObjectKind, WriteConflict
+from ibisfront.core.service import BackendServer, Service
+from ibisfront.core.table_edit import SETTLE_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.table_edit import EditablePlatform
+    from ibisfront.core.types import Version
+
+__all__ = ["ServiceEdited", "add_server", "drain_server", "remove_server"]
+
+_RETRY_MS = 100.0
+
+
+class ServiceEdited(msgspec.Struct, frozen=True):
+    """A service as it stands after an edit.
+
+    Attributes
+    ----------
+    name : str
+        The service.
+    version : int
+        Its version.
+    service : Service
+        Its value.
+    """
+
+    name: str
+    version: Version
+    service: Service
+
+
+async def add_server(
+    platform: EditablePlatform, service: str, server: BackendServer, *, clock: Clock
+) -> ServiceEdited:
+    """Put a server into a service, or replace the entry of its name.
+
+    Raises
+    ------
+    IbisfrontError
+        ``write_unknown`` or ``platform_unavailable``.
+    """
+
+    def change(current: Service) -> Service:
+        others = _without(current, server.name)
+        return Service((*others, server))
+
+    return await _edit(platform, service, change, clock)
+
+
+async def drain_server(
+    platform: EditablePlatform, service: str, name: str, *, clock: Clock
+) -> ServiceEdited:
+    """Let a server get no new work from now on.
+
+    Raises
+    ------
+    IbisfrontError
+        ``not_found`` if the service has no such server; ``write_unknown`` or
+        ``platform_unavailable``.
+    """
+
+    def change(current: Service) -> Service:
+        known = next((s for s in current.backend_servers if s.name == name), None)
+        if known is None:
+            raise IbisfrontError(
+                ErrorKind.NOT_FOUND, f"service {service!r} has no server {name!r}"
+            )
+        drained = msgspec.structs.replace(known, state="draining")
+        return Service((*_without(current, name), drained))
+
+    return await _edit(platform, service, change, clock)
+
+
+async def remove_server(
+    platform: EditablePlatform, service: str, name: str, *, clock: Clock
+) -> ServiceEdited:
+    """Take a server out of a service; done already if it is not there.
+
+    Raises
+    ------
+    IbisfrontError
+        ``write_unknown`` or ``platform_unavailable``.
+    """
+    return await _edit(
+        platform, service, lambda current: Service(_without(current, name)), clock
+    )
+
+
+async def _edit(
+    platform: EditablePlatform,
+    service: str,
+    change: Callable[[Service], Service],
+    clock: Clock,
+) -> ServiceEdited:
+    # An edit names one server only and wants one state of it, so that a lost
+    # answer or another operator's edit is met by reading again: if that state
+    # is there it is done, and if not, the write is conditional on the version
+    # just read. A late write of an earlier round has lost its version by then.
+    unknown = False
+    with clock.timeout_ms(SETTLE_MS):
+        while True:
+            try:
+                current = await _read(platform, service)
+                wanted = change(current.service)
+                if _same_servers(wanted, current.service):
+                    return current
+                version = await platform.put(
+                    ObjectKind.SERVICE,
+                    service,
+                    msgspec.json.encode(wanted),
+                    if_version=current.version or None,
+                )
+            except WriteConflict:
+                await clock.sleep_ms(_RETRY_MS)
+            except IbisfrontError as error:
+                if error.kind is ErrorKind.NOT_FOUND:
+                    raise
+                unknown = unknown or error.kind is ErrorKind.WRITE_UNKNOWN
+                await clock.sleep_ms(_RETRY_MS)
+            else:
+                return ServiceEdited(service, version, wanted)
+    if unknown:
+        raise IbisfrontError(
+            ErrorKind.WRITE_UNKNOWN, f"the edit of service {service!r} may take effect"
+        )
+    raise IbisfrontError(
+        ErrorKind.PLATFORM_UNAVAILABLE, f"service {service!r} was not edited"
+    )
+
+
+async def _read(platform: EditablePlatform, service: str) -> ServiceEdited:
+    found = await platform.get(ObjectKind.SERVICE, service)
+    if found is None or found.value_json is None:
+        return ServiceEdited(service, 0, Service())
+    value = msgspec.json.decode(found.value_json, type=Service)
+    return ServiceEdited(service, found.version, value)
+
+
+def _without(service: Service, name: str) -> tuple[BackendServer, ...]:
+    return tuple(item for item in service.backend_servers if item.name != name)
+
+
+def _same_servers(first: Service, second: Service) -> bool:
+    return set(first.backend_servers) == set(second.backend_servers)
--- a/ibisfront/core/table.py
+++ b/ibisfront/core/table.py
@@ -6,7 +6,17 @@
 
 import msgspec
 
-__all__ = ["TABLE_NAME", "Purpose", "Row", "Table"]
+from ibisfront.core.types import Version
+
+__all__ = [
+    "TABLE_NAME",
+    "EditSummary",
+    "Purpose",
+    "PurposeChange",
+    "Row",
+    "RowChange",
+    "Table",
+]
 
 TABLE_NAME = "main"
 """The name of the one table object."""
@@ -63,6 +73,71 @@
     max_in_flight: int = 100
 
 
+class RowChange(msgspec.Struct, frozen=True, tag="row", kw_only=True):
+    """One row before and after an edit; None where there is no such row."""
+
+    before: Row | None = None
+    after: Row | None = None
+
+    @property
+    def branch(self) -> str:
+        """The branch of the row."""
+        return self._row.branch
+
+    @property
+    def purpose(self) -> str:
+        """The purpose of the row."""
+        return self._row.purpose
+
+    @property
+    def _row(self) -> Row:
+        found = self.before if self.after is None else self.after
+        assert found is not None, "a change has a row before or after"
+        return found
+
+
+class PurposeChange(msgspec.Struct, frozen=True, tag="purpose", kw_only=True):
+    """One purpose before and after an edit; None where there is none."""
+
+    before: Purpose | None = None
+    after: Purpose | None = None
+
+    @property
+    def name(self) -> str:
+        """The name of the purpose."""
+        found = self.before if self.after is None else self.after
+        assert found is not None, "a change has a purpose before or after"
+        return found.name
+
+
+class EditSummary(msgspec.Struct, frozen=True):
+    """One edit of the table, as its history keeps it.
+
+    Attributes
+    ----------
+    edit_id : str
+        The id of the edit.
+    edited_by : str
+        The operator who made it.
+    edited_wall_ms : float
+        When, in milliseconds since 1970.
+    base_version : int
+        The version of the table that it replaced; 0 if it created the table.
+        As every write is conditional, one edit at most has a given base.
+    changes : tuple of RowChange or PurposeChange
+        What it changed.
+    whole : bool
+        False if the changes were too many to keep here.
+    """
+
+    edit_id: str
+    edited_by: str
+    edited_wall_ms: float
+    base_version: Version
+    changes: tuple[RowChange | PurposeChange, ...] = ()
+    whole: bool = True
+
+
 class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole table at one version.
 
@@ -78,6 +153,8 @@
         The operator who made the edit.
     edited_wall_ms : float
         When, in milliseconds since 1970, by that operator's clock.
+    history : tuple of EditSummary
+        The last edits, oldest first, the one that made this version included.
     """
 
     purposes: tuple[Purpose, ...] = ()
@@ -85,6 +162,7 @@
     edit_id: str = ""
     edited_by: str = ""
     edited_wall_ms: float = 0.0
+    history: tuple[EditSummary, ...] = ()
 
     def purpose(self, name: str) -> Purpose | None:
         """Return the purpose of a name, or None."""
--- a/ibisfront/core/watch.py
+++ b/ibisfront/core/watch.py
@@ -1,22 +1,43 @@
-"""Following the platform's objects."""
+"""Following the platform's objects, by a few instances of each zone."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Protocol
 
+import trio
+
+from ibisfront.core.backoff import Backoff
+from ibisfront.core.counters import CounterKind
 from ibisfront.core.errors import IbisfrontError
+from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.objects import SPREAD_KINDS
+from ibisfront.core.rendezvous import rendezvous_order
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Collection, Sequence
+    from random import Random
 
     from ibisfront.core.clock import Clock
-    from ibisfront.core.objects import ObjectKind, ObjectStore, VersionedObject
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.members import Member, Members
+    from ibisfront.core.objects import ObjectKind, VersionedObject
+    from ibisfront.core.spread import ObjectSpread
     from ibisfront.core.types import Version
 
-__all__ = ["ObjectsReadLike", "WatchedPlatform", "follow_platform"]
+__all__ = ["WATCHERS_PER_ZONE", "ObjectsReadLike", "PlatformWatch", "WatchedPlatform"]
+
+WATCHERS_PER_ZONE = 2
+"""How many instances of each zone watch the platform."""
+
+FIRST_LIST_AFTER_MS = 500.0
+"""How long a starting instance waits for its peers before it lists itself."""
 
-_RETRY_MS = 500.0
+_ANSWER_BOUND_MS = 3000.0
+_RETRY_FIRST_MS = 200.0
+_RETRY_LONGEST_MS = 10_000.0
+_SHORTEST_ROUND_MS = 50.0
+_ROLE_CHECK_MS = 500.0
+_LOG = part_logger(LogPart.PLATFORM)
 
 
 class ObjectsReadLike(Protocol):
@@ -47,24 +68,153 @@
         ...
 
 
-async def follow_platform(
-    platform: WatchedPlatform, store: ObjectStore, clock: Clock, *, wait_ms: float
-) -> None:
-    """Keep a store up to date with the platform, for ever."""
-    listed = False
-    while True:
-        try:
-            read = (
-                await platform.changes(
-                    SPREAD_KINDS, after=store.revision, wait_ms=wait_ms
+class PlatformWatch:
+    """Follows the platform while this instance is a watcher of its zone.
+
+    Parameters
+    ----------
+    platform : WatchedPlatform
+        What is followed.
+    spread : ObjectSpread
+        Takes what was read.
+    members : Members
+        Decides who watches.
+    connected : callable
+        Returns the names of the neighbours with an open stream.
+    clock : Clock
+        The tier's clock.
+    counters : Counters
+        Where calls are counted by outcome.
+    random : random.Random
+        Spreads retries over time.
+    wait_ms : float
+        How long one call may wait for a change.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_clock",
+        "_connected",
+        "_counters",
+        "_members",
+        "_platform",
+        "_random",
+        "_scope",
+        "_spread",
+        "_wait_ms",
+        "_watcher",
+    )
+
+    def __init__(
+        self,
+        *,
+        platform: WatchedPlatform,
+        spread: ObjectSpread,
+        members: Members,
+        connected: Callable[[], Collection[str]],
+        clock: Clock,
+        counters: Counters,
+        random: Random,
+        wait_ms: float,
+    ) -> None:
+        self._platform = platform
+        self._spread = spread
+        self._members = members
+        self._connected = connected
+        self._clock = clock
+        self._counters = counters
+        self._random = random
+        self._wait_ms = wait_ms
+        self._watcher: bool | None = None
+        self._changed = trio.Event()
+        self._scope = trio.CancelScope()
+        members.subscribe(self._member_changed)
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance watches the platform for its zone.
+
+        An instance that knows no other one is the only one of its zone, and
+        so watches for itself.
+        """
+        if self._watcher is None:
+            own = self._members.own
+            names = [m.name for m in self._members.live() if m.zone == own.zone]
+            order = rendezvous_order(f"watch {own.zone}", names)
+            self._watcher = own.name in order[:WATCHERS_PER_ZONE]
+        return self._watcher
+
+    def restart(self) -> None:
+        """Give up the call under way and read anew."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Follow the platform until cancelled."""
+        backoff = Backoff(
+            first_ms=_RETRY_FIRST_MS, maximum_ms=_RETRY_LONGEST_MS, random=self._random
+        )
+        await self._wait_for_peers()
+        while True:
+            await self._wait_to_be_watcher()
+            started_ms = self._clock.now_ms()
+            with trio.CancelScope() as self._scope:
+                try:
+                    news = await self._read()
+                except IbisfrontError as error:
+                    self._counters.add(CounterKind.PLATFORM_CALLS, "watch_failed")
+                    wait_ms = backoff.next_ms()
+                    _LOG.warning("The watch failed: %s.", error.detail)
+                    await self._clock.sleep_ms(wait_ms)
+                    continue
+                backoff.reset()
+                if not news:
+                    # A platform that answers a waiting call at once, by fault
+                    # or by a proxy between, must not be called in a tight loop.
+                    spent_ms = self._clock.now_ms() - started_ms
+                    await self._clock.sleep_ms(_SHORTEST_ROUND_MS - spent_ms)
+
+    async def _read(self) -> bool:
+        # A call can go silent without closing. It shows as no answer long
+        # after the wait that it was given; the next call is a new one.
+        with self._clock.timeout_ms(self._wait_ms + _ANSWER_BOUND_MS):
+            after = self._spread.store.revision
+            if after > 0:
+                changes = await self._platform.changes(
+                    SPREAD_KINDS, after=after, wait_ms=self._wait_ms
                 )
-                if listed
-                else await platform.list_objects(SPREAD_KINDS)
-            )
-        except IbisfrontError:
-            await clock.sleep_ms(_RETRY_MS)
-            continue
-        listed = read is not None
-        if read is not None:
-            store.merge(read.objects)
-            store.complete_through(read.revision)
+                if changes is not None:
+                    self._count("watched")
+                    self._spread.take_changes(
+                        changes.objects, after=after, revision=changes.revision
+                    )
+                    return bool(changes.objects)
+            listed = await self._platform.list_objects(SPREAD_KINDS)
+            self._count("listed")
+            self._spread.take_list(listed.objects, revision=listed.revision)
+            return True
+        self._count("watch_silent")
+        return False
+
+    async def _wait_for_peers(self) -> None:
+        # Instances that start together, say after a zone came back, would all
+        # list the platform. Whoever has peers takes the objects from them.
+        end_ms = self._clock.now_ms() + FIRST_LIST_AFTER_MS
+        while self._clock.now_ms() < end_ms and self._spread.store.revision == 0:
+            if self._connected() and not self.is_watcher:
+                return
+            await self._clock.sleep_ms(_SHORTEST_ROUND_MS)
+
+    async def _wait_to_be_watcher(self) -> None:
+        # Members that are listed or not yet believed dead may all be out of
+        # reach; an instance without any stream reads for itself.
+        while not self.is_watcher and self._connected():
+            with self._clock.timeout_ms(_ROLE_CHECK_MS):
+                await self._changed.wait()
+
+    def _member_changed(self, member: Member) -> None:
+        self._watcher = None
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _count(self, reason: str) -> None:
+        self._counters.add(CounterKind.PLATFORM_CALLS, reason)
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack
+from functools import partial
+from random import Random
 from typing import TYPE_CHECKING
 
 import trio
@@ -17,8 +19,9 @@
 from ibisfront.core.members import Member, Members
 from ibisfront.core.objects import ObjectStore
 from ibisfront.core.perform_sender import PerformSender
+from ibisfront.core.status import StatusReply, StatusRequest, collect_status
 from ibisfront.core.stopping import Stopping
-from ibisfront.core.watch import follow_platform
+from ibisfront.shared import SharedState
 
 if TYPE_CHECKING:
     from ibisfront.adapters.entrypoint import AdapterEntrypoint
@@ -26,6 +29,7 @@
     from ibisfront.core.query import Answer, CallerRequest, PerformAnswer
     from ibisfront.core.service import BackendServer
     from ibisfront.core.settings import Settings
+    from ibisfront.core.status import StatusReport
     from ibisfront.core.table import Purpose, Row
 
 __all__ = ["EntryInstance"]
@@ -52,7 +56,19 @@
         self.stopping = Stopping(clock=clock)
         self.members = Members(_own_member(settings, clock))
         self.store = ObjectStore()
-        self.catalogue = Catalogue(self.store)
+        self.catalogue = Catalogue(self.store, self.counters)
+        self._random = Random(f"{settings.instance.name} {clock.wall_ms()}")
+        self.peers = adapters.open_peers(
+            self.members, counters=self.counters, random=self._random
+        )
+        self.shared = SharedState(
+            members=self.members,
+            store=self.store,
+            peers=self.peers,
+            clock=clock,
+            counters=self.counters,
+            random=self._random,
+        )
         self.admission = Admission(clock=clock, counters=self.counters)
         self.fanout = Fanout(
             catalogue=self.catalogue,
@@ -61,6 +77,8 @@
             zone=settings.instance.zone,
             link_to=self.link_to,
         )
+        self.stopping.on_leaving(self.shared.leave)
+        self.peers.answer(StatusRequest, lambda asker, question: self.status())
         self._adapters = adapters
         self._clock = clock
         self._links: dict[BackendServer, BackendLink] = {}
@@ -90,20 +108,39 @@
             stack.push_async_callback(self._close_links)
             nursery = await stack.enter_async_context(trio.open_nursery())
             await nursery.start(self.ledger.run, platform)
-            task_status.started()
-            await follow_platform(
-                platform,
-                self.store,
-                self._clock,
-                wait_ms=self.settings.platform.watch_wait_ms,
+            await nursery.start(
+                partial(
+                    self.shared.run,
+                    platform,
+                    seeds=self.settings.peers.seeds,
+                    wait_ms=self.settings.platform.watch_wait_ms,
+                )
             )
-            nursery.cancel_scope.cancel()
+            task_status.started()
+            await trio.sleep_forever()
 
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
         return self.catalogue.table is not None and not self.stopping.begun
 
+    def status(self) -> StatusReply:
+        """Return what this instance says of itself."""
+        return StatusReply(
+            name=self.settings.instance.name,
+            zone=self.settings.instance.zone,
+            table_version=self.catalogue.table_version,
+            revision=self.store.revision,
+            members=len(self.members.live()),
+            ready=self.ready,
+        )
+
+    async def status_of_all(self) -> StatusReport:
+        """Ask every instance that has not left for its status."""
+        return await collect_status(
+            members=self.members, peers=self.peers, own=self.status
+        )
+
     async def search(self, request: CallerRequest) -> Answer:
         """Return one whole answer; see ``CallerService``."""
         row, purpose = self._row(request, "search")
--- /dev/null
+++ b/ibisfront/shared.py
@@ -0,0 +1,145 @@
+"""What an instance shares with the others, put together."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING, Protocol
+
+import trio
+
+from ibisfront.core.discovery import Discovery, InstanceLister
+from ibisfront.core.heartbeat import Heartbeats
+from ibisfront.core.membership import Membership
+from ibisfront.core.pause import watch_for_pause
+from ibisfront.core.server_signs import ServerSigns
+from ibisfront.core.spread import ObjectSpread
+from ibisfront.core.watch import PlatformWatch, WatchedPlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from ibisfront.adapters.peers import PeerStreams
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.members import Members
+    from ibisfront.core.objects import ObjectStore
+    from ibisfront.core.types import Address
+
+__all__ = ["SharedPlatform", "SharedState"]
+
+
+class SharedPlatform(WatchedPlatform, InstanceLister, Protocol):
+    """The calls of the platform that keep an instance up to date."""
+
+
+class SharedState:
+    """The members, the objects and the signs of servers, kept up to date.
+
+    Parameters
+    ----------
+    members : Members
+        The view of the members.
+    store : ObjectStore
+        The platform's objects.
+    peers : PeerStreams
+        The other instances.
+    clock : Clock
+        The tier's clock.
+    counters : Counters
+        Where changes, messages and calls are counted.
+    random : random.Random
+        Spreads calls and streams over time.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: Members,
+        store: ObjectStore,
+        peers: PeerStreams,
+        clock: Clock,
+        counters: Counters,
+        random: Random,
+    ) -> None:
+        self.members = members
+        self.peers = peers
+        self.membership = Membership(
+            members, peers=peers, clock=clock, counters=counters, random=random
+        )
+        self.spread = ObjectSpread(store, peers=peers, clock=clock, counters=counters)
+        self.signs = ServerSigns(store, peers=peers, clock=clock)
+        self.heartbeats = Heartbeats(
+            members=members,
+            membership=self.membership,
+            spread=self.spread,
+            peers=peers,
+            clock=clock,
+            random=random,
+        )
+        self._clock = clock
+        self._counters = counters
+        self._random = random
+
+    async def leave(self) -> None:
+        """Tell the peers that this instance is leaving, and wait until it is sent."""
+        self.membership.leave()
+        await self.peers.flush()
+
+    async def run(
+        self,
+        platform: SharedPlatform,
+        *,
+        seeds: Sequence[Address],
+        wait_ms: float,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Keep everything up to date until cancelled.
+
+        Parameters
+        ----------
+        platform : SharedPlatform
+            The platform.
+        seeds : sequence of str
+            Addresses of other instances to try at first.
+        wait_ms : float
+            How long one call may wait for a change.
+        """
+        watch = PlatformWatch(
+            platform=platform,
+            spread=self.spread,
+            members=self.members,
+            connected=lambda: self.peers.connected,
+            clock=self._clock,
+            counters=self._counters,
+            random=self._random,
+            wait_ms=wait_ms,
+        )
+        discovery = Discovery(
+            platform=platform,
+            introducer=self.peers,
+            members=self.members,
+            membership=self.membership,
+            is_watcher=lambda: watch.is_watcher,
+            seeds=seeds,
+            clock=self._clock,
+            random=self._random,
+        )
+
+        def woke(late_ms: float) -> None:
+            # What was read or agreed before the pause may be long out of date.
+            self.membership.renew()
+            self.peers.reset()
+            watch.restart()
+
+        async with trio.open_nursery() as nursery:
+            keep_streams = partial(
+                self.peers.run, self.membership, greeted=self.heartbeats.greeted
+            )
+            await nursery.start(keep_streams)
+            task_status.started()
+            nursery.start_soon(self.membership.run)
+            nursery.start_soon(self.heartbeats.run)
+            nursery.start_soon(discovery.run)
+            nursery.start_soon(watch.run)
+            nursery.start_soon(watch_for_pause, self._clock, woke)
--- /dev/null
+++ b/ibisfront/testing/local_platform.py
@@ -0,0 +1,160 @@
+"""The platform's stand-in behind the interface of ``PlatformClient``."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ibisfront.adapters.platform import ObjectsRead
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.members import Member
+from ibisfront.core.objects import ObjectKind, VersionedObject, WriteConflict
+from ibisfront.testing.platform_types import (
+    AnswerLost,
+    InstanceState,
+    PlatformRefused,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.types import JsonBytes, Version
+    from ibisfront.testing.platform_state import FakePlatform
+    from ibisfront.testing.platform_types import ChangeList, ObjectList, StoredObject
+
+__all__ = ["LocalPlatform"]
+
+_CALL_TIMEOUT_MS = 2000.0
+
+
+class LocalPlatform:
+    """Calls a platform in this process as one instance would.
+
+    Parameters
+    ----------
+    platform : FakePlatform
+        The platform.
+    clock : Clock
+        The test's clock.
+
+    Attributes
+    ----------
+    cut_off : bool
+        While set, every call times out, as from a zone that is cut off.
+    """
+
+    def __init__(self, platform: FakePlatform, *, clock: Clock) -> None:
+        self.cut_off = False
+        self._platform = platform
+        self._clock = clock
+
+    async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
+        """Return an object, or None if there is none."""
+        with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
+            await self._check_cut(_CALL_TIMEOUT_MS)
+            try:
+                return _object(await self._platform.get(kind, name))
+            except PlatformRefused as refused:
+                if refused.status == HTTPStatus.NOT_FOUND:
+                    return None
+                raise _unavailable() from refused
+            except AnswerLost as lost:
+                raise _unavailable() from lost
+        raise _unavailable()
+
+    async def list_objects(self, kinds: Sequence[ObjectKind]) -> ObjectsRead:
+        """Return every object of some kinds."""
+        with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
+            await self._check_cut(_CALL_TIMEOUT_MS)
+            try:
+                return _read(await self._platform.list(frozenset(kinds)))
+            except (PlatformRefused, AnswerLost) as error:
+                raise _unavailable() from error
+        raise _unavailable()
+
+    async def changes(
+        self, kinds: Sequence[ObjectKind], *, after: Version, wait_ms: float
+    ) -> ObjectsRead | None:
+        """Wait for changes after a revision; None if it is too old."""
+        timeout_ms = wait_ms + _CALL_TIMEOUT_MS
+        with self._clock.timeout_ms(timeout_ms):
+            await self._check_cut(timeout_ms)
+            try:
+                found = await self._platform.changes(
+                    frozenset(kinds), after=after, wait_ms=wait_ms
+                )
+            except PlatformRefused as refused:
+                if refused.status == HTTPStatus.GONE:
+                    return None
+                raise _unavailable() from refused
+            except AnswerLost as lost:
+                raise _unavailable() from lost
+            if self.cut_off:
+                raise _unavailable()
+            return _read(found)
+        raise _unavailable()
+
+    async def put(
+        self,
+        kind: ObjectKind,
+        name: str,
+        value_json: JsonBytes,
+        *,
+        if_version: Version | None,
+    ) -> Version:
+        """Replace one version of an object, or create it."""
+        value = msgspec.json.decode(value_json)
+        with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
+            await self._check_cut(_CALL_TIMEOUT_MS)
+            try:
+                return await self._platform.put(
+                    kind, name, value, if_version=if_version
+                )
+            except PlatformRefused as refused:
+                if refused.status == HTTPStatus.PRECONDITION_FAILED:
+                    raise WriteConflict(f"{kind}/{name}") from refused
+                raise _unknown() from refused
+            except AnswerLost as lost:
+                raise _unknown() from lost
+        raise _unknown()
+
+    async def members(self) -> list[Member]:
+        """Return the listed instances that are live, as first contacts."""
+        with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
+            await self._check_cut(_CALL_TIMEOUT_MS)
+            try:
+                listed = await self._platform.instances()
+            except (PlatformRefused, AnswerLost) as error:
+                raise _unavailable() from error
+            return [
+                Member(item.name, item.zone, item.peer_address, item.admin_address)
+                for item in listed.instances
+                if item.state is InstanceState.LIVE
+            ]
+        raise _unavailable()
+
+    async def _check_cut(self, timeout_ms: float) -> None:
+        if self.cut_off:
+            await self._clock.sleep_ms(timeout_ms)
+
+
+def _read(found: ObjectList | ChangeList) -> ObjectsRead:
+    return ObjectsRead(found.revision, tuple(_object(item) for item in found.objects))
+
+
+def _object(stored: StoredObject) -> VersionedObject:
+    value_json = None if stored.value is None else msgspec.json.encode(stored.value)
+    return VersionedObject(
+        ObjectKind(stored.kind), stored.name, stored.version, value_json
+    )
+
+
+def _unavailable() -> IbisfrontError:
+    return IbisfrontError(ErrorKind.PLATFORM_UNAVAILABLE, "the platform is out")
+
+
+def _unknown() -> IbisfrontError:
+    return IbisfrontError(ErrorKind.WRITE_UNKNOWN, "the answer was lost")
--- /dev/null
+++ b/ibisfront/testing/shared_cluster.py
@@ -0,0 +1,192 @@
+"""Several instances' shared state in one process, for tests and slopes."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from ibisfront.adapters.peers import PeerStreams
+from ibisfront.core.catalogue import Catalogue
+from ibisfront.core.counters import Counters
+from ibisfront.core.members import Member, Members
+from ibisfront.core.objects import ObjectKind, ObjectStore
+from ibisfront.shared import SharedState
+from ibisfront.testing.local_platform import LocalPlatform
+from ibisfront.testing.peer_streams import MemoryNetwork
+from ibisfront.testing.platform_types import InstanceList, InstanceRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ibisfront.core.clock import Clock
+    from ibisfront.testing.platform_state import FakePlatform
+
+__all__ = ["SharedCluster", "SharedNode"]
+
+_POLL_MS = 20.0
+
+
+class SharedNode:
+    """The shared state of one instance.
+
+    Parameters
+    ----------
+    own : Member
+        The instance.
+    cluster : SharedCluster
+        Where it runs.
+    """
+
+    def __init__(self, own: Member, cluster: SharedCluster) -> None:
+        random = Random(f"{cluster.seed} {own.name} {own.incarnation}")
+        self.counters = Counters()
+        self.members = Members(own)
+        self.store = ObjectStore()
+        self.catalogue = Catalogue(self.store, self.counters)
+        self.platform = LocalPlatform(cluster.platform, clock=cluster.clock)
+        self.peers = PeerStreams(
+            self.members,
+            transport=cluster.network.transport(own.peer_address),
+            clock=cluster.clock,
+            counters=self.counters,
+            random=random,
+        )
+        self.shared = SharedState(
+            members=self.members,
+            store=self.store,
+            peers=self.peers,
+            clock=cluster.clock,
+            counters=self.counters,
+            random=random,
+        )
+        self.scope = trio.CancelScope()
+        self.stopped = trio.Event()
+
+    async def run(self, *, wait_ms: float) -> None:
+        """Run until killed."""
+        try:
+            with self.scope:
+                await self.shared.run(self.platform, seeds=(), wait_ms=wait_ms)
+        finally:
+            self.stopped.set()
+
+
+class SharedCluster:
+    """Runs shared states over a platform and a network of one test.
+
+    Parameters
+    ----------
+    platform : FakePlatform
+        The platform.
+    clock : Clock
+        The test's clock.
+    nursery : trio.Nursery
+        Where the instances run.
+    zones : int
+        Over how many zones instances are spread in turn.
+    wait_ms : float
+        How long one call of a watch may wait.
+    seed : int
+        For whatever is drawn at random.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: FakePlatform,
+        clock: Clock,
+        nursery: trio.Nursery,
+        zones: int = 3,
+        wait_ms: float = 20_000.0,
+        seed: int = 0,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.network = MemoryNetwork()
+        self.nodes: dict[str, SharedNode] = {}
+        self.seed = seed
+        self._nursery = nursery
+        self._zones = zones
+        self._wait_ms = wait_ms
+        self._incarnations = 0
+
+    def start(self, *numbers: int) -> list[SharedNode]:
+        """Start instances by number, anew if they ran before."""
+        started = [self._start(number) for number in numbers]
+        self.announce()
+        return started
+
+    async def kill(self, *names: str) -> None:
+        """End instances without a word."""
+        for name in names:
+            node = self.nodes.pop(name)
+            node.scope.cancel()
+            await node.stopped.wait()
+
+    def announce(self) -> None:
+        """Let the platform list the instances that run."""
+        records = [
+            InstanceRecord(own.name, own.zone, own.peer_address, own.admin_address)
+            for own in (node.members.own for node in self.nodes.values())
+        ]
+        self.platform.set_instances(InstanceList(records))
+
+    def cut_zone(self, zone: str, *, from_platform: bool = True) -> None:
+        """Cut one zone off from the others, and from the platform."""
+        inside = [n for n in self.nodes.values() if n.members.own.zone == zone]
+        addresses = frozenset(node.members.own.peer_address for node in inside)
+        self.network.cut(addresses)
+        for node in inside:
+            node.platform.cut_off = from_platform
+
+    def mend(self) -> None:
+        """End every cut."""
+        self.network.mend()
+        for node in self.nodes.values():
+            node.platform.cut_off = False
+
+    async def until(
+        self, holds: Callable[[], bool], *, within_ms: float = 60_000.0
+    ) -> float:
+        """Wait until something holds and return how long that took.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not hold in time.
+        """
+        started_ms = self.clock.now_ms()
+        while not holds():
+            if self.clock.now_ms() - started_ms > within_ms:
+                raise TimeoutError(f"not within {within_ms:.0f} ms")
+            await self.clock.sleep_ms(_POLL_MS)
+        return self.clock.now_ms() - started_ms
+
+    async def put(self, kind: ObjectKind, name: str, value: object) -> int:
+        """Create or replace an object of the platform and return its version."""
+        version = None
+        with suppress(Exception):
+            version = (await self.platform.get(kind, name)).version
+        built = msgspec.to_builtins(value)
+        return await self.platform.put(kind, name, built, if_version=version)
+
+    def _start(self, number: int) -> SharedNode:
+        self._incarnations += 1
+        own = Member(
+            name=f"i{number}",
+            zone=f"z{number % self._zones}",
+            peer_address=f"peer-{number}",
+            admin_address=f"admin-{number}",
+            incarnation=self._incarnations,
+        )
+        node = SharedNode(own, self)
+        self.nodes[own.name] = node
+        self._nursery.start_soon(self._run, node)
+        return node
+
+    async def _run(self, node: SharedNode) -> None:
+        await node.run(wait_ms=self._wait_ms)
