--- a/ibisfront/adapters/platform.py
+++ b/ibisfront/adapters/platform.py
@@ -159,10 +159,7 @@
                 ErrorKind.BAD_REQUEST,
                 f"the platform refused {kind}/{name} with {response.status}",
             )
-        version = _body(response, _VersionBody).version
-        if version is None:
-            raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, "no version in the answer")
-        return version
+        return _written_version(response)
 
     async def instances(self) -> list[InstanceEntry]:
         """Return the platform's list of instances, which lags."""
@@ -222,6 +219,16 @@
         raise _unavailable(f"status {response.status}: {error}") from error
 
 
+def _written_version(response: httpcore.Response) -> Version:
+    try:
+        version = _body(response, _VersionBody).version
+    except IbisfrontError as error:
+        raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, error.detail) from error
+    if version is None:
+        raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, "no version in the answer")
+    return version
+
+
 def _objects(response: httpcore.Response) -> ObjectsRead:
     decoded = _body(response, _ObjectsBody)
     objects = tuple(_decoded(item) for item in decoded.objects)
