--- /dev/null
+++ b/ibisfront/adapters/asgi.py
@@ -0,0 +1,283 @@
+"""The ASGI application that the callers' and the operators' listeners share."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, TypeAlias
+from urllib.parse import quote
+
+import trio
+
+from ibisfront.adapters.http import (
+    Exchange,
+    Handler,
+    HttpRequest,
+    HttpResponse,
+    MethodError,
+    Observe,
+    Route,
+    problem_response,
+)
+from ibisfront.adapters.http_input import (
+    REQUEST_ID_HEADER,
+    AsgiMessage,
+    AsgiReceive,
+    BodyReader,
+    decode_part,
+    new_request_id,
+    read_headers,
+    read_request_id,
+)
+from ibisfront.core.errors import ANSWERS, ErrorKind, IbisfrontError, Ran
+
+if TYPE_CHECKING:
+    from ibisfront.core.clock import Clock
+
+__all__ = [
+    "AsgiApplication",
+    "AsgiMessage",
+    "AsgiReceive",
+    "AsgiSend",
+    "CallerGone",
+    "asgi_application",
+]
+
+AsgiSend: TypeAlias = Callable[[AsgiMessage], Awaitable[None]]
+AsgiApplication: TypeAlias = Callable[
+    [dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]
+]
+
+
+class CallerGone(Exception):
+    """The caller disconnected before its answer was ready."""
+
+
+def asgi_application(
+    routes: tuple[Route, ...],
+    *,
+    clock: Clock,
+    maximum_body_bytes: int,
+    observe: Observe,
+) -> AsgiApplication:
+    """Return an ASGI application that answers the routes.
+
+    Parameters
+    ----------
+    routes : tuple of Route
+        What it answers.
+    clock : Clock
+        The tier's clock.
+    maximum_body_bytes : int
+        A longer body is refused with ``body_too_large``.
+    observe : callable
+        Called with each exchange once its answer is known.
+    """
+
+    async def application(
+        scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "websocket":
+            await send({"type": "websocket.close"})
+        else:
+            conversation = _Conversation(scope, receive, clock, maximum_body_bytes)
+            response = await conversation.answer(routes)
+            observe(conversation.exchange(response))
+            if response is not None:
+                await conversation.send(response, send)
+
+    return application
+
+
+class _Conversation:
+    """One request on its way through a listener.
+
+    Parameters
+    ----------
+    scope : dict
+        The ASGI scope.
+    receive : callable
+        The ASGI server's ``receive``.
+    clock : Clock
+        The tier's clock.
+    maximum_body_bytes : int
+        A longer body is refused.
+    """
+
+    __slots__ = (
+        "_body",
+        "_clock",
+        "_error",
+        "_maximum_body_bytes",
+        "_method",
+        "_parts",
+        "_path",
+        "_raw_headers",
+        "_receive",
+        "_received_at_ms",
+        "_request_id",
+    )
+
+    def __init__(
+        self,
+        scope: dict[str, Any],
+        receive: AsgiReceive,
+        clock: Clock,
+        maximum_body_bytes: int,
+    ) -> None:
+        self._clock = clock
+        self._receive = receive
+        self._maximum_body_bytes = maximum_body_bytes
+        self._received_at_ms = clock.now_ms()
+        self._method: str = scope["method"]
+        self._path = _raw_path(scope)
+        self._raw_headers = scope["headers"]
+        self._request_id = new_request_id()
+        self._body = BodyReader(receive, {}, clock=clock, maximum_bytes=0)
+        self._parts: tuple[str, ...] = ()
+        self._error: BaseException | None = None
+
+    async def answer(self, routes: tuple[Route, ...]) -> HttpResponse | None:
+        """Return the answer of the route, or the problem that it met.
+
+        None if the caller has gone.
+        """
+        try:
+            return await self._handle(routes)
+        except IbisfrontError as error:
+            self._error = error
+            return problem_response(error, request_id=self._request_id)
+        except CallerGone as error:
+            self._error = error
+            return None
+        except Exception as error:
+            self._error = error
+            fault = IbisfrontError(
+                ErrorKind.INTERNAL, ANSWERS[ErrorKind.INTERNAL].title, ran=Ran.MAYBE
+            )
+            return problem_response(fault, request_id=self._request_id)
+
+    def exchange(self, response: HttpResponse | None) -> Exchange:
+        """Return the record of what became of the request."""
+        return Exchange(
+            request_id=self._request_id,
+            method=self._method,
+            path=self._path,
+            parts=self._parts,
+            status=0 if response is None else response.status,
+            duration_ms=self._clock.now_ms() - self._received_at_ms,
+            error=self._error,
+        )
+
+    async def send(self, response: HttpResponse, send: AsgiSend) -> None:
+        """Send an answer, then take in what is left of the request's body."""
+        headers = [
+            (b"content-type", response.content_type),
+            (b"content-length", str(len(response.body)).encode()),
+            (REQUEST_ID_HEADER.encode(), self._request_id.encode()),
+            *response.headers,
+        ]
+        start = {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+        await send(start)
+        part = {"type": "http.response.body", "body": response.body, "more_body": True}
+        await send(part)
+        await self._body.discard()
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _handle(self, routes: tuple[Route, ...]) -> HttpResponse:
+        headers = read_headers(self._raw_headers)
+        self._request_id = read_request_id(headers)
+        route, parts = _find_route(routes, self._method, self._path)
+        self._parts = tuple(decode_part(part) for part in parts)
+        self._body = BodyReader(
+            self._receive,
+            headers,
+            clock=self._clock,
+            maximum_bytes=self._maximum_body_bytes,
+        )
+        request = HttpRequest(
+            method=self._method,
+            path=self._path,
+            parts=self._parts,
+            headers=headers,
+            body=await self._body.read(),
+            request_id=self._request_id,
+            received_at_ms=self._received_at_ms,
+        )
+        if route.ends_with_caller:
+            return await _answer_while_connected(route.handler, request, self._receive)
+        return await route.handler(request)
+
+
+async def _answer_while_connected(
+    handler: Handler, request: HttpRequest, receive: AsgiReceive
+) -> HttpResponse:
+    """Run a handler until its caller disconnects.
+
+    A caller that gives up shows as ``http.disconnect`` while the handler
+    runs. Its admission place, connections and backend slots would stay taken
+    for work that nobody reads; cancelling the handler frees them all, since
+    each is held by a context of the handler's task.
+    """
+    responses: list[HttpResponse] = []
+    failures: list[Exception] = []
+
+    async def answer(scope: trio.CancelScope) -> None:
+        try:
+            responses.append(await handler(request))
+        except Exception as error:
+            failures.append(error)
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(answer, nursery.cancel_scope)
+        await _wait_disconnected(receive)
+        nursery.cancel_scope.cancel()
+    if failures:
+        raise failures[0]
+    if not responses:
+        raise CallerGone
+    return responses[0]
+
+
+async def _wait_disconnected(receive: AsgiReceive) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+def _raw_path(scope: dict[str, Any]) -> str:
+    raw: bytes | None = scope.get("raw_path")
+    return quote(scope["path"]) if raw is None else raw.decode("latin-1")
+
+
+def _find_route(
+    routes: tuple[Route, ...], method: str, path: str
+) -> tuple[Route, tuple[str, ...]]:
+    methods = []
+    for route in routes:
+        matched = route.pattern.fullmatch(path)
+        if matched is None:
+            continue
+        if route.method == method:
+            return route, matched.groups()
+        methods.append(route.method)
+    if methods:
+        raise MethodError(path, methods)
+    raise IbisfrontError(
+        ErrorKind.NOT_FOUND, f"there is no {path[:80]}: see docs/INTERFACE.md"
+    )
+
+
+async def _lifespan(receive: AsgiReceive, send: AsgiSend) -> None:
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- a/ibisfront/adapters/callers.py
+++ b/ibisfront/adapters/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-import uuid
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -13,15 +12,16 @@
 from ibisfront.core.query import Answer, CallerRequest, PerformAnswer
 
 if TYPE_CHECKING:
-    from ibisfront.core.clock import Clock
+    from collections.abc import Iterable
+
     from ibisfront.core.settings import CallerSettings
 
 __all__ = ["CallerService", "caller_routes"]
 
 _DEADLINE_HEADER = "x-deadline-ms"
 _KEY_HEADER = "idempotency-key"
-_REQUEST_ID_HEADER = "x-request-id"
-_MAXIMUM_REQUEST_ID_LENGTH = 128
+_DEADLINE_PATTERN = re.compile(r"0*[1-9][0-9]{0,11}")
+_MAXIMUM_DEPTH = 64
 _PURPOSE_PATH = r"/v1/branches/([^/]+)/purposes/([^/]+)/"
 
 
@@ -42,16 +42,16 @@
 
 
 def caller_routes(
-    service: CallerService, *, clock: Clock, settings: CallerSettings
+    service: CallerService, *, settings: CallerSettings
 ) -> tuple[Route, ...]:
     """Return the routes that callers use."""
 
     async def query(request: HttpRequest) -> HttpResponse:
-        checked = _checked(request, clock, settings)
+        checked = _checked(request, settings)
         return json_response(await service.search(checked))
 
     async def perform(request: HttpRequest) -> HttpResponse:
-        checked = _checked(request, clock, settings)
+        checked = _checked(request, settings)
         key = request.headers.get(_KEY_HEADER)
         if not key:
             raise IbisfrontError(
@@ -74,48 +74,64 @@
     )
 
 
-def _checked(
-    request: HttpRequest, clock: Clock, settings: CallerSettings
-) -> CallerRequest:
+def _checked(request: HttpRequest, settings: CallerSettings) -> CallerRequest:
     _check_json(request.body)
     branch, purpose = request.parts
     return CallerRequest(
-        request_id=_request_id(request),
+        request_id=request.request_id,
         branch=branch,
         purpose=purpose,
         body_json=request.body,
-        deadline_at_ms=clock.now_ms() + _deadline_ms(request, settings),
+        deadline_at_ms=request.received_at_ms + _deadline_ms(request, settings),
     )
 
 
 def _check_json(body: bytes) -> None:
     try:
-        msgspec.json.decode(body)
+        decoded = msgspec.json.decode(body)
     except msgspec.MsgspecError as error:
         raise IbisfrontError(
-            ErrorKind.BAD_REQUEST, f"the body must be JSON: {error}"
+            ErrorKind.BAD_REQUEST, f"the body is not JSON: {error}"
         ) from error
-
-
-def _request_id(request: HttpRequest) -> str:
-    given = request.headers.get(_REQUEST_ID_HEADER)
-    if given is None:
-        return uuid.uuid4().hex
-    if not given.isascii() or not 0 < len(given) <= _MAXIMUM_REQUEST_ID_LENGTH:
-        raise IbisfrontError(
-            ErrorKind.BAD_REQUEST,
-            f"X-Request-Id must be 1 to {_MAXIMUM_REQUEST_ID_LENGTH} ASCII letters",
-        )
-    return given
+    except RecursionError as error:
+        raise _too_deep() from error
+    # A body of many brackets can be far deeper than a backend server's decoder
+    # bears, and would fail there, after it was sent. Counting brackets is
+    # cheap and passes nearly all bodies; only the rest are walked.
+    if body.count(b"[") + body.count(b"{") > _MAXIMUM_DEPTH:
+        _check_depth(decoded)
+
+
+def _check_depth(decoded: object) -> None:
+    level = [decoded]
+    for _ in range(_MAXIMUM_DEPTH + 1):
+        level = [child for item in level for child in _children(item)]
+        if not level:
+            return
+    raise _too_deep()
+
+
+def _children(item: object) -> Iterable[object]:
+    if isinstance(item, dict):
+        return item.values()
+    return item if isinstance(item, list) else ()
+
+
+def _too_deep() -> IbisfrontError:
+    return IbisfrontError(
+        ErrorKind.BAD_REQUEST,
+        f"the body is nested more than {_MAXIMUM_DEPTH} deep: flatten it",
+    )
 
 
 def _deadline_ms(request: HttpRequest, settings: CallerSettings) -> int:
     given = request.headers.get(_DEADLINE_HEADER)
     if given is None:
         return settings.default_deadline_ms
-    if not (given.isascii() and given.isdigit()) or int(given) == 0:
+    if _DEADLINE_PATTERN.fullmatch(given) is None:
         raise IbisfrontError(
             ErrorKind.BAD_REQUEST,
-            f"X-Deadline-Ms is {given!r}: give a whole number of milliseconds above 0",
+            f"X-Deadline-Ms is {given[:40]!r}:"
+            " give a whole number of milliseconds above 0",
         )
-    return min(int(given), settings.maximum_deadline_ms)
+    return min(int(given[-12:]), settings.maximum_deadline_ms)
--- a/ibisfront/adapters/closing.py
+++ b/ibisfront/adapters/closing.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from ibisfront.adapters.http import (
+    from ibisfront.adapters.asgi import (
         AsgiApplication,
         AsgiMessage,
         AsgiReceive,
--- a/ibisfront/daemon.py
+++ b/ibisfront/daemon.py
@@ -16,14 +16,15 @@
 import trio
 from pythonjsonlogger.json import JsonFormatter
 
+from ibisfront.adapters.asgi import asgi_application
 from ibisfront.adapters.callers import caller_routes
 from ibisfront.adapters.closing import closing_application
 from ibisfront.adapters.entrypoint import AdapterEntrypoint
 from ibisfront.adapters.http import (
+    Exchange,
     HttpRequest,
     HttpResponse,
     Route,
-    asgi_application,
     json_response,
 )
 from ibisfront.core.clock import Clock
@@ -75,11 +76,12 @@
         await nursery.start(instance.run)
         application = asgi_application(
             (
-                *caller_routes(instance, clock=clock, settings=settings.callers),
+                *caller_routes(instance, settings=settings.callers),
                 *_health_routes(instance),
             ),
+            clock=clock,
             maximum_body_bytes=settings.callers.maximum_body_bytes,
-            report=_report_fault,
+            observe=_observe,
         )
         config = hypercorn.config.Config()
         config.bind = [settings.callers.address]
@@ -137,8 +139,10 @@
     again.set()
 
 
-def _report_fault(error: BaseException) -> None:
-    _LOG.error("instance: A request met a fault.", exc_info=error)
+def _observe(exchange: Exchange) -> None:
+    error = exchange.error
+    if error is not None and not isinstance(error, IbisfrontError):
+        _LOG.error("instance: A request met a fault.", exc_info=error)
 
 
 def _start_logs() -> None:
--- /dev/null
+++ b/ibisfront/tests/raw_http.py
@@ -0,0 +1,88 @@
+"""Sending bytes as they are to an HTTP listener, for tests of bad input."""
+
+from __future__ import annotations
+
+import h11
+import msgspec
+import trio
+
+__all__ = ["ProblemBody", "RawReply", "post_bytes", "send_bytes"]
+
+_TIMEOUT_S = 20.0
+
+
+class ProblemBody(msgspec.Struct, forbid_unknown_fields=True):
+    """A problem document, with no field besides the documented ones."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    code: str
+    ran: str
+    request_id: str
+    retry_after_ms: int | None = None
+
+
+class RawReply(msgspec.Struct, frozen=True):
+    """One reply; ``status`` is 0 if the connection ended without any."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def problem(self) -> ProblemBody:
+        """The body as a problem document."""
+        return msgspec.json.decode(self.body, type=ProblemBody)
+
+
+def post_bytes(path, body, *headers, method="POST"):
+    """Return the bytes of one request, whatever its parts are."""
+    head = [f"{method} {path} HTTP/1.1", "Host: test", *headers]
+    if not any(line.lower().startswith("content-length") for line in headers):
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*head, "", ""]).encode("latin-1") + body
+
+
+async def send_bytes(address, sent):
+    """Send bytes over a connection of their own and return the first reply."""
+    host, _, port = address.rpartition(":")
+    with trio.fail_after(_TIMEOUT_S):
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream, trio.open_nursery() as nursery:
+            nursery.start_soon(_send_all, stream, sent)
+            reply = await _read_reply(stream)
+            nursery.cancel_scope.cancel()
+    return reply
+
+
+async def _send_all(stream, sent):
+    try:
+        await stream.send_all(sent)
+    except trio.BrokenResourceError:
+        return
+
+
+async def _read_reply(stream):
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "test")]))
+    parser.send(h11.EndOfMessage())
+    status, headers, body = 0, {}, b""
+    while True:
+        try:
+            event = parser.next_event()
+        except h11.RemoteProtocolError:
+            return RawReply(0, {}, b"")  # another protocol than HTTP/1.1
+        if event is h11.NEED_DATA:
+            try:
+                parser.receive_data(await stream.receive_some())
+            except trio.BrokenResourceError:
+                return RawReply(0, {}, b"")
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = {name.decode(): value.decode() for name, value in event.headers}
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            return RawReply(status, headers, body)
--- a/ibisfront/tests/test_adapters_http.py
+++ b/ibisfront/tests/test_adapters_http.py
@@ -7,7 +7,9 @@
 
 import trio
 
-from ibisfront.adapters.http import Route, asgi_application, json_response
+from ibisfront.adapters.asgi import asgi_application
+from ibisfront.adapters.http import Route, json_response
+from ibisfront.core.clock import Clock
 from ibisfront.tests import trio_test
 
 PATH = "/work"
@@ -57,7 +59,9 @@
 def make_application(work, **route_fields):
     """Return an application of one route."""
     route = Route("POST", re.compile(PATH), work.handle, **route_fields)
-    return asgi_application((route,), maximum_body_bytes=100, report=print)
+    return asgi_application(
+        (route,), clock=Clock(), maximum_body_bytes=100, observe=[].append
+    )
 
 
 class DisconnectTest(unittest.TestCase):
