Reuse connections to backend servers, and only clean ones

No connection was ever used again: reading a reply's body does not end the exchange for httpcore, so the connection never counted as idle and each sub-request opened a new one (6 ms of the server's time each). The response is now closed after its body.

With reuse comes the danger of a doubled reply: its second copy, read along with the first, would pass for the next reply. Such a connection is not usable. A refusal that came whole leaves its connection usable.

New connections have a time-out, keep-alive and TCP_USER_TIMEOUT.

--- a/ibisfront/adapters/backend.py
+++ b/ibisfront/adapters/backend.py
@@ -16,12 +16,17 @@
     from ibisfront.core.clock import Clock
     from ibisfront.core.link import OpenConnection, Work
     from ibisfront.core.query import SubRequest
+    from ibisfront.core.settings import BackendSettings
     from ibisfront.core.types import Address
 
 __all__ = ["HttpBackendConnection", "connection_opener"]
 
 _OK = 200
-_NO_DELAY = (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+_PROBE_TARGET = b"/healthz"
+_MILLISECONDS_PER_SECOND = 1000.0
+_KEEP_ALIVE_IDLE_S = 5
+_KEEP_ALIVE_INTERVAL_S = 1
+_KEEP_ALIVE_PROBES = 3
 _NOT_RUN_REASONS = {
     b"shed": MissingReason.SHED,
     b"draining": MissingReason.DRAINING,
@@ -111,6 +116,9 @@
                 self._request(work, sub_request)
             )
             body = await response.aread()
+            # Without this the connection never counts as idle, and each
+            # sub-request opens a new one.
+            await response.aclose()
         except _BROKEN as error:
             raise SubRequestError(
                 MissingReason.CONNECTION_LOST, not_run=False
@@ -125,9 +133,37 @@
             raise _refusal(response.status, headers)
         return SubReply(body, headers.snapshots, headers.draining)
 
+    async def probe(self) -> bool:
+        """Return whether the server answers at all; see ``BackendConnection``."""
+        request = httpcore.Request(
+            b"GET",
+            httpcore.URL(
+                scheme=b"http",
+                host=self._url.host,
+                port=self._url.port,
+                target=_PROBE_TARGET,
+            ),
+            headers=[(b"Host", self._url.host)],
+        )
+        try:
+            response = await self._connection.handle_async_request(request)
+            await response.aread()
+            await response.aclose()
+        except _BROKEN:
+            return False
+        return response.status == _OK
+
     def is_usable(self) -> bool:
-        """Return whether the connection is idle and the server still there."""
-        return self._connection.is_idle() and not self._connection.has_expired()
+        """Return whether the connection is idle, clean and the server there.
+
+        A reply that was sent twice shows as bytes that nobody asked for,
+        either still in the socket or read along with the reply before. They
+        would be taken for the reply to the next sub-request.
+        """
+        if not self._connection.is_idle() or self._connection.has_expired():
+            return False
+        leftover, _ = self._connection._h11_state.trailing_data
+        return not leftover
 
     async def aclose(self) -> None:
         """Close the connection at once."""
@@ -161,7 +197,7 @@
 
 
 def connection_opener(
-    clock: Clock, *, outgoing_ip: str | None = None
+    clock: Clock, settings: BackendSettings, *, outgoing_ip: str | None = None
 ) -> OpenConnection:
     """Return a function that opens connections to backend servers.
 
@@ -169,6 +205,8 @@
     opened is known not to have run anything.
     """
     network = httpcore.TrioBackend()
+    options = _socket_options(settings)
+    timeout_s = settings.connect_timeout_ms / _MILLISECONDS_PER_SECOND
 
     async def open_connection(address: Address) -> HttpBackendConnection:
         host, _, port = address.rpartition(":")
@@ -176,8 +214,9 @@
             stream = await network.connect_tcp(
                 host,
                 int(port),
+                timeout=timeout_s,
                 local_address=outgoing_ip,
-                socket_options=[_NO_DELAY],
+                socket_options=options,
             )
         except (httpcore.NetworkError, httpcore.TimeoutException) as error:
             raise SubRequestError(MissingReason.CONNECT_FAILED, not_run=True) from error
@@ -187,6 +226,29 @@
     return open_connection
 
 
+def _socket_options(settings: BackendSettings) -> list[tuple[int, int, int]]:
+    """Return options that let the kernel find connections that went silent.
+
+    When something between the ends drops a connection's packets, nothing
+    comes back for what is sent: the user timeout ends it while data is under
+    way, the keep-alive while it is idle. Neither sees a connection whose far
+    end acknowledges and says nothing; for that the links probe the server.
+    """
+    tcp = socket.IPPROTO_TCP
+    options = [
+        (tcp, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    ]
+    if hasattr(socket, "TCP_USER_TIMEOUT"):
+        options += [
+            (tcp, socket.TCP_USER_TIMEOUT, settings.silent_timeout_ms),
+            (tcp, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S),
+            (tcp, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S),
+            (tcp, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES),
+        ]
+    return options
+
+
 def _url(address: Address) -> httpcore.URL:
     return httpcore.URL(f"http://{address}/")
 
@@ -199,6 +261,7 @@
         retry_after_ms=headers.retry_after_ms,
         draining=headers.draining,
         snapshots=headers.snapshots,
+        whole_reply=True,
     )
 
 
--- a/ibisfront/adapters/entrypoint.py
+++ b/ibisfront/adapters/entrypoint.py
@@ -70,5 +70,7 @@
     def connection_opener(self) -> OpenConnection:
         """Return a function that opens connections to backend servers."""
         return connection_opener(
-            self._clock, outgoing_ip=self._settings.instance.outgoing_ip
+            self._clock,
+            self._settings.backend,
+            outgoing_ip=self._settings.instance.outgoing_ip,
         )
--- a/ibisfront/core/query.py
+++ b/ibisfront/core/query.py
@@ -100,6 +100,12 @@
         When its answer is no longer of use, by the tier's clock.
     snapshot : str or None
         The pinned snapshot; None for non-idempotent work.
+    branch : str
+        Whose request it is; branches take turns for connections.
+    urgent : bool
+        Whether it goes before the others in the queue for connections.
+    fingerprint : str
+        The same for every copy of a request; tells one that crashes servers.
     """
 
     sub_request_id: str
@@ -107,6 +113,9 @@
     body_json: JsonBytes
     deadline_at_ms: float
     snapshot: str | None = None
+    branch: str = ""
+    urgent: bool = False
+    fingerprint: str = ""
 
 
 class SubReply(msgspec.Struct, frozen=True):
@@ -142,6 +151,9 @@
         Whether the server said that it is leaving.
     snapshots : tuple of str, optional
         The snapshots that the server says it holds.
+    whole_reply : bool, optional
+        Whether a whole reply that belongs to the sub-request said so; the
+        connection may then be used again.
     """
 
     def __init__(
@@ -152,6 +164,7 @@
         retry_after_ms: float | None = None,
         draining: bool = False,
         snapshots: tuple[str, ...] = (),
+        whole_reply: bool = False,
     ) -> None:
         super().__init__(f"{reason.value} ({'not run' if not_run else 'maybe run'})")
         self.reason = reason
@@ -159,3 +172,4 @@
         self.retry_after_ms = retry_after_ms
         self.draining = draining
         self.snapshots = snapshots
+        self.whole_reply = whole_reply
--- a/ibisfront/core/settings.py
+++ b/ibisfront/core/settings.py
@@ -13,6 +13,7 @@
 from msgspec import Meta
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.query_settings import BackendSettings, QuerySettings
 from ibisfront.core.settings_check import (
     OWN_ADDRESS,
     OWN_IP,
@@ -33,6 +34,7 @@
     "InstanceSettings",
     "PeerSettings",
     "PlatformSettings",
+    "QuerySettings",
     "Settings",
     "SettingsError",
     "StopSettings",
@@ -131,19 +133,6 @@
     ] = 20_000
 
 
-class BackendSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How backend servers are used."""
-
-    connections_per_server: Annotated[
-        int,
-        Meta(
-            ge=1,
-            le=1_000,
-            description="Connections that this instance may hold to one server.",
-        ),
-    ] = 4
-
-
 class StopSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How a planned stop goes."""
 
@@ -177,6 +166,7 @@
     platform: PlatformSettings
     backend: BackendSettings = BackendSettings()
     stop: StopSettings = StopSettings()
+    query: QuerySettings = QuerySettings()
 
 
 class SettingsError(IbisfrontError):
