--- a/ibisfront/adapters/peer_codec.py
+++ b/ibisfront/adapters/peer_codec.py
@@ -13,6 +13,7 @@
 from ibisfront.core.hello import Hello
 from ibisfront.core.membership import MemberNews, ViewsCompared
 from ibisfront.core.peers import PeerMessage
+from ibisfront.core.quarantine import CrashSeen
 from ibisfront.core.server_signs import ServerSignNews
 from ibisfront.core.spread import NewestKnown, ObjectsChanged, ObjectsWanted
 from ibisfront.core.status import StatusReply, StatusRequest
@@ -34,6 +35,7 @@
     | ObjectsWanted
     | NewestKnown
     | ServerSignNews
+    | CrashSeen
     | StatusRequest
     | StatusReply
 )
--- a/ibisfront/core/fanout.py
+++ b/ibisfront/core/fanout.py
@@ -3,42 +3,42 @@
 from __future__ import annotations
 
 import itertools
+import uuid
 from typing import TYPE_CHECKING
 
 import msgspec
-import trio
 
+from ibisfront.core.counters import CounterKind
 from ibisfront.core.coverage import Coverage, MissingReason, MissingService
 from ibisfront.core.errors import ErrorKind, IbisfrontError
-from ibisfront.core.planner import pin_snapshot
-from ibisfront.core.query import Answer, SubRequest, SubRequestError
+from ibisfront.core.planner import expected_coverage, pin_snapshot, snapshots_of
+from ibisfront.core.policies import policy_of
+from ibisfront.core.quarantine import fingerprint_of
+from ibisfront.core.query import Answer
+from ibisfront.core.replies import merged_rows
+from ibisfront.core.retry_budget import RetryBudget
+from ibisfront.core.search_run import SearchRun, SearchTask
+from ibisfront.core.service_state import ServiceState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Sequence
 
     from ibisfront.core.catalogue import Catalogue
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
-    from ibisfront.core.link import BackendLink
-    from ibisfront.core.query import CallerRequest, SubReply
-    from ibisfront.core.service import BackendServer
+    from ibisfront.core.links import BackendLinks
+    from ibisfront.core.quarantine import Quarantine
+    from ibisfront.core.query import CallerRequest
+    from ibisfront.core.settings import QuerySettings
     from ibisfront.core.snapshot import Snapshot
     from ibisfront.core.table import Purpose
 
 __all__ = ["Fanout"]
 
-
-class _SearchReply(msgspec.Struct):
-    """The body of a backend server's reply to a search."""
-
-    snapshot: str
-    rows: list[msgspec.Raw]
-
-
-class _Scored(msgspec.Struct):
-    """The part of a row that orders it."""
-
-    score: float = 0.0
+_MOST_RESTARTS = 2
+_RESTART_SHARE = 0.1
+_RESTART_BURST = 10.0
+_NAME_LENGTH = 8
 
 
 class Fanout:
@@ -48,33 +48,63 @@
     ----------
     catalogue : Catalogue
         The table, services and indexes in force.
+    links : BackendLinks
+        The backend servers.
+    quarantine : Quarantine
+        The requests that crash servers.
     clock : Clock
         The tier's clock.
     counters : Counters
         Where sub-requests and missing services are counted.
     zone : str
         This instance's availability zone; its backend servers go first.
-    link_to : callable
-        Returns the link to a backend server.
+    settings : QuerySettings
+        The policy.
+    seed : int, optional
+        Makes the policy's random choices repeatable.
     """
 
-    __slots__ = ("_catalogue", "_clock", "_counters", "_ids", "_link_to", "_zone")
+    __slots__ = (
+        "_catalogue",
+        "_clock",
+        "_counters",
+        "_ids",
+        "_links",
+        "_name",
+        "_policy",
+        "_quarantine",
+        "_restarts",
+        "_settings",
+        "_states",
+        "_zone",
+    )
 
     def __init__(
         self,
         *,
         catalogue: Catalogue,
+        links: BackendLinks,
+        quarantine: Quarantine,
         clock: Clock,
         counters: Counters,
         zone: str,
-        link_to: Callable[[BackendServer], BackendLink],
+        settings: QuerySettings,
+        seed: int | None = None,
     ) -> None:
         self._catalogue = catalogue
+        self._links = links
+        self._quarantine = quarantine
         self._clock = clock
         self._counters = counters
         self._zone = zone
-        self._link_to = link_to
+        self._settings = settings
+        self._policy = policy_of(settings, seed=seed)
+        self._states: dict[str, ServiceState] = {}
+        self._restarts = RetryBudget(share=_RESTART_SHARE, burst=_RESTART_BURST)
         self._ids = itertools.count(1)
+        # Callers choose request ids and may use one twice, also at two
+        # instances; a late reply would then pass for the reply to the copy.
+        self._name = uuid.uuid4().hex[:_NAME_LENGTH]
 
     async def search(self, request: CallerRequest, purpose: Purpose) -> Answer:
         """Return one whole answer from one snapshot.
@@ -82,78 +112,159 @@
         Raises
         ------
         IbisfrontError
-            If no snapshot is known or no service answered.
+            If no snapshot is known, no service answered, or the request is
+            refused because it crashes servers.
         """
-        snapshot = pin_snapshot(self._catalogue, purpose)
-        replies: dict[str, _SearchReply] = {}
-        missing: list[MissingService] = []
-
-        async def ask(service: str) -> None:
-            try:
-                replies[service] = await self._ask(request, snapshot, service)
-            except SubRequestError as error:
-                missing.append(MissingService(service, error.reason))
-
-        async with trio.open_nursery() as nursery:
-            for service in snapshot.services:
-                nursery.start_soon(ask, service)
-        if not replies:
-            raise IbisfrontError(
-                ErrorKind.NO_COVERAGE,
-                f"none of {len(snapshot.services)} services answered",
+        fingerprint = fingerprint_of(purpose.name, request.body_json)
+        trial_service = None
+        if self._policy.sheds_load:
+            trial_service = self._quarantine.trial_service(fingerprint)
+        try:
+            run = await self._run(request, purpose, fingerprint, trial_service)
+        finally:
+            if trial_service is not None:
+                self._quarantine.end_trial(fingerprint)
+        return self._answer(request, run)
+
+    async def _run(
+        self,
+        request: CallerRequest,
+        purpose: Purpose,
+        fingerprint: str,
+        trial_service: str | None,
+    ) -> _FinishedRun:
+        """Run a search, and again on another snapshot if that covers more."""
+        deadline_at_ms = request.deadline_at_ms - self._settings.way_back_ms
+        self._restarts.earn()
+        given_up: list[str] = []
+        while True:
+            snapshot = self._pin(purpose, given_up)
+            task = SearchTask(
+                request=request,
+                purpose=purpose,
+                snapshot=snapshot,
+                fingerprint=fingerprint,
+                deadline_at_ms=deadline_at_ms,
+                trial_service=(
+                    trial_service if trial_service in snapshot.services else None
+                ),
             )
-        coverage = Coverage(len(replies), len(snapshot.services), tuple(missing))
-        rows = [row for reply in replies.values() for row in reply.rows]
-        return Answer(request.request_id, snapshot.name, coverage, _best_first(rows))
+            may_restart = len(given_up) < _MOST_RESTARTS
+            run = self._start(task, given_up, may_restart=may_restart)
+            await run.run()
+            self._count_requests(run)
+            if not run.restart:
+                self._count_missing(run)
+                return _FinishedRun(snapshot, run)
+            given_up.append(snapshot.name)
+            self._counters.add(CounterKind.RETRIES, "snapshot_restart")
 
-    def choose_server(self, service: str) -> BackendServer:
-        """Return the backend server that the next sub-request goes to.
+    def _start(
+        self, task: SearchTask, given_up: Sequence[str], *, may_restart: bool
+    ) -> SearchRun:
+        def wants_restart(run: SearchRun) -> bool:
+            return may_restart and self._is_restart_better(task, run, given_up)
 
-        Raises
-        ------
-        SubRequestError
-            ``no_server`` if the service has none that is live.
+        return SearchRun(
+            task,
+            links=self._links,
+            state_of=self._state_of,
+            next_id=self._next_id,
+            quarantine=self._quarantine,
+            policy=self._policy,
+            zone=self._zone,
+            clock=self._clock,
+            counters=self._counters,
+            wants_restart=wants_restart,
+        )
+
+    def _pin(self, purpose: Purpose, given_up: Sequence[str]) -> Snapshot:
+        snapshots = snapshots_of(self._catalogue, purpose)
+        if not self._policy.sheds_load:
+            return snapshots[-1]
+        fresh = tuple(item for item in snapshots if item.name not in given_up)
+        return pin_snapshot(fresh or snapshots, holds=self._holds)
+
+    def _is_restart_better(
+        self, task: SearchTask, run: SearchRun, given_up: Sequence[str]
+    ) -> bool:
+        """Return whether to start again on another snapshot.
+
+        Only if that may cover more than the run still can, if as much time is
+        left as the run has taken, and inside a budget: when a snapshot is
+        dropped everywhere at once, each search in flight would double.
         """
-        known = self._catalogue.service(service)
-        servers = [] if known is None else known.backend_servers
-        live = [server for server in servers if server.state == "live"]
-        if not live:
-            raise SubRequestError(MissingReason.NO_SERVER, not_run=True)
-        return min(live, key=self._load)
-
-    async def _ask(
-        self, request: CallerRequest, snapshot: Snapshot, service: str
-    ) -> _SearchReply:
-        sub_request = SubRequest(
-            sub_request_id=f"{request.request_id}.{next(self._ids)}",
-            service=service,
-            body_json=request.body_json,
-            deadline_at_ms=request.deadline_at_ms,
-            snapshot=snapshot.name,
+        if not self._policy.sheds_load:
+            return False
+        excluded = (*given_up, task.snapshot.name)
+        others = [
+            item
+            for item in snapshots_of(self._catalogue, task.purpose)
+            if item.name not in excluded
+        ]
+        coverage = max(
+            (expected_coverage(item, holds=self._holds) for item in others),
+            default=0.0,
         )
-        link = self._link_to(self.choose_server(service))
-        remaining_ms = request.deadline_at_ms - self._clock.now_ms()
-        with self._clock.timeout_ms(remaining_ms):
-            reply = await link.call("search", sub_request)
-            return _checked(reply, snapshot)
-        raise SubRequestError(MissingReason.TIMED_OUT, not_run=False)
+        remaining_ms = task.deadline_at_ms - self._clock.now_ms()
+        if coverage <= run.reachable or remaining_ms <= run.elapsed_ms:
+            return False
+        return self._restarts.try_spend()
+
+    def _holds(self, service: str, snapshot: str) -> bool:
+        now_ms = self._clock.now_ms()
+        return any(
+            link.health.may_hold(snapshot, now_ms)
+            and not link.health.is_draining(now_ms)
+            for link in self._links.of_service(service)
+        )
+
+    def _state_of(self, service: str) -> ServiceState:
+        state = self._states.get(service)
+        if state is None:
+            state = self._states[service] = ServiceState(self._settings)
+        return state
 
-    def _load(self, server: BackendServer) -> tuple[int, bool]:
-        return self._link_to(server).in_flight, server.zone != self._zone
+    def _next_id(self) -> str:
+        return f"{self._name}-{next(self._ids)}"
+
+    def _count_requests(self, run: SearchRun) -> None:
+        requests = sum(part.requests for part in run.parts)
+        self._counters.add(CounterKind.SUB_REQUESTS, "search", requests)
+
+    def _count_missing(self, run: SearchRun) -> None:
+        for part in run.parts:
+            if part.missing is not None:
+                self._counters.add(CounterKind.MISSING, part.missing.value)
+
+    def _answer(self, request: CallerRequest, finished: _FinishedRun) -> Answer:
+        """Put one answer together, counting only what the pinned map names."""
+        parts = finished.run.parts
+        replies = [part.rows for part in parts if part.rows is not None]
+        missing = tuple(
+            MissingService(part.service, part.missing)
+            for part in parts
+            if part.missing is not None
+        )
+        if not replies:
+            raise _no_answer(missing)
+        coverage = Coverage(len(replies), len(parts), missing)
+        rows = merged_rows(replies)
+        return Answer(request.request_id, finished.snapshot.name, coverage, rows)
 
 
-def _checked(reply: SubReply, snapshot: Snapshot) -> _SearchReply:
-    try:
-        decoded = msgspec.json.decode(reply.body_json, type=_SearchReply)
-    except msgspec.MsgspecError as error:
-        raise SubRequestError(MissingReason.WRONG_REPLY, not_run=False) from error
-    if decoded.snapshot != snapshot.name:
-        raise SubRequestError(MissingReason.SNAPSHOT_GONE, not_run=False)
-    return decoded
+class _FinishedRun(msgspec.Struct, frozen=True):
+    """A run that was not given up, and its snapshot."""
 
+    snapshot: Snapshot
+    run: SearchRun
 
-def _best_first(rows: list[msgspec.Raw]) -> tuple[msgspec.Raw, ...]:
-    def score(row: msgspec.Raw) -> float:
-        return -msgspec.json.decode(row, type=_Scored).score
 
-    return tuple(sorted(rows, key=score))
+def _no_answer(missing: Sequence[MissingService]) -> IbisfrontError:
+    reasons = sorted({item.reason.value for item in missing})
+    detail = f"none of {len(missing)} services answered: {', '.join(reasons)}"
+    if MissingReason.QUARANTINED.value in reasons:
+        return IbisfrontError(ErrorKind.QUARANTINED, detail)
+    if reasons == [MissingReason.TIMED_OUT.value]:
+        return IbisfrontError(ErrorKind.DEADLINE_EXCEEDED, detail)
+    return IbisfrontError(ErrorKind.NO_COVERAGE, detail)
--- a/ibisfront/core/link.py
+++ b/ibisfront/core/link.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Literal, Protocol, TypeAlias
 
 import trio
 
+from ibisfront.core.connections import ConnectionPlaces
+from ibisfront.core.counters import CounterKind
+from ibisfront.core.coverage import MissingReason
+from ibisfront.core.query import SubRequestError
+from ibisfront.core.server_health import ServerHealth
+
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
     from ibisfront.core.query import SubReply, SubRequest
     from ibisfront.core.service import BackendServer
+    from ibisfront.core.settings import QuerySettings
     from ibisfront.core.types import Address
 
 __all__ = ["BackendConnection", "BackendLink", "OpenConnection", "Work"]
@@ -31,6 +40,10 @@
         """
         ...
 
+    async def probe(self) -> bool:
+        """Return whether the server answers on this connection at all."""
+        ...
+
     def is_usable(self) -> bool:
         """Return whether another exchange may start."""
         ...
@@ -44,6 +57,18 @@
 """Opens a connection; raises ``SubRequestError`` (not run) if it cannot."""
 
 
+class _HeldConnection:
+    """An open connection and since when it is what it is."""
+
+    __slots__ = ("connection", "idle_since_ms", "opened_at_ms", "sent_at_ms")
+
+    def __init__(self, connection: BackendConnection, opened_at_ms: float) -> None:
+        self.connection = connection
+        self.opened_at_ms = opened_at_ms
+        self.idle_since_ms = opened_at_ms
+        self.sent_at_ms = math.inf
+
+
 class BackendLink:
     """What this instance knows and holds of one backend server.
 
@@ -55,11 +80,38 @@
         Opens a connection to an address.
     clock : Clock
         The tier's clock.
+    counters : Counters
+        Where connections are counted.
+    settings : QuerySettings
+        Bounds of health and silence.
     maximum_connections : int
         How many connections this instance may hold to the server.
+
+    Attributes
+    ----------
+    server : BackendServer
+        The server as operators registered it last.
+    health : ServerHealth
+        What was seen of it.
+    share : int
+        How many connections this instance may hold.
+    retired_before_ms : float
+        Connections opened before are not used again.
     """
 
-    __slots__ = ("_clock", "_idle", "_open_connection", "_places", "server")
+    __slots__ = (
+        "_busy",
+        "_clock",
+        "_counters",
+        "_idle",
+        "_open_connection",
+        "_places",
+        "_settings",
+        "health",
+        "retired_before_ms",
+        "server",
+        "share",
+    )
 
     def __init__(
         self,
@@ -67,21 +119,47 @@
         *,
         open_connection: OpenConnection,
         clock: Clock,
+        counters: Counters,
+        settings: QuerySettings,
         maximum_connections: int,
     ) -> None:
         self.server = server
+        self.health = ServerHealth(settings)
+        self.share = maximum_connections
         self._open_connection = open_connection
         self._clock = clock
-        self._places = trio.CapacityLimiter(maximum_connections)
-        self._idle: list[BackendConnection] = []
+        self._counters = counters
+        self._settings = settings
+        self._places = ConnectionPlaces(maximum_connections)
+        self._idle: list[_HeldConnection] = []
+        self._busy: set[_HeldConnection] = set()
+        self.retired_before_ms = -math.inf
+        self._fit_places()
 
     @property
     def in_flight(self) -> int:
-        """The sub-requests that this instance has at the server now."""
-        return self._places.borrowed_tokens
+        """The sub-requests that this instance has at the server or waiting."""
+        return self._places.held + self._places.waiting
 
-    async def call(self, work: Work, sub_request: SubRequest) -> SubReply:
-        """Run one exchange on a connection of this link.
+    @property
+    def open_connections(self) -> int:
+        """The connections that this instance holds, idle ones included."""
+        return len(self._idle) + len(self._busy)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether an exchange runs here."""
+        return bool(self._busy)
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether nothing is held or waits here."""
+        return not self.in_flight and not self._idle
+
+    async def call(self, sub_request: SubRequest) -> SubReply:
+        """Run one search on a connection of this link.
+
+        Non-idempotent requests take connections of their own elsewhere.
 
         A connection goes back to the idle ones only after a whole reply that
         belongs to the sub-request; after a cancellation, a time-out or a
@@ -92,26 +170,157 @@
         SubRequestError
             If there was no usable reply.
         """
-        async with self._places:
-            connection = await self._take_connection()
+        await self._places.acquire(sub_request.branch, urgent=sub_request.urgent)
+        try:
+            self._check_still_wanted(sub_request)
+            held = await self._take_connection()
+            return await self._exchange(held, sub_request)
+        except SubRequestError as error:
+            self.health.note_error(
+                error,
+                fingerprint=sub_request.fingerprint,
+                in_flight=self._places.held,
+                now_ms=self._clock.now_ms(),
+            )
+            raise
+        finally:
+            self._places.release()
+            self._fit_places()
+
+    def set_share(self, share: int) -> None:
+        """Change how many connections this instance may hold."""
+        self.share = share
+        self._fit_places()
+
+    def oldest_wait_ms(self, now_ms: float) -> float:
+        """Return how long the oldest search has waited for a first byte.
+
+        Zero if one that was sent later, on a connection not newer, has been
+        answered: then the server is slow with one, not silent.
+        """
+        oldest_ms = min((held.sent_at_ms for held in self._busy), default=now_ms)
+        if self.health.last_answer_at_ms > oldest_ms:
+            return 0.0
+        return now_ms - oldest_ms
+
+    async def probe(self) -> bool:
+        """Ask a fresh connection whether the server answers, in bounded time.
+
+        The connections opened before are retired if it answers while they
+        were suspected, see :meth:`retire_connections`.
+        """
+        with self._clock.timeout_ms(self._settings.probe_timeout_ms):
+            try:
+                connection = await self._open_connection(self.server.address)
+            except SubRequestError:
+                return False
             try:
-                reply = await connection.exchange(work, sub_request)
-            except BaseException:
-                with trio.CancelScope(shield=True):
-                    await connection.aclose()
-                raise
-            self._idle.append(connection)
-            return reply
+                return await connection.probe()
+            finally:
+                await _close(connection)
+        return False
+
+    async def retire_connections(self) -> None:
+        """Use no connection again that is open now.
+
+        Connections go silent for good when something between the ends has
+        lost track of them; none that is as old can be trusted. The busy ones
+        are closed when their exchanges end, in case a reply still comes.
+        """
+        self.retired_before_ms = self._clock.now_ms()
+        retired, self._idle = self._idle, []
+        for held in retired:
+            await self._close_held(held, "retired")
+
+    async def shed_idle(self, *, keep: int) -> None:
+        """Close connections that were idle for long, but keep a few warm."""
+        now_ms = self._clock.now_ms()
+        keep = min(keep, self.share - len(self._busy))
+        shed = [
+            held
+            for held in self._idle[: max(0, len(self._idle) - max(keep, 0))]
+            if now_ms - held.idle_since_ms >= self._settings.idle_ms
+            or self.open_connections > self.share
+        ]
+        for held in shed:
+            self._idle.remove(held)
+            await self._close_held(held, "shed")
 
     async def aclose(self) -> None:
         """Close every idle connection."""
         while self._idle:
-            await self._idle.pop().aclose()
+            await _close(self._idle.pop().connection)
+
+    def _check_still_wanted(self, sub_request: SubRequest) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms >= sub_request.deadline_at_ms:
+            raise SubRequestError(MissingReason.NO_BUDGET, not_run=True)
+        # The server may have begun to leave while the sub-request queued for
+        # a connection; it must receive no new work then.
+        if self.health.is_draining(now_ms):
+            raise SubRequestError(MissingReason.DRAINING, not_run=True)
+
+    async def _exchange(
+        self, held: _HeldConnection, sub_request: SubRequest
+    ) -> SubReply:
+        sent_at_ms = held.sent_at_ms = self._clock.now_ms()
+        self._busy.add(held)
+        keep = False
+        try:
+            reply = await held.connection.exchange("search", sub_request)
+            keep = True
+        except SubRequestError as error:
+            keep = error.whole_reply
+            raise
+        except trio.Cancelled:
+            now_ms = self._clock.now_ms()
+            self.health.note_unanswered(now_ms - sent_at_ms, now_ms)
+            raise
+        finally:
+            self._busy.discard(held)
+            if keep and held.opened_at_ms > self.retired_before_ms:
+                self._put_back(held)
+            else:
+                await self._close_held(held, "closed")
+        now_ms = self._clock.now_ms()
+        self.health.note_answer(
+            reply,
+            duration_ms=now_ms - sent_at_ms,
+            in_flight=self.in_flight,
+            now_ms=now_ms,
+        )
+        return reply
+
+    def _put_back(self, held: _HeldConnection) -> None:
+        held.sent_at_ms = math.inf
+        held.idle_since_ms = self._clock.now_ms()
+        self._idle.append(held)
 
-    async def _take_connection(self) -> BackendConnection:
+    async def _take_connection(self) -> _HeldConnection:
         while self._idle:
-            connection = self._idle.pop()
-            if connection.is_usable():
-                return connection
-            await connection.aclose()
-        return await self._open_connection(self.server.address)
+            held = self._idle.pop()
+            if held.connection.is_usable():
+                return held
+            await self._close_held(held, "closed")
+        connection = await self._open_connection(self.server.address)
+        self._counters.add(CounterKind.CONNECTIONS, "opened")
+        return _HeldConnection(connection, self._clock.now_ms())
+
+    async def _close_held(self, held: _HeldConnection, reason: str) -> None:
+        self._counters.add(CounterKind.CONNECTIONS, reason)
+        await _close(held.connection)
+
+    def _fit_places(self) -> None:
+        # Whole places: a window of 1.7 lets one sub-request through.
+        maximum = max(1, math.floor(min(self.share, self.health.window)))
+        self.health.window = min(self.health.window, float(self.share))
+        if maximum != self._places.maximum:
+            self._places.maximum = maximum
+            self._places.hand_out()
+
+
+async def _close(connection: BackendConnection) -> None:
+    # Closing must go through in a cancelled task too, or the descriptor and
+    # the server's connection leak with each cancellation.
+    with trio.CancelScope(shield=True):
+        await connection.aclose()
--- /dev/null
+++ b/ibisfront/core/policies.py
@@ -0,0 +1,132 @@
+"""The two policies of searches: ours, and the baseline it is measured by."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from ibisfront.core.coverage import MissingReason
+from ibisfront.core.query import SubRequestError
+from ibisfront.core.server_choice import ChooseServer, round_robin, two_choices
+from ibisfront.core.service_state import ServiceState
+from ibisfront.core.settings import QuerySettings
+from ibisfront.core.table import Purpose
+
+__all__ = ["Progress", "QueryPolicy", "policy_of"]
+
+_OTHER_SERVER_DELAY_MS = 1.0
+_SAME_SERVER_DELAY_MS = 10.0
+_STRAGGLER_FACTOR = 4.0
+_NEVER_RETRIED = frozenset(
+    (
+        MissingReason.REFUSED,
+        MissingReason.NO_SERVER,
+        MissingReason.NO_BUDGET,
+        MissingReason.TIMED_OUT,
+        MissingReason.QUARANTINED,
+    )
+)
+
+
+class Progress(msgspec.Struct):
+    """How far a search has come.
+
+    Attributes
+    ----------
+    total : int
+        Services asked.
+    answered : int
+        Services that have answered.
+    elapsed_ms : float
+        Time since the search began.
+    """
+
+    total: int
+    answered: int
+    elapsed_ms: float
+
+
+class QueryPolicy(msgspec.Struct, frozen=True):
+    """The decisions of a search, each a plain function.
+
+    Attributes
+    ----------
+    choose : callable
+        Picks the server of a sub-request.
+    hedge_delay_ms : callable
+        After how long a sub-request to a service is hedged.
+    allow_retry : callable
+        Whether a service may be asked again after an error; takes the retry
+        from the service's budget.
+    retry_delay_ms : callable
+        How long to wait first; told whether the same server is asked again.
+    straggler_limit_ms : callable
+        After how long a search of a purpose returns without the rest.
+    sheds_load : bool
+        Whether crash quarantine and back-off from servers are on.
+    """
+
+    choose: ChooseServer
+    hedge_delay_ms: Callable[[ServiceState], float]
+    allow_retry: Callable[[ServiceState, SubRequestError], bool]
+    retry_delay_ms: Callable[[bool], float]
+    straggler_limit_ms: Callable[[Purpose, Progress], float]
+    sheds_load: bool
+
+
+def policy_of(settings: QuerySettings, *, seed: int | None = None) -> QueryPolicy:
+    """Return the policy that the settings name.
+
+    Parameters
+    ----------
+    settings : QuerySettings
+        The settings.
+    seed : int, optional
+        Makes random choices repeatable.
+    """
+    if settings.policy == "baseline":
+        return _baseline_policy()
+    return _adaptive_policy(settings, seed)
+
+
+def _baseline_policy() -> QueryPolicy:
+    return QueryPolicy(
+        choose=round_robin(),
+        hedge_delay_ms=lambda _service: math.inf,
+        allow_retry=lambda _service, error: error.reason not in _NEVER_RETRIED,
+        retry_delay_ms=lambda _same_server: 0.0,
+        straggler_limit_ms=lambda _purpose, _progress: math.inf,
+        sheds_load=False,
+    )
+
+
+def _adaptive_policy(settings: QuerySettings, seed: int | None) -> QueryPolicy:
+    generator = random.Random(seed)
+
+    def allow_retry(service: ServiceState, error: SubRequestError) -> bool:
+        if error.reason in _NEVER_RETRIED:
+            return False
+        return service.retry_budget.try_spend()
+
+    def retry_delay_ms(same_server: bool) -> float:
+        longest_ms = _SAME_SERVER_DELAY_MS if same_server else _OTHER_SERVER_DELAY_MS
+        return generator.uniform(0.0, longest_ms)
+
+    def straggler_limit_ms(purpose: Purpose, progress: Progress) -> float:
+        quorum = math.ceil(settings.straggler_quorum_fraction * progress.total)
+        if purpose.prefers == "coverage" or progress.answered < quorum:
+            return math.inf
+        waited_ms = _STRAGGLER_FACTOR * progress.elapsed_ms
+        return max(waited_ms, settings.straggler_floor_ms)
+
+    return QueryPolicy(
+        choose=two_choices(cross_zone_ms=settings.cross_zone_ms, seed=seed),
+        hedge_delay_ms=lambda service: service.hedge_delay_ms,
+        allow_retry=allow_retry,
+        retry_delay_ms=retry_delay_ms,
+        straggler_limit_ms=straggler_limit_ms,
+        sheds_load=True,
+    )
--- a/ibisfront/core/query_settings.py
+++ b/ibisfront/core/query_settings.py
@@ -49,7 +49,7 @@
             " hedging, to measure against."
         ),
     ] = "adaptive"
-    hedge_share: Annotated[
+    hedge_fraction: Annotated[
         float,
         Meta(
             ge=0,
@@ -57,25 +57,16 @@
             description="Hedged requests for each first one to a service.",
         ),
     ] = 0.03
-    hedge_burst: Annotated[
+    hedge_after_fraction: Annotated[
         float,
         Meta(
-            ge=0,
-            le=1_000,
-            description="Hedged requests to a service at once, after a quiet"
-            " time.",
-        ),
-    ] = 5.0
-    hedge_percentile: Annotated[
-        float,
-        Meta(
-            ge=50,
-            le=100,
-            description="The percentile of a service's latency after which a"
-            " sub-request is hedged.",
+            ge=0.5,
+            le=1,
+            description="A sub-request is hedged once it is slower than this share"
+            " of the service's.",
         ),
-    ] = 98.0
-    retry_share: Annotated[
+    ] = 0.98
+    retry_fraction: Annotated[
         float,
         Meta(
             ge=0,
@@ -84,32 +75,6 @@
             " for each first one to a service.",
         ),
     ] = 0.1
-    retry_burst: Annotated[
-        float,
-        Meta(
-            ge=0,
-            le=1_000,
-            description="Extra sub-requests to a service at once, after a quiet"
-            " time.",
-        ),
-    ] = 10.0
-    maximum_attempts: Annotated[
-        int,
-        Meta(
-            ge=1,
-            le=10,
-            description="How often one service is asked for one search.",
-        ),
-    ] = 3
-    maximum_restarts: Annotated[
-        int,
-        Meta(
-            ge=0,
-            le=10,
-            description="How often a search may start again on another"
-            " snapshot.",
-        ),
-    ] = 2
     way_back_ms: Annotated[
         float,
         Meta(
@@ -119,7 +84,7 @@
             " its way back.",
         ),
     ] = 5.0
-    straggler_quorum: Annotated[
+    straggler_quorum_fraction: Annotated[
         float,
         Meta(
             ge=0,
@@ -129,21 +94,12 @@
             " rest.",
         ),
     ] = 0.9
-    straggler_factor: Annotated[
-        float,
-        Meta(
-            ge=1,
-            le=1_000,
-            description="Such a search waits this many times as long as the"
-            " quorum took.",
-        ),
-    ] = 4.0
     straggler_floor_ms: Annotated[
         float,
         Meta(
             ge=0,
             le=600_000,
-            description="It waits at least this long.",
+            description="Such a search waits at least this long.",
         ),
     ] = 150.0
     cross_zone_ms: Annotated[
@@ -154,7 +110,7 @@
             description="What the way to another zone and back costs.",
         ),
     ] = 3.0
-    server_slots: Annotated[
+    slots_per_server: Annotated[
         int,
         Meta(
             ge=1,
@@ -167,8 +123,7 @@
         Meta(
             ge=1,
             le=600_000,
-            description="After how long a server that was left out is probed"
-            " first.",
+            description="After how long a server that was left out is probed first.",
         ),
     ] = 500.0
     ejection_longest_ms: Annotated[
@@ -185,8 +140,7 @@
         Meta(
             ge=0,
             le=600_000,
-            description="How long a server that comes back gets less than its"
-            " part.",
+            description="How long a server that comes back gets less than its part.",
         ),
     ] = 3_000.0
     silence_bound_ms: Annotated[
@@ -194,19 +148,9 @@
         Meta(
             ge=1,
             le=600_000,
-            description="A search without a byte for this long has its server"
-            " probed.",
+            description="A search without a byte for this long has its server probed.",
         ),
     ] = 300.0
-    silence_factor: Annotated[
-        float,
-        Meta(
-            ge=1,
-            le=1_000,
-            description="That search must also have waited this many times the"
-            " server's latency.",
-        ),
-    ] = 10.0
     probe_timeout_ms: Annotated[
         float,
         Meta(
@@ -223,7 +167,7 @@
             description="After how long an idle connection is closed.",
         ),
     ] = 10_000.0
-    warm_connections: Annotated[
+    warm_connections_per_server: Annotated[
         int,
         Meta(
             ge=0,
--- /dev/null
+++ b/ibisfront/core/search_part.py
@@ -0,0 +1,88 @@
+"""One service's part of one search, while it runs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from ibisfront.core.coverage import MissingReason
+    from ibisfront.core.link import BackendLink
+    from ibisfront.core.replies import SearchRows
+    from ibisfront.core.service_state import ServiceState
+
+__all__ = ["Attempt", "SearchPart"]
+
+
+class Attempt:
+    """One task that tries to get a part, one server after the other."""
+
+    __slots__ = ("link", "scope", "sent_at_ms")
+
+    def __init__(self) -> None:
+        self.scope = trio.CancelScope()
+        self.link: BackendLink | None = None
+        self.sent_at_ms = 0.0
+
+
+class SearchPart:
+    """One service's part of one search.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    state : ServiceState
+        What was measured of it.
+    attempts : list of Attempt
+        The tasks that try now: the first one, and hedged ones.
+    tried : tuple of BackendLink
+        The links tried so far.
+    requests : int
+        How many sub-requests were sent for it.
+    hedged : bool
+        Whether a hedged request was considered already.
+    rows : SearchRows or None
+        Its answer.
+    missing : MissingReason or None
+        Why it has none, once that is settled.
+    """
+
+    __slots__ = (
+        "attempts",
+        "hedged",
+        "missing",
+        "requests",
+        "rows",
+        "service",
+        "state",
+        "tried",
+    )
+
+    def __init__(self, service: str, state: ServiceState) -> None:
+        self.service = service
+        self.state = state
+        self.attempts: list[Attempt] = []
+        self.tried: tuple[BackendLink, ...] = ()
+        self.requests = 0
+        self.hedged = False
+        self.rows: SearchRows | None = None
+        self.missing: MissingReason | None = None
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it is answered or missing for good."""
+        return self.rows is not None or self.missing is not None
+
+    @property
+    def is_stranded(self) -> bool:
+        """Whether every try waits at a server or connection that was given up."""
+        return bool(self.attempts) and all(
+            attempt.link is not None
+            and (
+                attempt.link.health.ejected
+                or attempt.link.retired_before_ms > attempt.sent_at_ms
+            )
+            for attempt in self.attempts
+        )
--- /dev/null
+++ b/ibisfront/core/search_run.py
@@ -0,0 +1,462 @@
+"""One search over the services of one pinned snapshot."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from ibisfront.core.counters import CounterKind
+from ibisfront.core.coverage import MissingReason
+from ibisfront.core.policies import Progress, QueryPolicy
+from ibisfront.core.query import CallerRequest, SubRequest, SubRequestError
+from ibisfront.core.replies import checked_rows
+from ibisfront.core.search_part import Attempt, SearchPart
+from ibisfront.core.server_choice import Choice
+from ibisfront.core.snapshot import Snapshot
+from ibisfront.core.table import Purpose
+
+if TYPE_CHECKING:
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.link import BackendLink
+    from ibisfront.core.links import BackendLinks
+    from ibisfront.core.quarantine import Quarantine
+    from ibisfront.core.replies import SearchRows
+    from ibisfront.core.service_state import ServiceState
+
+__all__ = ["SearchRun", "SearchTask"]
+
+_MOST_REQUESTS = 3
+_WATCH_MS = 50.0
+_SHORTEST_WATCH_MS = 1.0
+
+
+class SearchTask(msgspec.Struct, frozen=True):
+    """What one run is to do.
+
+    Attributes
+    ----------
+    request : CallerRequest
+        The caller's request.
+    purpose : Purpose
+        Its purpose.
+    snapshot : Snapshot
+        The pinned snapshot; its services are the partition map.
+    fingerprint : str
+        The same for every copy of the request.
+    deadline_at_ms : float
+        When the answer must be ready to be sent back.
+    trial_service : str or None
+        The service that must answer before any other is asked.
+    """
+
+    request: CallerRequest
+    purpose: Purpose
+    snapshot: Snapshot
+    fingerprint: str
+    deadline_at_ms: float
+    trial_service: str | None = None
+
+
+class SearchRun:
+    """One search while it runs; used once.
+
+    Parameters
+    ----------
+    task : SearchTask
+        What to do.
+    links : BackendLinks
+        The servers.
+    state_of : callable
+        Returns what was measured of a service.
+    next_id : callable
+        Returns an id that no other sub-request has.
+    quarantine : Quarantine
+        Where lost servers are noted.
+    policy : QueryPolicy
+        The decisions.
+    zone : str
+        This instance's availability zone.
+    clock : Clock
+        The tier's clock.
+    counters : Counters
+        Where retries, hedges and cancellations are counted.
+    wants_restart : callable
+        Told of a service that does not hold the snapshot; returns whether to
+        give the run up for another snapshot.
+    """
+
+    __slots__ = (
+        "_answered",
+        "_clock",
+        "_counters",
+        "_links",
+        "_lost_servers",
+        "_lost_turn",
+        "_next_id",
+        "_nursery",
+        "_open",
+        "_policy",
+        "_quarantine",
+        "_started_ms",
+        "_state_of",
+        "_straggler_at_ms",
+        "_task",
+        "_trial_passed",
+        "_wants_restart",
+        "_zone",
+        "parts",
+        "restart",
+    )
+
+    def __init__(
+        self,
+        task: SearchTask,
+        *,
+        links: BackendLinks,
+        state_of: Callable[[str], ServiceState],
+        next_id: Callable[[], str],
+        quarantine: Quarantine,
+        policy: QueryPolicy,
+        zone: str,
+        clock: Clock,
+        counters: Counters,
+        wants_restart: Callable[[SearchRun], bool],
+    ) -> None:
+        self._task = task
+        self._links = links
+        self._state_of = state_of
+        self._next_id = next_id
+        self._quarantine = quarantine
+        self._policy = policy
+        self._zone = zone
+        self._clock = clock
+        self._counters = counters
+        self._wants_restart = wants_restart
+        self._lost_servers: set[BackendLink] = set()
+        self._lost_turn = trio.Lock()
+        self._trial_passed: trio.Event | None = None
+        self._straggler_at_ms = math.inf
+        self._answered = 0
+        self._open = 0
+        self._started_ms = 0.0
+        self.parts: list[SearchPart] = []
+        self.restart = False
+
+    @property
+    def reachable(self) -> float:
+        """The share of the services that have answered or still may."""
+        missing = sum(part.missing is not None for part in self.parts)
+        return 1.0 - missing / max(1, len(self.parts))
+
+    @property
+    def elapsed_ms(self) -> float:
+        """How long the run has taken so far."""
+        return self._clock.now_ms() - self._started_ms
+
+    async def run(self) -> None:
+        """Ask every service; on return each part is answered or missing."""
+        self._started_ms = self._clock.now_ms()
+        self.parts = [
+            SearchPart(service, self._state_of(service))
+            for service in self._task.snapshot.services
+        ]
+        self._open = len(self.parts)
+        if self._task.trial_service is not None:
+            self._trial_passed = trio.Event()
+        remaining_ms = self._task.deadline_at_ms - self._started_ms
+        with self._clock.timeout_ms(remaining_ms):
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                for part in self.parts:
+                    nursery.start_soon(self._ask_first, part)
+                await self._watch()
+                nursery.cancel_scope.cancel()
+        refused = self._trial_passed is not None and not self._trial_passed.is_set()
+        rest = MissingReason.QUARANTINED if refused else MissingReason.TIMED_OUT
+        for part in self.parts:
+            if not part.is_settled:
+                part.missing = rest
+
+    async def _ask_first(self, part: SearchPart) -> None:
+        if self._trial_passed is not None and part.service != self._task.trial_service:
+            await self._trial_passed.wait()
+        part.state.note_first_attempt()
+        await self._attempt(part)
+
+    async def _attempt(self, part: SearchPart) -> None:
+        """Try to get a part until it is answered or not to be had."""
+        attempt = Attempt()
+        part.attempts.append(attempt)
+        with attempt.scope:
+            while not part.is_settled:
+                try:
+                    rows = await self._ask(part, attempt)
+                except SubRequestError as error:
+                    if len(part.attempts) > 1:
+                        break
+                    if not await self._may_go_on(part, attempt, error):
+                        self._settle_missing(part, self._why_missing(error))
+                else:
+                    self._settle_answered(part, attempt, rows)
+        part.attempts.remove(attempt)
+
+    async def _ask(self, part: SearchPart, attempt: Attempt) -> SearchRows:
+        """Send one sub-request and return its rows."""
+        link = await self._choose(part)
+        task = self._task
+        now_ms = self._clock.now_ms()
+        # Work that cannot be answered in time takes a slot from work that can.
+        if now_ms + part.state.quick_ms >= task.deadline_at_ms:
+            raise SubRequestError(MissingReason.NO_BUDGET, not_run=True)
+        attempt.link = link
+        attempt.sent_at_ms = now_ms
+        part.tried += (link,)
+        part.requests += 1
+        sub_request = SubRequest(
+            sub_request_id=self._next_id(),
+            service=part.service,
+            body_json=task.request.body_json,
+            deadline_at_ms=task.deadline_at_ms,
+            snapshot=task.snapshot.name,
+            branch=task.request.branch,
+            urgent=task.purpose.urgent,
+            fingerprint=task.fingerprint,
+        )
+        try:
+            reply = await link.call(sub_request)
+            rows = checked_rows(reply, task.snapshot.name)
+        except SubRequestError as error:
+            if error.reason is MissingReason.CONNECTION_LOST:
+                self._note_lost(part, link)
+            raise
+        now_ms = self._clock.now_ms()
+        part.state.record_ms(now_ms - attempt.sent_at_ms, now_ms)
+        self._note_answered(part, link)
+        return rows
+
+    async def _choose(self, part: SearchPart) -> BackendLink:
+        now_ms = self._clock.now_ms()
+        choice = Choice(self._zone, now_ms, self._task.snapshot.name, part.tried)
+        links = self._links.of_service(part.service)
+        link = self._policy.choose(links, choice)
+        if link is None:
+            raise SubRequestError(self._why_none(links, now_ms), not_run=True)
+        wait_ms = link.health.not_before_ms - now_ms
+        if self._policy.sheds_load and wait_ms > 0.0:
+            await self._back_off(part, wait_ms)
+        return link
+
+    def _why_none(self, links: tuple[BackendLink, ...], now_ms: float) -> MissingReason:
+        if not links:
+            return MissingReason.NO_SERVER
+        if all(link.health.is_draining(now_ms) for link in links):
+            return MissingReason.DRAINING
+        return MissingReason.SNAPSHOT_GONE
+
+    async def _back_off(self, part: SearchPart, wait_ms: float) -> None:
+        """Wait until a server that shed may be asked again.
+
+        Every server of the service has asked to be left alone. Asking now
+        would only be shed again and feed the overload; a sub-request that
+        cannot wait that long is not sent.
+        """
+        wait_ms += self._policy.retry_delay_ms(True)
+        now_ms = self._clock.now_ms()
+        if now_ms + wait_ms + part.state.quick_ms >= self._task.deadline_at_ms:
+            raise SubRequestError(MissingReason.SHED, not_run=True)
+        await self._clock.sleep_ms(wait_ms)
+
+    async def _may_go_on(
+        self, part: SearchPart, attempt: Attempt, error: SubRequestError
+    ) -> bool:
+        """Return whether to ask again, after the wait before it."""
+        if part.requests >= _MOST_REQUESTS or not part.tried:
+            return False
+        if error.reason is MissingReason.SNAPSHOT_GONE and not self._has_holder(part):
+            return False
+        if not self._policy.allow_retry(part.state, error):
+            self._counters.add(CounterKind.RETRIES_WITHHELD, error.reason.value)
+            return False
+        if error.reason is MissingReason.CONNECTION_LOST and self._policy.sheds_load:
+            return await self._retry_lost(part, attempt)
+        self._counters.add(CounterKind.RETRIES, error.reason.value)
+        links = self._links.of_service(part.service)
+        same_server = all(link in part.tried for link in links)
+        await self._clock.sleep_ms(self._policy.retry_delay_ms(same_server))
+        return True
+
+    async def _retry_lost(self, part: SearchPart, attempt: Attempt) -> bool:
+        """Ask again after a lost connection, one service at a time.
+
+        A request that crashes servers shows as connections lost at several
+        services at once. Retrying all of them together would crash the
+        second server of each; so once two servers are lost, one part goes
+        first and the others wait for what becomes of it.
+        """
+        if len(self._lost_servers) < 2:
+            self._counters.add(CounterKind.RETRIES, "connection_lost")
+            return not self._quarantine.is_refused(self._task.fingerprint)
+        async with self._lost_turn:
+            if self._quarantine.is_refused(self._task.fingerprint):
+                return False
+            self._counters.add(CounterKind.RETRIES, "connection_lost")
+            try:
+                rows = await self._ask(part, attempt)
+            except SubRequestError:
+                return False
+            self._settle_answered(part, attempt, rows)
+        return True
+
+    def _why_missing(self, error: SubRequestError) -> MissingReason:
+        lost = error.reason is MissingReason.CONNECTION_LOST
+        if lost and self._quarantine.is_refused(self._task.fingerprint):
+            return MissingReason.QUARANTINED
+        return error.reason
+
+    def _has_holder(self, part: SearchPart) -> bool:
+        now_ms = self._clock.now_ms()
+        return any(
+            link.health.may_hold(self._task.snapshot.name, now_ms)
+            and not link.health.is_draining(now_ms)
+            for link in self._links.of_service(part.service)
+        )
+
+    def _note_lost(self, part: SearchPart, link: BackendLink) -> None:
+        self._lost_servers.add(link)
+        if self._policy.sheds_load:
+            self._quarantine.note_lost(
+                self._task.fingerprint, part.service, link.server.name
+            )
+
+    def _note_answered(self, part: SearchPart, link: BackendLink) -> None:
+        self._quarantine.note_answered(self._task.fingerprint, part.service)
+        if self._lost_servers and any(
+            lost in part.tried for lost in self._lost_servers
+        ):
+            self._lost_servers.clear()
+        if self._trial_passed is not None:
+            self._trial_passed.set()
+
+    def _settle_answered(
+        self, part: SearchPart, winner: Attempt, rows: SearchRows
+    ) -> None:
+        if part.is_settled:
+            return
+        part.rows = rows
+        self._answered += 1
+        for attempt in part.attempts:
+            if attempt is not winner:
+                self._counters.add(CounterKind.CANCELLATIONS, "hedge_lost")
+                attempt.scope.cancel()
+        self._settled(part)
+        progress = Progress(len(self.parts), self._answered, self.elapsed_ms)
+        if self._straggler_at_ms == math.inf:
+            limit_ms = self._policy.straggler_limit_ms(self._task.purpose, progress)
+            self._straggler_at_ms = self._started_ms + limit_ms
+
+    def _settle_missing(self, part: SearchPart, reason: MissingReason) -> None:
+        part.missing = reason
+        self._settled(part)
+        gone = reason is MissingReason.SNAPSHOT_GONE
+        if gone and self._wants_restart(self):
+            self.restart = True
+            self._nursery.cancel_scope.cancel()
+        if self._trial_passed is not None and not self._trial_passed.is_set():
+            self._nursery.cancel_scope.cancel()
+
+    def _settled(self, part: SearchPart) -> None:
+        self._open -= 1
+        if not self._open:
+            self._nursery.cancel_scope.cancel()
+
+    async def _watch(self) -> None:
+        """Hedge slow parts, free stranded ones and cut off stragglers."""
+        waits = self._hedge_times()
+        while self._open:
+            now_ms = self._clock.now_ms()
+            if now_ms >= self._straggler_at_ms:
+                self._counters.add(CounterKind.CANCELLATIONS, "straggler", self._open)
+                return
+            while waits and waits[-1].at_ms <= now_ms:
+                self._hedge(waits.pop().part)
+            if waits and waits[-1].part.is_settled:
+                waits.pop()
+                continue
+            self._free_stranded()
+            wake_at_ms = min(now_ms + _WATCH_MS, self._straggler_at_ms)
+            if waits:
+                wake_at_ms = min(wake_at_ms, waits[-1].at_ms)
+            await self._clock.sleep_ms(max(wake_at_ms - now_ms, _SHORTEST_WATCH_MS))
+
+    def _hedge_times(self) -> list[_HedgeTime]:
+        """Return when each part is to be hedged, the soonest last."""
+        times = [
+            _HedgeTime(self._started_ms + delay_ms, part)
+            for part in self.parts
+            if (delay_ms := self._policy.hedge_delay_ms(part.state)) != math.inf
+        ]
+        times.sort(key=_hedge_at_ms, reverse=True)
+        return times
+
+    def _hedge(self, part: SearchPart) -> None:
+        if part.is_settled or not part.attempts or part.hedged:
+            return
+        part.hedged = True
+        if not self._has_other(part):
+            return
+        if not part.state.try_hedge():
+            self._counters.add(CounterKind.HEDGES_WITHHELD, "budget")
+            return
+        self._counters.add(CounterKind.HEDGES, "slow")
+        self._nursery.start_soon(self._attempt, part)
+
+    def _has_other(self, part: SearchPart) -> bool:
+        """Return whether a server that was not tried can take a hedged request."""
+        now_ms = self._clock.now_ms()
+        return any(
+            link not in part.tried
+            and not link.health.ejected
+            and not link.health.is_draining(now_ms)
+            and link.health.not_before_ms <= now_ms
+            and link.health.may_hold(self._task.snapshot.name, now_ms)
+            for link in self._links.of_service(part.service)
+        )
+
+    def _free_stranded(self) -> None:
+        """Ask again for parts whose server or connection was given up.
+
+        A connection that went silent, or a server that froze, brings neither
+        an answer nor an error; what waits there would wait for its deadline.
+        The first try goes on beside, in case its answer still comes.
+        """
+        if not self._policy.sheds_load:
+            return
+        for part in self.parts:
+            if part.is_settled or not part.is_stranded:
+                continue
+            if part.requests >= _MOST_REQUESTS:
+                continue
+            if part.state.retry_budget.try_spend():
+                self._counters.add(CounterKind.RETRIES, "silent")
+                self._nursery.start_soon(self._attempt, part)
+            else:
+                self._counters.add(CounterKind.RETRIES_WITHHELD, "silent")
+
+
+class _HedgeTime:
+    """When a part is to be hedged."""
+
+    __slots__ = ("at_ms", "part")
+
+    def __init__(self, at_ms: float, part: SearchPart) -> None:
+        self.at_ms = at_ms
+        self.part = part
+
+
+def _hedge_at_ms(time: _HedgeTime) -> float:
+    return time.at_ms
--- /dev/null
+++ b/ibisfront/core/service_state.py
@@ -0,0 +1,101 @@
+"""What this instance has measured of one service, over all its servers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from ibisfront.core.latency import LatencyHistogram
+from ibisfront.core.retry_budget import RetryBudget
+
+if TYPE_CHECKING:
+    from ibisfront.core.settings import QuerySettings
+
+__all__ = ["RETRY_BURST", "ServiceState"]
+
+RETRY_BURST = 10.0
+"""Extra sub-requests to a service at once, after a quiet time."""
+
+_REFRESH_MS = 2_000.0
+_ROTATE_MS = 20_000.0
+_FEWEST_SAMPLES = 50
+_PERCENT = 100.0
+_HEDGE_BURST = 5.0
+_LOW_PERCENTILE = 5.0
+
+
+class ServiceState:
+    """Latencies and budgets of one service.
+
+    Percentiles are read from the histogram only now and then, as reading one
+    costs as much as tens of recordings.
+
+    Parameters
+    ----------
+    settings : QuerySettings
+        The shares of the budgets and the percentile of hedging.
+
+    Attributes
+    ----------
+    retry_budget : RetryBudget
+        Extra sub-requests of every cause, hedges included.
+    hedge_budget : RetryBudget
+        Hedged requests alone.
+    hedge_delay_ms : float
+        After how long a sub-request is hedged; infinite until known.
+    quick_ms : float
+        What hardly any sub-request is quicker than; 0 until known.
+    """
+
+    __slots__ = (
+        "_current",
+        "_next_refresh_ms",
+        "_next_rotation_ms",
+        "_percentile",
+        "_previous",
+        "hedge_budget",
+        "hedge_delay_ms",
+        "quick_ms",
+        "retry_budget",
+    )
+
+    def __init__(self, settings: QuerySettings) -> None:
+        self._current = LatencyHistogram()
+        self._previous = LatencyHistogram()
+        self._percentile = _PERCENT * settings.hedge_after_fraction
+        self._next_refresh_ms = 0.0
+        self._next_rotation_ms = 0.0
+        self.retry_budget = RetryBudget(
+            share=settings.retry_fraction, burst=RETRY_BURST
+        )
+        self.hedge_budget = RetryBudget(
+            share=settings.hedge_fraction, burst=_HEDGE_BURST
+        )
+        self.hedge_delay_ms = math.inf
+        self.quick_ms = 0.0
+
+    def note_first_attempt(self) -> None:
+        """Let a first attempt fill both budgets."""
+        self.retry_budget.earn()
+        self.hedge_budget.earn()
+
+    def try_hedge(self) -> bool:
+        """Take a hedged request from both budgets, or from none."""
+        if self.retry_budget.tokens < 1.0 or not self.hedge_budget.try_spend():
+            return False
+        return self.retry_budget.try_spend()
+
+    def record_ms(self, duration_ms: float, now_ms: float) -> None:
+        """Record the latency of one answered sub-request."""
+        self._current.record_ms(duration_ms)
+        if now_ms >= self._next_refresh_ms and self._current.count >= _FEWEST_SAMPLES:
+            self._refresh(now_ms)
+
+    def _refresh(self, now_ms: float) -> None:
+        self._next_refresh_ms = now_ms + _REFRESH_MS
+        self.hedge_delay_ms = self._current.percentile_ms(self._percentile)
+        self.quick_ms = self._current.percentile_ms(_LOW_PERCENTILE)
+        if now_ms >= self._next_rotation_ms:
+            self._next_rotation_ms = now_ms + _ROTATE_MS
+            self._current, self._previous = self._previous, self._current
+            self._current.reset()
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -15,10 +15,11 @@
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.core.fanout import Fanout
 from ibisfront.core.ledger import Ledger
-from ibisfront.core.link import BackendLink
+from ibisfront.core.links import BackendLinks
 from ibisfront.core.members import Member, Members
 from ibisfront.core.objects import ObjectStore
 from ibisfront.core.perform_sender import PerformSender
+from ibisfront.core.quarantine import Quarantine
 from ibisfront.core.status import StatusReply, StatusRequest, collect_status
 from ibisfront.core.stopping import Stopping
 from ibisfront.shared import SharedState
@@ -27,13 +28,14 @@
     from ibisfront.adapters.entrypoint import AdapterEntrypoint
     from ibisfront.core.clock import Clock
     from ibisfront.core.query import Answer, CallerRequest, PerformAnswer
-    from ibisfront.core.service import BackendServer
     from ibisfront.core.settings import Settings
     from ibisfront.core.status import StatusReport
     from ibisfront.core.table import Purpose, Row
 
 __all__ = ["EntryInstance"]
 
+_PERFORM_CONNECTIONS = 4
+
 
 class EntryInstance:
     """One entry instance; all instances are equal.
@@ -70,26 +72,41 @@
             random=self._random,
         )
         self.admission = Admission(clock=clock, counters=self.counters)
+        self.links = BackendLinks(
+            catalogue=self.catalogue,
+            members=self.members,
+            open_connection=adapters.connection_opener(),
+            clock=clock,
+            counters=self.counters,
+            backend=settings.backend,
+            query=settings.query,
+        )
+        self.quarantine = Quarantine(
+            clock=clock,
+            counters=self.counters,
+            settings=settings.query,
+            peers=self.peers,
+        )
         self.fanout = Fanout(
             catalogue=self.catalogue,
+            links=self.links,
+            quarantine=self.quarantine,
             clock=clock,
             counters=self.counters,
             zone=settings.instance.zone,
-            link_to=self.link_to,
+            settings=settings.query,
         )
         self.stopping.on_leaving(self.shared.leave)
         self.peers.answer(StatusRequest, lambda asker, question: self.status())
         self._adapters = adapters
         self._clock = clock
-        self._links: dict[BackendServer, BackendLink] = {}
-        self._open_connection = adapters.connection_opener()
         sender = PerformSender(
             catalogue=self.catalogue,
-            open_connection=self._open_connection,
+            open_connection=adapters.connection_opener(),
             clock=clock,
             counters=self.counters,
             zone=settings.instance.zone,
-            maximum_connections=settings.backend.connections_per_server,
+            maximum_connections=_PERFORM_CONNECTIONS,
         )
         self.ledger = Ledger(
             instance=settings.instance.name,
@@ -105,8 +122,9 @@
         async with AsyncExitStack() as stack:
             platform = self._adapters.open_platform()
             stack.push_async_callback(platform.aclose)
-            stack.push_async_callback(self._close_links)
+            stack.push_async_callback(self.links.aclose)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(self.links.keep_up)
             await nursery.start(self.ledger.run, platform)
             await nursery.start(
                 partial(
@@ -163,19 +181,6 @@
         """Return the outcome of an earlier ``perform``."""
         return await self.ledger.outcome(key)
 
-    def link_to(self, server: BackendServer) -> BackendLink:
-        """Return this instance's link to a backend server."""
-        link = self._links.get(server)
-        if link is None:
-            link = BackendLink(
-                server,
-                open_connection=self._open_connection,
-                clock=self._clock,
-                maximum_connections=self.settings.backend.connections_per_server,
-            )
-            self._links[server] = link
-        return link
-
     def _row(self, request: CallerRequest, kind: str) -> tuple[Row, Purpose]:
         table = self.catalogue.table
         if table is None:
@@ -199,10 +204,6 @@
             )
         return row, purpose
 
-    async def _close_links(self) -> None:
-        for link in self._links.values():
-            await link.aclose()
-
 
 def _own_member(settings: Settings, clock: Clock) -> Member:
     return Member(
