--- a/ibisfront/core/objects.py
+++ b/ibisfront/core/objects.py
@@ -151,8 +151,8 @@
     ) -> list[VersionedObject]:
         """Delete what a list read at a revision no longer holds; return it.
 
-        A stale list says nothing of what changed after it, so that only
-        objects with a version at or before its revision go.
+        A stale list says nothing of what changed after it. The deletions have
+        the list's revision as their version, so that newer objects stay.
 
         Parameters
         ----------
@@ -171,7 +171,6 @@
             for name, item in self._objects.items()
             if item.value_json is not None
             and item.kind in kinds
-            and item.version < revision
             and name not in present
         ]
         return self.merge(gone)
--- a/ibisfront/testing/peers.py
+++ b/ibisfront/testing/peers.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from ibisfront.adapters.peer_codec import encode
+
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.peers import (
@@ -29,6 +31,11 @@
         Where deliveries run.
     delay_ms : float
         How long each message takes one way.
+
+    Attributes
+    ----------
+    sent, bytes_sent, largest_bytes : int
+        How many messages were sent, their sizes together and the largest.
     """
 
     def __init__(
@@ -40,6 +47,8 @@
         self.peers: dict[str, FakePeers] = {}
         self._cut: set[frozenset[str]] = set()
         self.sent = 0
+        self.bytes_sent = 0
+        self.largest_bytes = 0
 
     def join(self, name: str) -> FakePeers:
         """Return the peers of a new instance, a neighbour of all others."""
@@ -58,6 +67,13 @@
         """End every cut."""
         self._cut.clear()
 
+    def count(self, message: PeerMessage) -> None:
+        """Count a message and its size on the wire."""
+        size_bytes = len(encode(message))
+        self.sent += 1
+        self.bytes_sent += size_bytes
+        self.largest_bytes = max(self.largest_bytes, size_bytes)
+
     def reaches(self, sender: str, receiver: str) -> bool:
         """Return whether a message would arrive now."""
         return (
@@ -80,7 +96,7 @@
         """Queue a message; see ``Peers``."""
         if name not in self._network.peers:
             return False
-        self._network.sent += 1
+        self._network.count(message)
         self._network.nursery.start_soon(self._deliver, name, message)
         return True
 
--- /dev/null
+++ b/ibisfront/tests/test_spread.py
@@ -0,0 +1,169 @@
+"""Tests of handing objects on among instances."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.core.counters import Counters
+from ibisfront.core.objects import ObjectKind, ObjectStore, VersionedObject
+from ibisfront.core.spread import PUSH_BYTES, REPLY_BYTES, ObjectSpread
+from ibisfront.testing.peers import FakePeers, PeerNetwork
+from ibisfront.tests import trio_test
+
+
+class _Node:
+    def __init__(self, name: str, network: PeerNetwork) -> None:
+        self.name = name
+        self.peers: FakePeers = network.join(name)
+        self.store = ObjectStore()
+        self.spread = ObjectSpread(
+            self.store, peers=self.peers, clock=network.clock, counters=Counters()
+        )
+
+    def value(self, name: str) -> bytes | None:
+        found = self.store.get(ObjectKind.SERVICE, name)
+        return None if found is None else found.value_json
+
+
+def _item(name: str, version: int, value: bytes | None = b"{}") -> VersionedObject:
+    return VersionedObject(ObjectKind.SERVICE, name, version, value)
+
+
+class ObjectSpreadTest(unittest.TestCase):
+    """Changes reach all, whole and in any order."""
+
+    async def _run(self, scenario) -> None:
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            network = PeerNetwork(clock=clock, nursery=nursery)
+            nodes = [_Node(name, network) for name in ("i1", "i2", "i3")]
+            await scenario(clock, network, *nodes)
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_change_reaches_all_and_comes_to_rest(self) -> None:
+        async def scenario(clock, network, first, second, third) -> None:
+            first.spread.take_list([_item("a", 3)], revision=5)
+            await clock.sleep_ms(100.0)
+            self.assertEqual([second.value("a"), third.value("a")], [b"{}", b"{}"])
+            self.assertEqual([second.store.revision, third.store.revision], [5, 5])
+            sent = network.sent
+            await clock.sleep_ms(10_000.0)
+            self.assertEqual(network.sent, sent)
+
+        await self._run(scenario)
+
+    @trio_test
+    async def test_missed_change_is_fetched_at_the_next_heartbeat(self) -> None:
+        """A change is lost on its way to one instance, and another follows.
+
+        The second alone would leave the first one missing for good.
+        """
+
+        async def scenario(clock, network, first, second, third) -> None:
+            first.spread.take_list([_item("a", 1)], revision=1)
+            await clock.sleep_ms(100.0)
+            network.cut("i1", "i3")
+            network.cut("i2", "i3")
+            first.spread.take_changes([_item("b", 2)], after=1, revision=2)
+            await clock.sleep_ms(100.0)
+            network.mend()
+            first.spread.take_changes([_item("c", 3)], after=2, revision=3)
+            await clock.sleep_ms(100.0)
+            self.assertEqual([third.value("b"), third.value("c")], [b"{}", b"{}"])
+            self.assertEqual(third.store.revision, 3)
+
+        await self._run(scenario)
+
+    @trio_test
+    async def test_gap_heals_by_the_version_in_a_heartbeat(self) -> None:
+        async def scenario(clock, network, first, second, third) -> None:
+            network.cut("i1", "i3")
+            network.cut("i2", "i3")
+            first.spread.take_list([_item("a", 1)], revision=1)
+            await clock.sleep_ms(100.0)
+            network.mend()
+            third.spread.heard_newest("i2", second.store.newest)
+            await clock.sleep_ms(100.0)
+            self.assertEqual(third.value("a"), b"{}")
+
+        await self._run(scenario)
+
+    @trio_test
+    async def test_deletion_reaches_an_instance_that_missed_it(self) -> None:
+        """A service is deleted while one instance is cut off.
+
+        The others were replaced meanwhile and so hold no tombstone. The one
+        that was cut off would keep the service, and send work to it, for ever.
+        """
+
+        async def scenario(clock, network, first, second, third) -> None:
+            first.spread.take_list([_item("a", 1), _item("b", 2)], revision=2)
+            await clock.sleep_ms(100.0)
+            network.leave("i1")
+            network.leave("i2")
+            fresh = _Node("i4", network)
+            network.peers.pop("i3")
+            fresh.spread.take_list([_item("b", 2)], revision=7)
+            await clock.sleep_ms(100.0)
+            network.peers["i3"] = third.peers
+            third.spread.heard_newest("i4", fresh.store.newest)
+            await clock.sleep_ms(100.0)
+            self.assertIsNone(third.value("a"))
+            self.assertEqual(third.value("b"), b"{}")
+
+        await self._run(scenario)
+
+    @trio_test
+    async def test_large_change_is_fetched_once_by_each(self) -> None:
+        """A table of many rows changes, and every neighbour has it to offer.
+
+        Pushed whole by each, it would arrive once for each neighbour.
+        """
+
+        async def scenario(clock, network, first, second, third) -> None:
+            first.spread.take_list([], revision=1)
+            await clock.sleep_ms(100.0)
+            value = b"x" * (PUSH_BYTES + 1)
+            first.spread.take_changes([_item("a", 2, value)], after=1, revision=2)
+            await clock.sleep_ms(100.0)
+            self.assertEqual([second.value("a"), third.value("a")], [value, value])
+            self.assertLess(network.bytes_sent, 3 * len(value))
+
+        await self._run(scenario)
+
+    @trio_test
+    async def test_many_objects_come_in_parts(self) -> None:
+        async def scenario(clock, network, first, second, third) -> None:
+            value = b"x" * (REPLY_BYTES // 3)
+            items = [_item(f"s{number}", number, value) for number in range(1, 12)]
+            first.spread.take_list(items, revision=20)
+            await clock.sleep_ms(1000.0)
+            self.assertEqual(len(third.store.of_kind(ObjectKind.SERVICE)), 11)
+            self.assertEqual(third.store.revision, 20)
+            self.assertLess(network.largest_bytes, 2 * REPLY_BYTES)
+
+        await self._run(scenario)
+
+    @trio_test
+    async def test_lost_reply_is_asked_for_again(self) -> None:
+        async def scenario(clock, network, first, second, third) -> None:
+            network.cut("i1", "i3")
+            network.cut("i2", "i3")
+            first.spread.take_list([_item("a", 1)], revision=1)
+            await clock.sleep_ms(100.0)
+            third.spread.heard_newest("i2", second.store.newest)
+            await clock.sleep_ms(100.0)
+            network.mend()
+            third.spread.heard_newest("i2", second.store.newest)
+            await clock.sleep_ms(100.0)
+            self.assertIsNone(third.value("a"))
+            await clock.sleep_ms(1000.0)
+            third.spread.heard_newest("i2", second.store.newest)
+            await clock.sleep_ms(100.0)
+            self.assertEqual(third.value("a"), b"{}")
+
+        await self._run(scenario)
