Test the peer streams, and stop listing an empty platform in a loop

A platform at revision 0 was listed again and again without a pause: the watch took revision 0 for 'never listed'. It now remembers that it listed, and a round that brings nothing and comes back at once waits with growing back-off. Found by a test that hung (test_peers, question under a cut).

--- a/ibisfront/core/watch.py
+++ b/ibisfront/core/watch.py
@@ -96,6 +96,7 @@
         "_clock",
         "_connected",
         "_counters",
+        "_listed",
         "_members",
         "_platform",
         "_random",
@@ -125,6 +126,7 @@
         self._counters = counters
         self._random = random
         self._wait_ms = wait_ms
+        self._listed = False
         self._watcher: bool | None = None
         self._changed = trio.Event()
         self._scope = trio.CancelScope()
@@ -157,43 +159,53 @@
         while True:
             await self._wait_to_be_watcher()
             started_ms = self._clock.now_ms()
+            before = self._spread.store.revision
             with trio.CancelScope() as self._scope:
                 try:
-                    news = await self._read()
+                    await self._read()
                 except IbisfrontError as error:
-                    self._counters.add(CounterKind.PLATFORM_CALLS, "watch_failed")
-                    wait_ms = backoff.next_ms()
+                    self._count("watch_failed")
                     _LOG.warning("The watch failed: %s.", error.detail)
-                    await self._clock.sleep_ms(wait_ms)
+                    await self._clock.sleep_ms(backoff.next_ms())
                     continue
+            spent_ms = self._clock.now_ms() - started_ms
+            if self._spread.store.revision > before or spent_ms >= self._wait_ms / 2:
                 backoff.reset()
-                if not news:
-                    # A platform that answers a waiting call at once, by fault
-                    # or by a proxy between, must not be called in a tight loop.
-                    spent_ms = self._clock.now_ms() - started_ms
-                    await self._clock.sleep_ms(_SHORTEST_ROUND_MS - spent_ms)
-
-    async def _read(self) -> bool:
+            else:
+                # A platform that answers a waiting call at once and brings
+                # nothing, by fault, by an old replica or by a proxy between,
+                # must not be called in a tight loop.
+                self._count("watch_empty")
+                await self._clock.sleep_ms(_SHORTEST_ROUND_MS + backoff.next_ms())
+
+    async def _read(self) -> None:
         # A call can go silent without closing. It shows as no answer long
         # after the wait that it was given; the next call is a new one.
-        with self._clock.timeout_ms(self._wait_ms + _ANSWER_BOUND_MS):
+        with self._clock.timeout_ms(self._wait_ms + _ANSWER_BOUND_MS) as bound:
             after = self._spread.store.revision
-            if after > 0:
-                changes = await self._platform.changes(
-                    SPREAD_KINDS, after=after, wait_ms=self._wait_ms
-                )
-                if changes is not None:
-                    self._count("watched")
-                    self._spread.take_changes(
-                        changes.objects, after=after, revision=changes.revision
-                    )
-                    return bool(changes.objects)
-            listed = await self._platform.list_objects(SPREAD_KINDS)
-            self._count("listed")
-            self._spread.take_list(listed.objects, revision=listed.revision)
-            return True
-        self._count("watch_silent")
-        return False
+            if not (self._listed or after > 0) or not await self._read_changes(after):
+                await self._read_list()
+        if bound.cancelled_caught:
+            self._count("watch_silent")
+
+    async def _read_changes(self, after: Version) -> bool:
+        changes = await self._platform.changes(
+            SPREAD_KINDS, after=after, wait_ms=self._wait_ms
+        )
+        if changes is None:
+            self._count("watch_too_old")
+            return False
+        self._count("watched")
+        self._spread.take_changes(
+            changes.objects, after=after, revision=changes.revision
+        )
+        return True
+
+    async def _read_list(self) -> None:
+        listed = await self._platform.list_objects(SPREAD_KINDS)
+        self._count("listed")
+        self._listed = True
+        self._spread.take_list(listed.objects, revision=listed.revision)
 
     async def _wait_for_peers(self) -> None:
         # Instances that start together, say after a zone came back, would all
--- a/ibisfront/testing/local_platform.py
+++ b/ibisfront/testing/local_platform.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import trio
 
 from ibisfront.adapters.platform import ObjectsRead
 from ibisfront.core.errors import ErrorKind, IbisfrontError
@@ -54,7 +55,7 @@
     async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
         """Return an object, or None if there is none."""
         with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
-            await self._check_cut(_CALL_TIMEOUT_MS)
+            await self._check_cut()
             try:
                 return _object(await self._platform.get(kind, name))
             except PlatformRefused as refused:
@@ -68,7 +69,7 @@
     async def list_objects(self, kinds: Sequence[ObjectKind]) -> ObjectsRead:
         """Return every object of some kinds."""
         with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
-            await self._check_cut(_CALL_TIMEOUT_MS)
+            await self._check_cut()
             try:
                 return _read(await self._platform.list(frozenset(kinds)))
             except (PlatformRefused, AnswerLost) as error:
@@ -81,7 +82,7 @@
         """Wait for changes after a revision; None if it is too old."""
         timeout_ms = wait_ms + _CALL_TIMEOUT_MS
         with self._clock.timeout_ms(timeout_ms):
-            await self._check_cut(timeout_ms)
+            await self._check_cut()
             try:
                 found = await self._platform.changes(
                     frozenset(kinds), after=after, wait_ms=wait_ms
@@ -108,7 +109,7 @@
         """Replace one version of an object, or create it."""
         value = msgspec.json.decode(value_json)
         with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
-            await self._check_cut(_CALL_TIMEOUT_MS)
+            await self._check_cut()
             try:
                 return await self._platform.put(
                     kind, name, value, if_version=if_version
@@ -124,7 +125,7 @@
     async def members(self) -> list[Member]:
         """Return the listed instances that are live, as first contacts."""
         with self._clock.timeout_ms(_CALL_TIMEOUT_MS):
-            await self._check_cut(_CALL_TIMEOUT_MS)
+            await self._check_cut()
             try:
                 listed = await self._platform.instances()
             except (PlatformRefused, AnswerLost) as error:
@@ -136,9 +137,9 @@
             ]
         raise _unavailable()
 
-    async def _check_cut(self, timeout_ms: float) -> None:
+    async def _check_cut(self) -> None:
         if self.cut_off:
-            await self._clock.sleep_ms(timeout_ms)
+            await trio.sleep_forever()
 
 
 def _read(found: ObjectList | ChangeList) -> ObjectsRead:
--- a/ibisfront/testing/peer_streams.py
+++ b/ibisfront/testing/peer_streams.py
@@ -7,6 +7,8 @@
 import trio
 import trio.testing
 
+from ibisfront.core.clock import MILLISECONDS_PER_SECOND
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -21,9 +23,18 @@
 
     A cut shows as a network without a word does: bytes vanish, streams stay
     open, new ones are not answered.
+
+    Attributes
+    ----------
+    dial_ms : float
+        How long it takes to open a stream.
+    opened : int
+        How many streams were opened.
     """
 
     def __init__(self) -> None:
+        self.dial_ms = 0.0
+        self.opened = 0
         self.listeners: dict[Address, Callable[[trio.abc.Stream], None]] = {}
         self._sides: list[frozenset[Address]] = []
         self._silent: set[_Carrier] = set()
@@ -108,11 +119,13 @@
         network = self._network
         if not network.reaches(self._address, address):
             await trio.sleep_forever()
+        await trio.sleep(network.dial_ms / MILLISECONDS_PER_SECOND)
         accept = network.listeners.get(address)
         if accept is None:
             raise OSError(f"nobody listens at {address}")
         carrier = _Carrier(network, (self._address, address))
         network.open_streams.add(carrier)
+        network.opened += 1
         near, far = trio.testing.memory_stream_pair()
         accept(_CuttableStream(carrier, far))
         return _CuttableStream(carrier, near)
