--- a/ibisfront/core/watch.py
+++ b/ibisfront/core/watch.py
@@ -96,6 +96,7 @@
         "_clock",
         "_connected",
         "_counters",
+        "_failing",
         "_listed",
         "_members",
         "_platform",
@@ -127,6 +128,7 @@
         self._random = random
         self._wait_ms = wait_ms
         self._listed = False
+        self._failing = False
         self._watcher: bool | None = None
         self._changed = trio.Event()
         self._scope = trio.CancelScope()
@@ -164,8 +166,7 @@
                 try:
                     await self._read()
                 except IbisfrontError as error:
-                    self._count("watch_failed")
-                    _LOG.warning("The watch failed: %s.", error.detail)
+                    self._failed(error)
                     await self._clock.sleep_ms(backoff.next_ms())
                     continue
             spent_ms = self._clock.now_ms() - started_ms
@@ -196,6 +197,7 @@
             self._count("watch_too_old")
             return False
         self._count("watched")
+        self._answered()
         self._spread.take_changes(
             changes.objects, after=after, revision=changes.revision
         )
@@ -204,6 +206,7 @@
     async def _read_list(self) -> None:
         listed = await self._platform.list_objects(SPREAD_KINDS)
         self._count("listed")
+        self._answered()
         self._listed = True
         self._spread.take_list(listed.objects, revision=listed.revision)
 
@@ -228,5 +231,16 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def _failed(self, error: IbisfrontError) -> None:
+        self._count("watch_failed")
+        if not self._failing:
+            _LOG.warning("The watch fails: %s.", error.detail)
+        self._failing = True
+
+    def _answered(self) -> None:
+        if self._failing:
+            _LOG.info("The watch works again.")
+        self._failing = False
+
     def _count(self, reason: str) -> None:
         self._counters.add(CounterKind.PLATFORM_CALLS, reason)
--- a/ibisfront/testing/peer_streams.py
+++ b/ibisfront/testing/peer_streams.py
@@ -37,6 +37,7 @@
         self.opened = 0
         self.listeners: dict[Address, Callable[[trio.abc.Stream], None]] = {}
         self._sides: list[frozenset[Address]] = []
+        self._paths: set[frozenset[Address]] = set()
         self._silent: set[_Carrier] = set()
         self.open_streams: set[_Carrier] = set()
 
@@ -48,12 +49,17 @@
         """Lose all bytes between addresses on different sides, from now on."""
         self._sides = list(sides)
 
+    def cut_path(self, first: Address, second: Address) -> None:
+        """Lose all bytes between two addresses, from now on."""
+        self._paths.add(frozenset((first, second)))
+
     def mend(self) -> None:
         """End the cut; what was lost stays lost, and its streams silent."""
         for carrier in self.open_streams:
             if not self.reaches(*carrier.ends):
                 self._silent.add(carrier)
         self._sides = []
+        self._paths.clear()
 
     def silence_streams(self) -> None:
         """Lose track of every open stream, while new ones work."""
@@ -61,6 +67,8 @@
 
     def reaches(self, first: Address, second: Address) -> bool:
         """Return whether bytes pass between two addresses now."""
+        if frozenset((first, second)) in self._paths:
+            return False
         return all((first in side) == (second in side) for side in self._sides)
 
     def carries(self, carrier: _Carrier) -> bool:
--- a/ibisfront/testing/shared_cluster.py
+++ b/ibisfront/testing/shared_cluster.py
@@ -92,6 +92,11 @@
         How long one call of a watch may wait.
     seed : int
         For whatever is drawn at random.
+
+    Attributes
+    ----------
+    incarnations : int
+        The incarnation of the last instance started; the next has one more.
     """
 
     def __init__(
@@ -112,7 +117,7 @@
         self._nursery = nursery
         self._zones = zones
         self._wait_ms = wait_ms
-        self._incarnations = 0
+        self.incarnations = 0
 
     def start(self, *numbers: int) -> list[SharedNode]:
         """Start instances by number, anew if they ran before."""
@@ -175,13 +180,13 @@
         return await self.platform.put(kind, name, built, if_version=version)
 
     def _start(self, number: int) -> SharedNode:
-        self._incarnations += 1
+        self.incarnations += 1
         own = Member(
             name=f"i{number}",
             zone=f"z{number % self._zones}",
             peer_address=f"peer-{number}",
             admin_address=f"admin-{number}",
-            incarnation=self._incarnations,
+            incarnation=self.incarnations,
         )
         node = SharedNode(own, self)
         self.nodes[own.name] = node
