Open the operators' listener behind a token, with metrics and logs

Operators had no way in: nothing served the admin address. It now answers status, counters, latencies, the table (read, edit, history, in force) and the services, each only to the bearer of admin.token; an edit that conflicts comes back as a problem document with both edits. /metrics is Prometheus text there.

Each exchange is counted once under `answers`, by what the sender was told; latencies are kept for answered requests only, since names that callers make up would grow the memory without bound.

Catching the server's OSError was tried and does not work: it arrives in nested groups, so the sockets are bound first.

--- a/ibisfront/adapters/asgi.py
+++ b/ibisfront/adapters/asgi.py
@@ -38,6 +38,7 @@
     "AsgiMessage",
     "AsgiReceive",
     "AsgiSend",
+    "Authorize",
     "CallerGone",
     "asgi_application",
 ]
@@ -47,6 +48,15 @@
     [dict[str, Any], AsgiReceive, AsgiSend], Awaitable[None]
 ]
 
+Authorize: TypeAlias = Callable[[dict[str, str]], None]
+"""Raises ``unauthorized`` if the headers give no right to go on."""
+
+_GONE = "caller_gone"
+
+
+def _allow(headers: dict[str, str]) -> None:
+    """Let everybody go on."""
+
 
 class CallerGone(Exception):
     """The caller disconnected before its answer was ready."""
@@ -58,6 +68,7 @@
     clock: Clock,
     maximum_body_bytes: int,
     observe: Observe,
+    authorize: Authorize = _allow,
 ) -> AsgiApplication:
     """Return an ASGI application that answers the routes.
 
@@ -71,6 +82,9 @@
         A longer body is refused with ``body_too_large``.
     observe : callable
         Called with each exchange once its answer is known.
+    authorize : callable, optional
+        Called with the headers before anything else is looked at; raises if
+        the sender may not go on.
     """
 
     async def application(
@@ -82,7 +96,7 @@
             await send({"type": "websocket.close"})
         else:
             conversation = _Conversation(scope, receive, clock, maximum_body_bytes)
-            response = await conversation.answer(routes)
+            response = await conversation.answer(routes, authorize)
             observe(conversation.exchange(response))
             if response is not None:
                 await conversation.send(response, send)
@@ -138,13 +152,15 @@
         self._parts: tuple[str, ...] = ()
         self._error: BaseException | None = None
 
-    async def answer(self, routes: tuple[Route, ...]) -> HttpResponse | None:
+    async def answer(
+        self, routes: tuple[Route, ...], authorize: Authorize
+    ) -> HttpResponse | None:
         """Return the answer of the route, or the problem that it met.
 
         None if the caller has gone.
         """
         try:
-            return await self._handle(routes)
+            return await self._handle(routes, authorize)
         except IbisfrontError as error:
             self._error = error
             return problem_response(error, request_id=self._request_id)
@@ -167,6 +183,7 @@
             parts=self._parts,
             status=0 if response is None else response.status,
             duration_ms=self._clock.now_ms() - self._received_at_ms,
+            outcome=_GONE if response is None else response.outcome,
             error=self._error,
         )
 
@@ -189,9 +206,12 @@
         await self._body.discard()
         await send({"type": "http.response.body", "body": b""})
 
-    async def _handle(self, routes: tuple[Route, ...]) -> HttpResponse:
+    async def _handle(
+        self, routes: tuple[Route, ...], authorize: Authorize
+    ) -> HttpResponse:
         headers = read_headers(self._raw_headers)
         self._request_id = read_request_id(headers)
+        authorize(headers)
         route, parts = _find_route(routes, self._method, self._path)
         self._parts = tuple(decode_part(part) for part in parts)
         self._body = BodyReader(
--- a/ibisfront/adapters/callers.py
+++ b/ibisfront/adapters/callers.py
@@ -48,7 +48,9 @@
 
     async def query(request: HttpRequest) -> HttpResponse:
         checked = _checked(request, settings)
-        return json_response(await service.search(checked))
+        answer = await service.search(checked)
+        whole = answer.coverage.answered == answer.coverage.total
+        return json_response(answer, outcome="whole" if whole else "partial")
 
     async def perform(request: HttpRequest) -> HttpResponse:
         checked = _checked(request, settings)
@@ -57,7 +59,10 @@
             raise IbisfrontError(
                 ErrorKind.KEY_MISSING, "set the header Idempotency-Key to a UUIDv7"
             )
-        return json_response(await service.perform(checked, key))
+        answer = await service.perform(checked, key)
+        return json_response(
+            answer, outcome="repeated" if answer.repeated else "performed"
+        )
 
     async def outcome(request: HttpRequest) -> HttpResponse:
         return json_response(await service.outcome(request.parts[0]))
--- a/ibisfront/adapters/http.py
+++ b/ibisfront/adapters/http.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.table_edit import TableConflict, TableConflictError
 
 __all__ = [
     "Exchange",
@@ -68,12 +69,15 @@
         Its media type.
     headers : tuple of tuple of bytes
         Further headers.
+    outcome : str
+        What the sender is told, in a word, for the counters.
     """
 
     status: int
     body: bytes
     content_type: bytes = _JSON
     headers: tuple[tuple[bytes, bytes], ...] = ()
+    outcome: str = "done"
 
 
 Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -116,6 +120,8 @@
         The answer's status; 0 if the caller was gone.
     duration_ms : float
         From the head of the request to the answer.
+    outcome : str
+        What the sender was told, in a word.
     error : BaseException or None
         Why there was no proper answer.
     """
@@ -126,6 +132,7 @@
     parts: tuple[str, ...]
     status: int
     duration_ms: float
+    outcome: str
     error: BaseException | None = None
 
 
@@ -144,11 +151,14 @@
     ran: str
     request_id: str | None = None
     retry_after_ms: int | None = None
+    conflict: TableConflict | None = None
 
 
-def json_response(value: object, *, status: int = 200) -> HttpResponse:
+def json_response(
+    value: object, *, status: int = 200, outcome: str = "done"
+) -> HttpResponse:
     """Return a response with a JSON body."""
-    return HttpResponse(status, msgspec.json.encode(value))
+    return HttpResponse(status, msgspec.json.encode(value), outcome=outcome)
 
 
 def problem_response(
@@ -164,12 +174,14 @@
         ran=error.ran.value,
         request_id=request_id,
         retry_after_ms=error.retry_after_ms,
+        conflict=error.conflict if isinstance(error, TableConflictError) else None,
     )
     return HttpResponse(
         error.status,
         msgspec.json.encode(problem),
         _PROBLEM,
         _problem_headers(error),
+        error.kind.value,
     )
 
 
--- /dev/null
+++ b/ibisfront/adapters/observation.py
@@ -0,0 +1,84 @@
+"""Counting, timing and logging the exchanges of a listener."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from ibisfront.core.counters import CounterKind
+from ibisfront.core.errors import IbisfrontError, Ran
+from ibisfront.core.logs import part_logger
+
+if TYPE_CHECKING:
+    from ibisfront.adapters.http import Exchange, Observe
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.latencies import Latencies
+    from ibisfront.core.logs import LogPart, PartLogger
+
+__all__ = ["observe_exchanges"]
+
+_OK = 200
+
+
+def observe_exchanges(
+    part: LogPart, *, counters: Counters, latencies: Latencies | None = None
+) -> Observe:
+    """Return a function that counts, times and logs each exchange.
+
+    Parameters
+    ----------
+    part : LogPart
+        The listener.
+    counters : Counters
+        Where each exchange is counted once, by what the sender was told.
+    latencies : Latencies, optional
+        Where the answered requests of branches and purposes are timed.
+    """
+    log = part_logger(part)
+
+    def observe(exchange: Exchange) -> None:
+        counters.add(CounterKind.ANSWERS, exchange.outcome)
+        if latencies is not None and _is_answer_of_row(exchange):
+            branch, purpose = exchange.parts
+            latencies.record_ms(branch, purpose, exchange.duration_ms)
+        _log_exchange(log, exchange)
+
+    return observe
+
+
+def _is_answer_of_row(exchange: Exchange) -> bool:
+    return exchange.status == _OK and len(exchange.parts) == 2
+
+
+def _log_exchange(log: PartLogger, exchange: Exchange) -> None:
+    level = _level(exchange.error)
+    if not log.isEnabledFor(level):
+        return
+    log.log(
+        level,
+        "%s %s ended with %s.",
+        exchange.method,
+        exchange.path,
+        exchange.outcome,
+        extra={
+            "request_id": exchange.request_id,
+            "status": exchange.status,
+            "duration_ms": round(exchange.duration_ms, 3),
+            "detail": str(exchange.error or ""),
+        },
+        exc_info=exchange.error if level == logging.ERROR else None,
+    )
+
+
+def _level(error: BaseException | None) -> int:
+    """Return how severe an exchange is.
+
+    A refusal is no more than ``debug``: an overload refuses thousands of
+    requests a second, and a line for each would slow the instance when it has
+    least to spare. The counters tell how many there were.
+    """
+    if error is None or not isinstance(error, Exception):
+        return logging.DEBUG
+    if not isinstance(error, IbisfrontError):
+        return logging.ERROR
+    return logging.DEBUG if error.ran is Ran.NO else logging.WARNING
--- a/ibisfront/adapters/peer_transport.py
+++ b/ibisfront/adapters/peer_transport.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from ibisfront.adapters.listener import cannot_listen
+
 if TYPE_CHECKING:
     from ibisfront.core.types import Address
 
@@ -64,7 +66,10 @@
     ) -> None:
         """Accept streams until cancelled; started once peers can dial."""
         host, _, port = self._own_address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
+        try:
+            listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
+        except OSError as error:
+            raise cannot_listen(self._own_address, error) from error
         async with trio.open_nursery() as nursery:
             serve = partial(trio.serve_listeners, accept, listeners)
             await nursery.start(serve)
--- a/ibisfront/adapters/platform.py
+++ b/ibisfront/adapters/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import quote
 
 import httpcore
 import msgspec
@@ -94,7 +95,7 @@
         IbisfrontError
             ``platform_unavailable``.
         """
-        response = await self._call("GET", f"/objects/{kind}/{name}")
+        response = await self._call("GET", _object_target(kind, name))
         if response.status == 404:
             return None
         return _decoded(_body(response, _ObjectBody))
@@ -148,7 +149,7 @@
         )
         try:
             response = await self._call(
-                "PUT", f"/objects/{kind}/{name}", condition, content=value_json
+                "PUT", _object_target(kind, name), condition, content=value_json
             )
         except IbisfrontError as error:
             raise IbisfrontError(ErrorKind.WRITE_UNKNOWN, error.detail) from error
@@ -206,6 +207,12 @@
         return response
 
 
+def _object_target(kind: ObjectKind, name: str) -> str:
+    # A service's name comes from an operator. Unquoted, a slash or a question
+    # mark in it would name another object, or none.
+    return f"/objects/{kind}/{quote(name, safe='')}"
+
+
 def _unavailable(detail: str) -> IbisfrontError:
     return IbisfrontError(ErrorKind.PLATFORM_UNAVAILABLE, detail)
 
--- /dev/null
+++ b/ibisfront/applications.py
@@ -0,0 +1,55 @@
+"""The applications of an entry instance: for callers and for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisfront.adapters.admin import admin_routes, bearer_authorization, health_routes
+from ibisfront.adapters.asgi import asgi_application
+from ibisfront.adapters.callers import caller_routes
+from ibisfront.adapters.closing import closing_application
+from ibisfront.adapters.observation import observe_exchanges
+from ibisfront.core.logs import LogPart
+
+if TYPE_CHECKING:
+    from ibisfront.adapters.asgi import AsgiApplication
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.settings import Settings
+    from ibisfront.core.table_edit import EditablePlatform
+    from ibisfront.instance import EntryInstance
+
+__all__ = ["admin_application", "caller_application"]
+
+_MAXIMUM_ADMIN_BODY_BYTES = 2_000_000
+
+
+def caller_application(
+    instance: EntryInstance, *, settings: Settings, clock: Clock
+) -> AsgiApplication:
+    """Return what answers callers and the balancer."""
+    application = asgi_application(
+        (*caller_routes(instance, settings=settings.callers), *health_routes(instance)),
+        clock=clock,
+        maximum_body_bytes=settings.callers.maximum_body_bytes,
+        observe=observe_exchanges(
+            LogPart.CALLERS, counters=instance.counters, latencies=instance.latencies
+        ),
+    )
+    return closing_application(application, instance.stopping)
+
+
+def admin_application(
+    instance: EntryInstance,
+    *,
+    platform: EditablePlatform,
+    settings: Settings,
+    clock: Clock,
+) -> AsgiApplication:
+    """Return what answers operators, behind their token."""
+    return asgi_application(
+        admin_routes(instance, platform=platform, clock=clock),
+        clock=clock,
+        maximum_body_bytes=_MAXIMUM_ADMIN_BODY_BYTES,
+        observe=observe_exchanges(LogPart.ADMIN, counters=instance.counters),
+        authorize=bearer_authorization(settings.admin.token),
+    )
--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-__all__ = ["CounterKind", "CounterValue", "Counters"]
+__all__ = ["COUNTER_HELP", "CounterKind", "CounterValue", "Counters"]
 
 
 class CounterKind(StrEnum):
@@ -35,6 +35,31 @@
     SHARES = "shares"
 
 
+COUNTER_HELP: dict[CounterKind, str] = {
+    CounterKind.ANSWERS: "Requests, each once, by what the sender was told.",
+    CounterKind.REFUSALS: "Requests that admission refused, by why.",
+    CounterKind.SUB_REQUESTS: "Sub-requests sent to backend servers.",
+    CounterKind.MISSING: "Services missing from an answer, by why.",
+    CounterKind.RETRIES: "Sub-requests sent again, by why.",
+    CounterKind.RETRIES_WITHHELD: "Retries not sent, by why.",
+    CounterKind.HEDGES: "Hedged requests, by why.",
+    CounterKind.HEDGES_WITHHELD: "Hedged requests not sent, by why.",
+    CounterKind.CANCELLATIONS: "Work given up before its end, by why.",
+    CounterKind.CONNECTIONS: "Connections to backend servers, by what happened.",
+    CounterKind.EJECTIONS: "Backend servers taken out of use for a time, by why.",
+    CounterKind.QUARANTINES: "Requests suspected of crashing backend servers.",
+    CounterKind.PLATFORM_CALLS: "Calls of the platform, by what came of them.",
+    CounterKind.PEER_MESSAGES: "Messages between instances, by what came of them.",
+    CounterKind.PEER_BYTES: "Bytes between instances.",
+    CounterKind.MEMBER_CHANGES: "Changes of the members as seen here.",
+    CounterKind.TABLE_CHANGES: "Versions of the table put in force or refused here.",
+    CounterKind.OBJECT_CHANGES: "Changed objects, by where they came from.",
+    CounterKind.CLAIMS: "Claims of non-idempotent requests, by what came of them.",
+    CounterKind.SHARES: "Shares of limits, by what happened to them.",
+}
+"""One line on each kind, for operators."""
+
+
 class CounterValue(msgspec.Struct, frozen=True, order=True):
     """One counter as it stands."""
 
--- a/ibisfront/core/service_edit.py
+++ b/ibisfront/core/service_edit.py
@@ -10,13 +10,13 @@
 from ibisfront.core.objects import ObjectKind, WriteConflict
 from ibisfront.core.service import BackendServer, Service
 from ibisfront.core.table_edit import SETTLE_MS
+from ibisfront.core.types import Version
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ibisfront.core.clock import Clock
     from ibisfront.core.table_edit import EditablePlatform
-    from ibisfront.core.types import Version
 
 __all__ = ["ServiceEdited", "add_server", "drain_server", "remove_server"]
 
--- a/ibisfront/core/settings.py
+++ b/ibisfront/core/settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, TypeAlias
+from typing import Annotated, Literal, TypeAlias
 
 import msgspec
 from msgspec import Meta
@@ -32,6 +32,7 @@
     "BackendSettings",
     "CallerSettings",
     "InstanceSettings",
+    "LogSettings",
     "PeerSettings",
     "PlatformSettings",
     "QuerySettings",
@@ -156,6 +157,15 @@
     ] = 31_000
 
 
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The log, written to standard error."""
+
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"],
+        Meta(description="The least severe lines written; `debug` has each request."),
+    ] = "info"
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything that a settings file says."""
 
@@ -167,6 +177,7 @@
     backend: BackendSettings = BackendSettings()
     stop: StopSettings = StopSettings()
     query: QuerySettings = QuerySettings()
+    logs: LogSettings = LogSettings()
 
 
 class SettingsError(IbisfrontError):
--- a/ibisfront/core/table_edit.py
+++ b/ibisfront/core/table_edit.py
@@ -16,11 +16,12 @@
     undo_changes,
 )
 from ibisfront.core.table_check import table_problems
+from ibisfront.core.types import Version
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.objects import VersionedObject
-    from ibisfront.core.types import JsonBytes, Version
+    from ibisfront.core.types import JsonBytes
 
 __all__ = [
     "EditAccepted",
--- a/ibisfront/daemon.py
+++ b/ibisfront/daemon.py
@@ -3,32 +3,21 @@
 from __future__ import annotations
 
 import argparse
-import logging
-import re
 import signal
 import sys
-from functools import partial
+from contextlib import AsyncExitStack
 from pathlib import Path
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
-import hypercorn.config
-import hypercorn.trio
 import trio
-from pythonjsonlogger.json import JsonFormatter
 
-from ibisfront.adapters.asgi import asgi_application
-from ibisfront.adapters.callers import caller_routes
-from ibisfront.adapters.closing import closing_application
 from ibisfront.adapters.entrypoint import AdapterEntrypoint
-from ibisfront.adapters.http import (
-    Exchange,
-    HttpRequest,
-    HttpResponse,
-    Route,
-    json_response,
-)
+from ibisfront.adapters.listener import open_listening_socket, serve_until
+from ibisfront.adapters.log_output import start_logs
+from ibisfront.applications import admin_application, caller_application
 from ibisfront.core.clock import Clock
 from ibisfront.core.errors import IbisfrontError
+from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.settings import read_settings
 from ibisfront.core.stopping import stop_in_order
 from ibisfront.instance import EntryInstance
@@ -36,15 +25,13 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from hypercorn.typing import ASGIFramework
-
     from ibisfront.core.settings import Settings
 
 __all__ = ["main", "run_daemon"]
 
-_LOG = logging.getLogger("ibisfront")
+_LOG = part_logger(LogPart.INSTANCE)
 _EXIT_BAD_SETTINGS = 2
-_CLOSE_TIMEOUT_S = 1.0
+_EXIT_CANNOT_RUN = 3
 
 
 def main() -> None:
@@ -61,8 +48,17 @@
     except IbisfrontError as error:
         sys.stderr.write(f"ibisfrontd: {error.detail}\n")
         raise SystemExit(_EXIT_BAD_SETTINGS) from error
-    _start_logs()
-    trio.run(run_daemon, settings)
+    start_logs(settings)
+    try:
+        trio.run(run_daemon, settings)
+    except* IbisfrontError as group:
+        _LOG.error("%s cannot run: %s", settings.instance.name, _first_error(group))
+        sys.exit(_EXIT_CANNOT_RUN)
+
+
+def _first_error(group: BaseExceptionGroup[IbisfrontError]) -> IbisfrontError:
+    first = group.exceptions[0]
+    return _first_error(first) if isinstance(first, BaseExceptionGroup) else first
 
 
 async def run_daemon(settings: Settings) -> None:
@@ -71,48 +67,28 @@
     adapters = AdapterEntrypoint(settings, clock=clock)
     instance = EntryInstance(settings, adapters=adapters, clock=clock)
     closing = trio.Event()
-    async with trio.open_nursery() as nursery:
+    async with AsyncExitStack() as stack:
+        caller_socket = stack.enter_context(
+            open_listening_socket(settings.callers.address)
+        )
+        admin_socket = stack.enter_context(
+            open_listening_socket(settings.admin.address)
+        )
+        platform = adapters.open_platform()
+        stack.push_async_callback(platform.aclose)
+        nursery = await stack.enter_async_context(trio.open_nursery())
         nursery.start_soon(_stop_on_signal, instance, clock, closing)
         await nursery.start(instance.run)
-        application = asgi_application(
-            (
-                *caller_routes(instance, settings=settings.callers),
-                *_health_routes(instance),
-            ),
-            clock=clock,
-            maximum_body_bytes=settings.callers.maximum_body_bytes,
-            observe=_observe,
-        )
-        config = hypercorn.config.Config()
-        config.bind = [settings.callers.address]
-        # The stop waits for every request before it sets the trigger; what the
-        # server itself still finds running then has had its time.
-        config.graceful_timeout = _CLOSE_TIMEOUT_S
-        serve = partial(
-            hypercorn.trio.serve,
-            cast("ASGIFramework", closing_application(application, instance.stopping)),
-            config,
-            shutdown_trigger=closing.wait,
+        _LOG.info("%s starts.", settings.instance.name)
+        callers = caller_application(instance, settings=settings, clock=clock)
+        operators = admin_application(
+            instance, platform=platform, settings=settings, clock=clock
         )
-        _LOG.info("instance: %s starts.", settings.instance.name)
-        await serve()
+        async with trio.open_nursery() as listeners:
+            listeners.start_soon(serve_until, closing, callers, caller_socket)
+            listeners.start_soon(serve_until, closing, operators, admin_socket)
         nursery.cancel_scope.cancel()
-    _LOG.info("instance: %s has stopped.", settings.instance.name)
-
-
-def _health_routes(instance: EntryInstance) -> tuple[Route, ...]:
-    async def alive(request: HttpRequest) -> HttpResponse:
-        return json_response({"alive": True})
-
-    async def ready(request: HttpRequest) -> HttpResponse:
-        return json_response(
-            {"ready": instance.ready}, status=200 if instance.ready else 503
-        )
-
-    return (
-        Route("GET", re.compile("/healthz"), alive),
-        Route("GET", re.compile("/readyz"), ready),
-    )
+    _LOG.info("%s has stopped.", settings.instance.name)
 
 
 async def _stop_on_signal(
@@ -139,18 +115,5 @@
     again.set()
 
 
-def _observe(exchange: Exchange) -> None:
-    error = exchange.error
-    if error is not None and not isinstance(error, IbisfrontError):
-        _LOG.error("instance: A request met a fault.", exc_info=error)
-
-
-def _start_logs() -> None:
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(message)s"))
-    _LOG.addHandler(handler)
-    _LOG.setLevel(logging.INFO)
-
-
 if __name__ == "__main__":
     main()
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -14,6 +14,7 @@
 from ibisfront.core.counters import Counters
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.core.fanout import Fanout
+from ibisfront.core.latencies import Latencies
 from ibisfront.core.ledger import Ledger
 from ibisfront.core.links import BackendLinks
 from ibisfront.core.members import Member, Members
@@ -55,6 +56,7 @@
     ) -> None:
         self.settings = settings
         self.counters = Counters()
+        self.latencies = Latencies()
         self.stopping = Stopping(clock=clock)
         self.members = Members(_own_member(settings, clock))
         self.store = ObjectStore()
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -201,6 +201,14 @@
             "POST", instance.url(path), body=body, headers={"Idempotency-Key": key}
         )
 
+    async def admin(
+        self, instance: InstanceProcess, method: str, path: str, body: object = None
+    ) -> HttpReply:
+        """Send one request as an operator."""
+        headers = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
+        url = instance.admin_url(path)
+        return await self.client.send(method, url, body=body, headers=headers)
+
     async def put_object(self, kind: str, name: str, value: object) -> None:
         """Create or replace an object of the platform."""
         url = f"http://{self.platform_address}/objects/{kind}/{name}"
--- a/ibisfront/tests/test_settings.py
+++ b/ibisfront/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import subprocess
 import sys
 import tempfile
@@ -128,20 +129,37 @@
         Before, only the first was named, so that each start showed one more.
         """
         text = without("platform") + '[platform]\naddress = "x"\nwatch_wait_ms = 5\n'
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder, "settings.toml")
-            path.write_text(text.replace('name = "i1"', 'nam = "i1"'))
-            ended = subprocess.run(
-                [sys.executable, "-m", "ibisfront.daemon", "--settings", str(path)],
-                capture_output=True,
-                check=False,
-                text=True,
-            )
+        ended = run_daemon(text.replace('name = "i1"', 'nam = "i1"'))
         self.assertEqual(ended.returncode, 2)
         for key in ("instance.nam ", "instance.name", "platform.address", "watch_wait"):
             self.assertIn(key, ended.stderr)
         self.assertNotIn("Traceback", ended.stderr)
 
+    def test_daemon_says_which_address_is_taken(self):
+        """An operator starts an instance twice on one machine.
+
+        The second cannot listen; its log ends with one sentence, no traceback.
+        """
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            ended = run_daemon(changed("admin", address=address))
+        self.assertEqual(ended.returncode, 3)
+        self.assertIn(f"cannot listen on {address}", ended.stderr)
+        self.assertNotIn("Traceback", ended.stderr)
+
+
+def run_daemon(text):
+    """Run the daemon on a settings file until it ends by itself."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "settings.toml")
+        path.write_text(text)
+        return subprocess.run(
+            [sys.executable, "-m", "ibisfront.daemon", "--settings", str(path)],
+            capture_output=True,
+            check=False,
+            text=True,
+        )
+
 
 class EverySettingTest(unittest.TestCase):
     """Each setting can be checked and explained."""
