Hold the ports of test daemons until they listen

Ruled out: retrying with another port (the port is in the settings of others). After: the probing socket stays bound, not listening, for the deployment's life; the system then skips the port, and the daemon's SO_REUSEADDR lets it listen.

--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -8,7 +8,7 @@
 
 import signal
 import tempfile
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, closing
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -26,7 +26,8 @@
     LISTENING,
     LOOPBACK,
     RunningProcess,
-    free_address,
+    address_of,
+    reserve_address,
 )
 from ibisfront.testing.relay import Cut, Cuts, RelayAddress, RelayTarget
 
@@ -274,7 +275,7 @@
         zone = self.shape.zones[number % len(self.shape.zones)]
         if like is None:
             host = self.place_of(zone)
-            caller, admin, peer = (free_address(host) for _ in range(3))
+            caller, admin, peer = (self._reserve(host) for _ in range(3))
             advertised = await self._relayed(peer, host)
         else:
             caller, admin = like.caller_address, like.admin_address
@@ -353,6 +354,10 @@
             while not await self._is_ready(instance):  # noqa: ASYNC110
                 await trio.sleep(_READY_POLL_S)
 
+    def _reserve(self, host: str) -> str:
+        reserved = self._stack.enter_context(closing(reserve_address(host)))
+        return address_of(reserved)
+
     async def _post(self, url: str, body: object) -> None:
         reply = await self.client.send("POST", url, body=body)
         if reply.status != 200:
--- a/ibisfront/testing/processes.py
+++ b/ibisfront/testing/processes.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+from contextlib import closing
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,7 +15,15 @@
     from collections.abc import Sequence
     from types import TracebackType
 
-__all__ = ["CONTROL", "LISTENING", "LOOPBACK", "RunningProcess", "free_address"]
+__all__ = [
+    "CONTROL",
+    "LISTENING",
+    "LOOPBACK",
+    "RunningProcess",
+    "address_of",
+    "free_address",
+    "reserve_address",
+]
 
 LOOPBACK = "127.0.0.1"
 
@@ -28,10 +37,29 @@
 
 
 def free_address(host: str = LOOPBACK) -> str:
-    """Return a loopback address whose port the system has just picked."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    """Return an address that nothing listens on now; good for one refusal."""
+    with closing(reserve_address(host)) as reserved:
+        return address_of(reserved)
+
+
+def reserve_address(host: str = LOOPBACK) -> socket.socket:
+    """Return a socket bound to a port that the system has picked.
+
+    While it stays open, and does not listen, no outgoing connection is given
+    its port, and a process that sets ``SO_REUSEADDR`` can listen there. A
+    port that was merely probed and closed was at times taken by a connection
+    before the daemon bound it: the daemon then ended with "address in use".
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((host, 0))
+    return reserved
+
+
+def address_of(bound: socket.socket) -> str:
+    """Return the ``HOST:PORT`` that a socket is bound to."""
+    host, port = bound.getsockname()[:2]
+    return f"{host}:{port}"
 
 
 class RunningProcess:
