Find silent connections, follow drain signs, keep a few connections warm

A search without a byte for 300 ms, and ten times its server's latency, while no connection as old is answered, has the server probed on a fresh connection. If that is answered, the old connections are retired and the server stays; if not, the server is ejected and probed later.

Drain signs heard here are told through ServerSigns, and those heard by other instances stop new work here within a second.

--- a/ibisfront/core/link.py
+++ b/ibisfront/core/link.py
@@ -18,12 +18,15 @@
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.core.query import SubReply, SubRequest
+    from ibisfront.core.server_signs import ServerSigns
     from ibisfront.core.service import BackendServer
     from ibisfront.core.settings import QuerySettings
     from ibisfront.core.types import Address
 
 __all__ = ["BackendConnection", "BackendLink", "OpenConnection", "Work"]
 
+_LONE_SILENCE_FACTOR = 3.0
+
 Work: TypeAlias = Literal["search", "perform"]
 
 
@@ -60,12 +63,12 @@
 class _HeldConnection:
     """An open connection and since when it is what it is."""
 
-    __slots__ = ("connection", "idle_since_ms", "opened_at_ms", "sent_at_ms")
+    __slots__ = ("answered_at_ms", "connection", "opened_at_ms", "sent_at_ms")
 
     def __init__(self, connection: BackendConnection, opened_at_ms: float) -> None:
         self.connection = connection
         self.opened_at_ms = opened_at_ms
-        self.idle_since_ms = opened_at_ms
+        self.answered_at_ms = opened_at_ms
         self.sent_at_ms = math.inf
 
 
@@ -86,6 +89,8 @@
         Bounds of health and silence.
     maximum_connections : int
         How many connections this instance may hold to the server.
+    signs : ServerSigns, optional
+        Who is told when the server says that it leaves, or serves again.
 
     Attributes
     ----------
@@ -107,6 +112,7 @@
         "_open_connection",
         "_places",
         "_settings",
+        "_signs",
         "health",
         "retired_before_ms",
         "server",
@@ -122,6 +128,7 @@
         counters: Counters,
         settings: QuerySettings,
         maximum_connections: int,
+        signs: ServerSigns | None = None,
     ) -> None:
         self.server = server
         self.health = ServerHealth(settings)
@@ -130,6 +137,7 @@
         self._clock = clock
         self._counters = counters
         self._settings = settings
+        self._signs = signs
         self._places = ConnectionPlaces(maximum_connections)
         self._idle: list[_HeldConnection] = []
         self._busy: set[_HeldConnection] = set()
@@ -146,11 +154,6 @@
         """The connections that this instance holds, idle ones included."""
         return len(self._idle) + len(self._busy)
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether an exchange runs here."""
-        return bool(self._busy)
-
     @property
     def is_unused(self) -> bool:
         """Whether nothing is held or waits here."""
@@ -176,12 +179,7 @@
             held = await self._take_connection()
             return await self._exchange(held, sub_request)
         except SubRequestError as error:
-            self.health.note_error(
-                error,
-                fingerprint=sub_request.fingerprint,
-                in_flight=self._places.held,
-                now_ms=self._clock.now_ms(),
-            )
+            self._note_error(error, sub_request.fingerprint)
             raise
         finally:
             self._places.release()
@@ -192,16 +190,28 @@
         self.share = share
         self._fit_places()
 
-    def oldest_wait_ms(self, now_ms: float) -> float:
-        """Return how long the oldest search has waited for a first byte.
+    def is_suspect(self, bound_ms: float) -> bool:
+        """Return whether open connections may have gone silent.
 
-        Zero if one that was sent later, on a connection not newer, has been
-        answered: then the server is slow with one, not silent.
+        The sign is a search without a byte for the bound, while no connection
+        that was open when it was sent has been answered since; answers on
+        newer ones say nothing of the old. A single connection that is silent
+        among others that work is suspected after three times the bound.
         """
-        oldest_ms = min((held.sent_at_ms for held in self._busy), default=now_ms)
-        if self.health.last_answer_at_ms > oldest_ms:
-            return 0.0
-        return now_ms - oldest_ms
+        trusted = [
+            held for held in self._busy if held.opened_at_ms > self.retired_before_ms
+        ]
+        if not trusted:
+            return False
+        oldest_ms = min(held.sent_at_ms for held in trusted)
+        waited_ms = self._clock.now_ms() - oldest_ms
+        if waited_ms < bound_ms:
+            return False
+        old_answered = any(
+            held.opened_at_ms <= oldest_ms < held.answered_at_ms
+            for held in (*self._busy, *self._idle)
+        )
+        return not old_answered or waited_ms >= _LONE_SILENCE_FACTOR * bound_ms
 
     async def probe(self) -> bool:
         """Ask a fresh connection whether the server answers, in bounded time.
@@ -239,13 +249,28 @@
         shed = [
             held
             for held in self._idle[: max(0, len(self._idle) - max(keep, 0))]
-            if now_ms - held.idle_since_ms >= self._settings.idle_ms
+            if now_ms - held.answered_at_ms >= self._settings.idle_ms
             or self.open_connections > self.share
         ]
         for held in shed:
             self._idle.remove(held)
             await self._close_held(held, "shed")
 
+    async def warm(self, count: int) -> None:
+        """Open a connection if fewer than a few are open.
+
+        Hedged requests and retries go to servers that are seldom asked; they
+        would come too late if they had to wait for a connection first.
+        """
+        if self.open_connections >= min(count, self.share):
+            return
+        try:
+            held = await self._open()
+        except SubRequestError as error:
+            self._note_error(error, fingerprint="")
+            return
+        self._put_back(held)
+
     async def aclose(self) -> None:
         """Close every idle connection."""
         while self._idle:
@@ -289,11 +314,30 @@
             in_flight=self.in_flight,
             now_ms=now_ms,
         )
+        self._note_sign(reply)
         return reply
 
+    def _note_error(self, error: SubRequestError, fingerprint: str) -> None:
+        self.health.note_error(
+            error,
+            fingerprint=fingerprint,
+            in_flight=self._places.held,
+            now_ms=self._clock.now_ms(),
+        )
+        if error.draining and self._signs is not None:
+            self._signs.note_draining(self.server)
+
+    def _note_sign(self, reply: SubReply) -> None:
+        if self._signs is None:
+            return
+        if reply.draining:
+            self._signs.note_draining(self.server)
+        else:
+            self._signs.note_serving(self.server)
+
     def _put_back(self, held: _HeldConnection) -> None:
         held.sent_at_ms = math.inf
-        held.idle_since_ms = self._clock.now_ms()
+        held.answered_at_ms = self._clock.now_ms()
         self._idle.append(held)
 
     async def _take_connection(self) -> _HeldConnection:
@@ -302,6 +346,9 @@
             if held.connection.is_usable():
                 return held
             await self._close_held(held, "closed")
+        return await self._open()
+
+    async def _open(self) -> _HeldConnection:
         connection = await self._open_connection(self.server.address)
         self._counters.add(CounterKind.CONNECTIONS, "opened")
         return _HeldConnection(connection, self._clock.now_ms())
--- a/ibisfront/core/links.py
+++ b/ibisfront/core/links.py
@@ -16,6 +16,7 @@
     from ibisfront.core.counters import Counters
     from ibisfront.core.link import OpenConnection
     from ibisfront.core.members import Members
+    from ibisfront.core.server_signs import ServerSigns
     from ibisfront.core.service import BackendServer, Service
     from ibisfront.core.settings import BackendSettings, QuerySettings
     from ibisfront.core.types import Address
@@ -77,6 +78,8 @@
         Where connections and ejections are counted.
     backend, query : BackendSettings, QuerySettings
         The settings.
+    signs : ServerSigns, optional
+        Which servers leave, as any instance has heard.
     """
 
     __slots__ = (
@@ -93,6 +96,7 @@
         "_server_connections",
         "_share",
         "_share_rises_at_ms",
+        "_signs",
     )
 
     def __init__(
@@ -105,12 +109,14 @@
         counters: Counters,
         backend: BackendSettings,
         query: QuerySettings,
+        signs: ServerSigns | None = None,
     ) -> None:
         self._catalogue = catalogue
         self._members = members
         self._clock = clock
         self._counters = counters
         self._query = query
+        self._signs = signs
         self._server_connections = backend.connections_per_server
         self._share = connection_share(
             self._server_connections, len(self._members.live())
@@ -129,6 +135,7 @@
                 counters=counters,
                 settings=query,
                 maximum_connections=self._share,
+                signs=signs,
             )
 
         self._make_link = make_link
@@ -188,7 +195,9 @@
         if now_ms >= self._next_shed_ms:
             self._next_shed_ms = now_ms + _SHED_MS
             self._fit_share()
+            self._follow_signs(now_ms)
             await self._shed()
+        self._warm(nursery, now_ms)
 
     async def _shed(self) -> None:
         known = {
@@ -204,6 +213,13 @@
             if link.is_unused:
                 del self._by_server[key]
 
+    def _warm(self, nursery: trio.Nursery, now_ms: float) -> None:
+        for link in self._by_server.values():
+            if link.health.ejected or link.health.is_draining(now_ms):
+                continue
+            if link.open_connections < self._query.warm_connections_per_server:
+                nursery.start_soon(link.warm, self._query.warm_connections_per_server)
+
     def _servers_of(self, name: str) -> tuple[BackendServer, ...]:
         service = self._catalogue.service(name)
         return () if service is None else service.backend_servers
@@ -226,16 +242,21 @@
             for link in self._by_server.values():
                 link.set_share(wanted)
 
+    def _follow_signs(self, now_ms: float) -> None:
+        if self._signs is None:
+            return
+        for link in self._by_server.values():
+            if self._signs.is_leaving(link.server):
+                link.health.note_draining(now_ms)
+
     def _is_probe_due(self, link: BackendLink, now_ms: float) -> bool:
         if link.health.ejected:
             return now_ms >= link.health.probe_at_ms
-        if not link.is_busy:
-            return False
         bound_ms = max(
             self._query.silence_bound_ms,
             _SILENCE_FACTOR * link.health.latency_ms,
         )
-        return link.oldest_wait_ms(now_ms) >= bound_ms
+        return link.is_suspect(bound_ms)
 
     async def _probe(self, link: BackendLink) -> None:
         """Find out whether a server, or only its open connections, is gone.
@@ -250,8 +271,7 @@
             was_ejected = health.ejected
             suspected_at_ms = self._clock.now_ms()
             answered = await link.probe()
-            if health.last_answer_at_ms > suspected_at_ms and not was_ejected:
-                return
+            answered = answered or health.last_answer_at_ms > suspected_at_ms
             await link.retire_connections()
             now_ms = self._clock.now_ms()
             if not answered and was_ejected:
--- a/ibisfront/core/search_part.py
+++ b/ibisfront/core/search_part.py
@@ -43,6 +43,9 @@
         How many sub-requests were sent for it.
     hedged : bool
         Whether a hedged request was considered already.
+    freed : bool
+        Whether it was asked again because its server or connection was given
+        up.
     rows : SearchRows or None
         Its answer.
     missing : MissingReason or None
@@ -51,6 +54,7 @@
 
     __slots__ = (
         "attempts",
+        "freed",
         "hedged",
         "missing",
         "requests",
@@ -67,6 +71,7 @@
         self.tried: tuple[BackendLink, ...] = ()
         self.requests = 0
         self.hedged = False
+        self.freed = False
         self.rows: SearchRows | None = None
         self.missing: MissingReason | None = None
 
--- a/ibisfront/core/server_health.py
+++ b/ibisfront/core/server_health.py
@@ -20,7 +20,7 @@
 _FAILURES_TO_EJECT = 3
 _UNANSWERED_TO_EJECT = 5
 _UNANSWERED_FACTOR = 2.0
-_DRAINING_MS = 30_000.0
+_DRAINING_MS = 3_000.0
 _SNAPSHOTS_KEPT_MS = 10_000.0
 _LONGEST_BACK_OFF_MS = 1_000.0
 _SHORTEST_BACK_OFF_MS = 10.0
@@ -181,7 +181,11 @@
             self.eject(now_ms)
 
     def note_draining(self, now_ms: float) -> None:
-        """Give the server no new work: it, or its platform, says it leaves."""
+        """Give the server no new work for a while: it leaves.
+
+        The word is renewed by each reply that says so and, from every
+        instance that heard it, by ``ServerSigns``.
+        """
         self.draining_until_ms = now_ms + _DRAINING_MS
 
     def eject(self, now_ms: float) -> None:
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -82,6 +82,7 @@
             counters=self.counters,
             backend=settings.backend,
             query=settings.query,
+            signs=self.shared.signs,
         )
         self.quarantine = Quarantine(
             clock=clock,
--- a/ibisfront/testing/search_fixture.py
+++ b/ibisfront/testing/search_fixture.py
@@ -33,6 +33,7 @@
     from ibisfront.core.link import BackendLink
     from ibisfront.core.peers import Peers
     from ibisfront.core.query import Answer
+    from ibisfront.core.server_signs import ServerSigns
 
 __all__ = ["INDEX", "SearchFixture"]
 
@@ -85,20 +86,28 @@
         for service in self.services:
             self._add_service(service, servers)
         self.publish((FIRST_SNAPSHOT, self.services))
+        self._backend = backend or BackendSettings()
+        self._seed = seed
+        self._peers = peers
+        self.follow_signs(None)
+
+    def follow_signs(self, signs: ServerSigns | None) -> None:
+        """Start the query path anew, following these signs of leaving servers."""
         self.links = BackendLinks(
             catalogue=self.catalogue,
             members=self.members,
             open_connection=self.network.open_connection,
             clock=self.clock,
             counters=self.counters,
-            backend=backend or BackendSettings(),
+            backend=self._backend,
             query=self.query,
+            signs=signs,
         )
         self.quarantine = Quarantine(
             clock=self.clock,
             counters=self.counters,
             settings=self.query,
-            peers=peers,
+            peers=self._peers,
         )
         self.fanout = Fanout(
             catalogue=self.catalogue,
@@ -108,7 +117,7 @@
             counters=self.counters,
             zone=_ZONES[0],
             settings=self.query,
-            seed=seed,
+            seed=self._seed,
         )
 
     @asynccontextmanager
