Hedge under one budget; stop crashing requests at their second server

After a lost connection one part of a search goes first; a request that crashes 20 services' servers loses 21 of them in place of 40.

--- a/ibisfront/core/fanout.py
+++ b/ibisfront/core/fanout.py
@@ -33,7 +33,10 @@
     from ibisfront.core.snapshot import Snapshot
     from ibisfront.core.table import Purpose
 
-__all__ = ["Fanout"]
+__all__ = ["HEDGE_BURST", "Fanout"]
+
+HEDGE_BURST = 20.0
+"""Hedged requests at once after a quiet time, over all services."""
 
 _MOST_RESTARTS = 2
 _RESTART_SHARE = 0.1
@@ -68,6 +71,7 @@
         "_catalogue",
         "_clock",
         "_counters",
+        "_hedges",
         "_ids",
         "_links",
         "_name",
@@ -100,6 +104,7 @@
         self._settings = settings
         self._policy = policy_of(settings, seed=seed)
         self._states: dict[str, ServiceState] = {}
+        self._hedges = RetryBudget(share=settings.hedge_fraction, burst=HEDGE_BURST)
         self._restarts = RetryBudget(share=_RESTART_SHARE, burst=_RESTART_BURST)
         self._ids = itertools.count(1)
         # Callers choose request ids and may use one twice, also at two
@@ -170,6 +175,7 @@
             links=self._links,
             state_of=self._state_of,
             next_id=self._next_id,
+            hedge_budget=self._hedges,
             quarantine=self._quarantine,
             policy=self._policy,
             zone=self._zone,
--- a/ibisfront/core/search_run.py
+++ b/ibisfront/core/search_run.py
@@ -26,6 +26,7 @@
     from ibisfront.core.links import BackendLinks
     from ibisfront.core.quarantine import Quarantine
     from ibisfront.core.replies import SearchRows
+    from ibisfront.core.retry_budget import RetryBudget
     from ibisfront.core.service_state import ServiceState
 
 __all__ = ["SearchRun", "SearchTask"]
@@ -75,6 +76,9 @@
         Returns what was measured of a service.
     next_id : callable
         Returns an id that no other sub-request has.
+    hedge_budget : RetryBudget
+        Hedged requests of all services together; each of them also counts
+        against its service's own budget of extra sub-requests.
     quarantine : Quarantine
         Where lost servers are noted.
     policy : QueryPolicy
@@ -94,8 +98,9 @@
         "_answered",
         "_clock",
         "_counters",
+        "_hedge_budget",
         "_links",
-        "_lost_servers",
+        "_loss_is_harmless",
         "_lost_turn",
         "_next_id",
         "_nursery",
@@ -120,6 +125,7 @@
         links: BackendLinks,
         state_of: Callable[[str], ServiceState],
         next_id: Callable[[], str],
+        hedge_budget: RetryBudget,
         quarantine: Quarantine,
         policy: QueryPolicy,
         zone: str,
@@ -131,13 +137,14 @@
         self._links = links
         self._state_of = state_of
         self._next_id = next_id
+        self._hedge_budget = hedge_budget
         self._quarantine = quarantine
         self._policy = policy
         self._zone = zone
         self._clock = clock
         self._counters = counters
         self._wants_restart = wants_restart
-        self._lost_servers: set[BackendLink] = set()
+        self._loss_is_harmless = False
         self._lost_turn = trio.Lock()
         self._trial_passed: trio.Event | None = None
         self._straggler_at_ms = math.inf
@@ -185,7 +192,8 @@
     async def _ask_first(self, part: SearchPart) -> None:
         if self._trial_passed is not None and part.service != self._task.trial_service:
             await self._trial_passed.wait()
-        part.state.note_first_attempt()
+        part.state.retry_budget.earn()
+        self._hedge_budget.earn()
         await self._attempt(part)
 
     async def _attempt(self, part: SearchPart) -> None:
@@ -236,7 +244,7 @@
             raise
         now_ms = self._clock.now_ms()
         part.state.record_ms(now_ms - attempt.sent_at_ms, now_ms)
-        self._note_answered(part, link)
+        self._note_answered(part)
         return rows
 
     async def _choose(self, part: SearchPart) -> BackendLink:
@@ -291,17 +299,16 @@
         return True
 
     async def _retry_lost(self, part: SearchPart, attempt: Attempt) -> bool:
-        """Ask again after a lost connection, one service at a time.
+        """Return whether to ask again after a lost connection.
 
-        A request that crashes servers shows as connections lost at several
+        A request that crashes servers shows as connections lost, at several
         services at once. Retrying all of them together would crash the
-        second server of each; so once two servers are lost, one part goes
-        first and the others wait for what becomes of it.
+        second server of each; so one part goes first, and the others wait
+        for what becomes of it.
         """
-        if len(self._lost_servers) < 2:
-            self._counters.add(CounterKind.RETRIES, "connection_lost")
-            return not self._quarantine.is_refused(self._task.fingerprint)
         async with self._lost_turn:
+            if self._loss_is_harmless:
+                return True
             if self._quarantine.is_refused(self._task.fingerprint):
                 return False
             self._counters.add(CounterKind.RETRIES, "connection_lost")
@@ -309,6 +316,7 @@
                 rows = await self._ask(part, attempt)
             except SubRequestError:
                 return False
+            self._loss_is_harmless = True
             self._settle_answered(part, attempt, rows)
         return True
 
@@ -327,18 +335,13 @@
         )
 
     def _note_lost(self, part: SearchPart, link: BackendLink) -> None:
-        self._lost_servers.add(link)
         if self._policy.sheds_load:
             self._quarantine.note_lost(
                 self._task.fingerprint, part.service, link.server.name
             )
 
-    def _note_answered(self, part: SearchPart, link: BackendLink) -> None:
+    def _note_answered(self, part: SearchPart) -> None:
         self._quarantine.note_answered(self._task.fingerprint, part.service)
-        if self._lost_servers and any(
-            lost in part.tried for lost in self._lost_servers
-        ):
-            self._lost_servers.clear()
         if self._trial_passed is not None:
             self._trial_passed.set()
 
@@ -409,12 +412,19 @@
         part.hedged = True
         if not self._has_other(part):
             return
-        if not part.state.try_hedge():
+        if not self._try_hedge(part):
             self._counters.add(CounterKind.HEDGES_WITHHELD, "budget")
             return
         self._counters.add(CounterKind.HEDGES, "slow")
         self._nursery.start_soon(self._attempt, part)
 
+    def _try_hedge(self, part: SearchPart) -> bool:
+        """Take a hedged request from both budgets, or from none."""
+        retry_budget = part.state.retry_budget
+        if retry_budget.tokens < 1.0 or not self._hedge_budget.try_spend():
+            return False
+        return retry_budget.try_spend()
+
     def _has_other(self, part: SearchPart) -> bool:
         """Return whether a server that was not tried can take a hedged request."""
         now_ms = self._clock.now_ms()
@@ -437,10 +447,9 @@
         if not self._policy.sheds_load:
             return
         for part in self.parts:
-            if part.is_settled or not part.is_stranded:
-                continue
-            if part.requests >= _MOST_REQUESTS:
+            if part.is_settled or part.freed or not part.is_stranded:
                 continue
+            part.freed = True
             if part.state.retry_budget.try_spend():
                 self._counters.add(CounterKind.RETRIES, "silent")
                 self._nursery.start_soon(self._attempt, part)
--- a/ibisfront/core/service_state.py
+++ b/ibisfront/core/service_state.py
@@ -20,7 +20,6 @@
 _ROTATE_MS = 20_000.0
 _FEWEST_SAMPLES = 50
 _PERCENT = 100.0
-_HEDGE_BURST = 5.0
 _LOW_PERCENTILE = 5.0
 
 
@@ -39,8 +38,6 @@
     ----------
     retry_budget : RetryBudget
         Extra sub-requests of every cause, hedges included.
-    hedge_budget : RetryBudget
-        Hedged requests alone.
     hedge_delay_ms : float
         After how long a sub-request is hedged; infinite until known.
     quick_ms : float
@@ -53,7 +50,6 @@
         "_next_rotation_ms",
         "_percentile",
         "_previous",
-        "hedge_budget",
         "hedge_delay_ms",
         "quick_ms",
         "retry_budget",
@@ -68,23 +64,9 @@
         self.retry_budget = RetryBudget(
             share=settings.retry_fraction, burst=RETRY_BURST
         )
-        self.hedge_budget = RetryBudget(
-            share=settings.hedge_fraction, burst=_HEDGE_BURST
-        )
         self.hedge_delay_ms = math.inf
         self.quick_ms = 0.0
 
-    def note_first_attempt(self) -> None:
-        """Let a first attempt fill both budgets."""
-        self.retry_budget.earn()
-        self.hedge_budget.earn()
-
-    def try_hedge(self) -> bool:
-        """Take a hedged request from both budgets, or from none."""
-        if self.retry_budget.tokens < 1.0 or not self.hedge_budget.try_spend():
-            return False
-        return self.retry_budget.try_spend()
-
     def record_ms(self, duration_ms: float, now_ms: float) -> None:
         """Record the latency of one answered sub-request."""
         self._current.record_ms(duration_ms)
