Add the operators' command line

Purposes have a noun of their own, since no other command could create one but a file.

"Accepted" is printed when an instance knows it; then the tool waits and names the instances where it is in force, those behind and those out of reach (exit code 5). A conflict prints both edits; an edit of other rows is made again on the new version. The difference to an older base is shown against that base, so that others' later edits do not look like yours.

--- a/ibisfront/adapters/http.py
+++ b/ibisfront/adapters/http.py
@@ -18,6 +18,7 @@
     "HttpResponse",
     "MethodError",
     "Observe",
+    "Problem",
     "Route",
     "json_response",
     "problem_response",
@@ -140,8 +141,24 @@
 """Told of each exchange once it is over; must not wait."""
 
 
-class _Problem(msgspec.Struct, omit_defaults=True):
-    """An RFC 9457 problem document."""
+class Problem(msgspec.Struct, omit_defaults=True):
+    """An RFC 9457 problem document.
+
+    Attributes
+    ----------
+    type, title, status, detail
+        As RFC 9457 says.
+    code : str
+        The kind of the error, from the closed list.
+    ran : str
+        Whether the request ran: ``no``, ``maybe`` or ``yes``.
+    request_id : str or None
+        The request's id.
+    retry_after_ms : int or None
+        When coming back can help.
+    conflict : TableConflict or None
+        Both edits, if the error is a conflict.
+    """
 
     type: str
     title: str
@@ -165,7 +182,7 @@
     error: IbisfrontError, *, request_id: str | None = None
 ) -> HttpResponse:
     """Return the problem document of an error."""
-    problem = _Problem(
+    problem = Problem(
         type=f"urn:ibisfront:error:{error.kind.value}",
         title=error.title,
         status=error.status,
--- /dev/null
+++ b/ibisfront/cli/application.py
@@ -0,0 +1,105 @@
+"""Putting the commands together."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+
+import ibisfront
+from ibisfront.cli.counters import ShowCounters
+from ibisfront.cli.exits import ExitCode, exit_code_help
+from ibisfront.cli.purpose import PurposeRemove, PurposeSet
+from ibisfront.cli.query import Query
+from ibisfront.cli.service import ServiceAdd, ServiceDrain, ServiceList, ServiceRemove
+from ibisfront.cli.settings import CheckSettings
+from ibisfront.cli.status import Status
+from ibisfront.cli.table import (
+    TableApply,
+    TableExport,
+    TableHistory,
+    TableRemove,
+    TableSet,
+    TableShow,
+)
+
+if TYPE_CHECKING:
+    from ibisfront.cli.command import ToolCommand
+
+__all__ = ["build_application", "main"]
+
+_COMMANDS: tuple[type[ToolCommand], ...] = (
+    CheckSettings,
+    PurposeRemove,
+    PurposeSet,
+    Query,
+    ServiceAdd,
+    ServiceDrain,
+    ServiceList,
+    ServiceRemove,
+    ShowCounters,
+    Status,
+    TableApply,
+    TableExport,
+    TableHistory,
+    TableRemove,
+    TableSet,
+    TableShow,
+)
+_HELP = f"""
+Every command says with --help what it takes, and prints JSON with --json.
+
+Where the instances are: --admin IP:PORT and --token-file FILE, or IBISFRONT_ADMIN
+and IBISFRONT_TOKEN, or --settings FILE of an instance. To begin:
+
+  ibisfront status --settings instance.toml
+  ibisfront table show --settings instance.toml
+  ibisfront table set vestry name-check --weight 2 --settings instance.toml
+
+An edit names the version that it was made on. It is called accepted only when
+that is known; then the tool says where it is in force.
+
+Exit codes:
+{exit_code_help()}
+
+Completion: ibisfront completions bash|zsh|fish"""
+
+
+class _IbisfrontApplication(Application):
+    """The tool, with a help text for newcomers."""
+
+    @property
+    def help(self) -> str:
+        """What ``ibisfront --help`` prints above the commands."""
+        return f"{self.long_version}\n{_HELP}"
+
+
+def build_application() -> Application:
+    """Return the tool with all its commands."""
+    application = _IbisfrontApplication("ibisfront", ibisfront.__version__)
+    for command in _COMMANDS:
+        application.add(command())
+    return application
+
+
+def _with_overview(argv: list[str]) -> list[str]:
+    """Return the arguments, with a lone ``--help`` read as "list the commands".
+
+    ``cleo`` explains its own ``list`` command there, which helps nobody.
+    """
+    return argv[:1] if argv[1:] in (["--help"], ["-h"]) else argv
+
+
+def main() -> None:
+    """Run ``ibisfront``."""
+    application = build_application()
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    try:
+        sys.exit(application.run(ArgvInput(_with_overview(sys.argv))))
+    except CleoError as error:
+        sys.stderr.write(f"ibisfront: {error}\n")
+        sys.exit(ExitCode.USAGE)
--- /dev/null
+++ b/ibisfront/cli/status.py
@@ -0,0 +1,53 @@
+"""``ibisfront status``: the instances and the table version at each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisfront.cli.command import OperatorCommand
+from ibisfront.cli.exits import ExitCode
+from ibisfront.cli.output import columns
+from ibisfront.core.status import StatusReport
+
+if TYPE_CHECKING:
+    from ibisfront.cli.client import AdminClient
+
+__all__ = ["Status"]
+
+
+class Status(OperatorCommand):
+    """Show the instances."""
+
+    name = "status"
+    description = "Show the instances, and the table version in force at each."
+
+    def run_with(self, client: AdminClient) -> ExitCode:
+        """Print the instances; name those that could not be reached."""
+        report = client.call("GET", "/v1/admin/status", StatusReport)
+        if self.wants_json:
+            self.print_json(report)
+        else:
+            self._print(report)
+        ready = all(reply.ready for reply in report.replies)
+        complete = ready and not report.unreachable
+        return ExitCode.DONE if complete else ExitCode.IN_PART
+
+    def _print(self, report: StatusReport) -> None:
+        lines = columns(
+            ("INSTANCE", "ZONE", "TABLE", "REVISION", "SEES", "READY"),
+            [
+                (
+                    reply.name,
+                    reply.zone,
+                    reply.table_version,
+                    reply.revision,
+                    reply.members,
+                    "yes" if reply.ready else "no",
+                )
+                for reply in report.replies
+            ],
+        )
+        for line in lines:
+            self.print_text(line)
+        if report.unreachable:
+            self.print_text(f"could not be reached: {', '.join(report.unreachable)}")
--- /dev/null
+++ b/ibisfront/tests/test_cli.py
@@ -0,0 +1,308 @@
+"""Tests of the operators' command line against running instances."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+import trio
+from cleo.testers.application_tester import ApplicationTester
+
+from ibisfront.adapters.admin import TableView
+from ibisfront.adapters.http import Problem
+from ibisfront.cli.application import build_application
+from ibisfront.cli.exits import (
+    CommandError,
+    ExitCode,
+    RefusedError,
+    UnreachableError,
+)
+from ibisfront.cli.table_edits import EditOutcome, apply_edit
+from ibisfront.core.query import Answer
+from ibisfront.core.status import StatusReply, StatusReport
+from ibisfront.core.table import EditSummary, Purpose, Row, RowChange, Table
+from ibisfront.core.table_edit import EditAccepted, TableConflict
+from ibisfront.testing.deployment import ADMIN_TOKEN, Deployment, register_shape
+from ibisfront.tests import trio_test_real_clock
+
+ROW = Row("vestry", "name-check")
+BASE = TableView(7, Table((Purpose("name-check", "search", index="r"),), (ROW,)))
+HEAVIER = (RowChange(before=ROW, after=Row("vestry", "name-check", weight=2.0)),)
+
+
+class Ended(msgspec.Struct, frozen=True):
+    """How a command ended, and what it printed."""
+
+    code: int
+    output: str
+    errors: str
+
+
+def run_tool(arguments, **variables):
+    """Run the tool in this process."""
+    tester = ApplicationTester(build_application())
+    with mock.patch.dict(os.environ, variables):
+        code = tester.execute(arguments, interactive=False)
+    return Ended(code, tester.io.fetch_output(), tester.io.fetch_error())
+
+
+class Tool:
+    """The tool, as an operator of a deployment has it set up."""
+
+    def __init__(self, deployment):
+        self.variables = {
+            "IBISFRONT_ADMIN": " ".join(i.admin_address for i in deployment.instances),
+            "IBISFRONT_CALLERS": deployment.instances[0].caller_address,
+            "IBISFRONT_TOKEN": ADMIN_TOKEN,
+        }
+
+    async def run(self, arguments):
+        """Run one command beside the test's own tasks."""
+        return await trio.to_thread.run_sync(
+            lambda: run_tool(arguments, **self.variables)
+        )
+
+    async def json(self, arguments, decoded_type):
+        """Run one command and decode its JSON."""
+        ended = await self.run(arguments + " --json")
+        return msgspec.json.decode(ended.output, type=decoded_type)
+
+
+class RunningToolTest(unittest.TestCase):
+    """What operators do, against two running instances."""
+
+    @trio_test_real_clock
+    async def test_a_day_of_an_operator(self):
+        shape = register_shape(services=2, instances=2)
+        async with Deployment(shape) as deployment:
+            tool = Tool(deployment)
+            await self.check_status_and_query(tool)
+            await self.check_edits(tool)
+            await self.check_files(tool, deployment.folder)
+            await self.check_services(tool)
+            await self.check_one_instance_cut_off(tool, deployment)
+
+    async def check_status_and_query(self, tool):
+        status = await tool.run("status")
+        self.assertEqual(status.code, ExitCode.DONE, status)
+        self.assertRegex(status.output, r"(?s)INSTANCE.*i1 +z1.*i2 +z2")
+        answer = await tool.json("query vestry name-check '{}'", Answer)
+        self.assertEqual(answer.coverage.answered, 2)
+        refused = await tool.run("query vestry nothing '{}'")
+        self.assertEqual(refused.code, ExitCode.REFUSED)
+        self.assertIn("unknown_purpose", refused.errors)
+        counters = await tool.run("counters")
+        self.assertRegex(counters.output, r"answers +whole +1\n")
+
+    async def check_edits(self, tool):
+        outcome = await tool.json("table set vestry name-check --weight 2", EditOutcome)
+        self.assertEqual(outcome.reach.in_force, ("i1", "i2"))
+        same = await tool.run("table set vestry name-check --weight 2")
+        self.assertIn("nothing to change", same.output)
+        late = f"table set vestry name-check --weight 9 --base {outcome.base_version}"
+        conflict = await tool.run(late)
+        self.assertEqual(conflict.code, ExitCode.CONFLICT)
+        for shown in ("weight 1 -> 9", "weight 1 -> 2", outcome.edit_id):
+            self.assertIn(shown, conflict.output)
+        other = f"table set harbour name-check --weight 4 --base {outcome.base_version}"
+        self.assertEqual((await tool.run(other)).code, ExitCode.DONE)
+        history = await tool.run("table history")
+        self.assertIn(f"edit {outcome.edit_id}", history.output)
+        wrong = await tool.run("table set vestry name-check --weight -1")
+        self.assertEqual(wrong.code, ExitCode.REFUSED)
+        new = await tool.run("purpose set archive --search register --urgent yes")
+        self.assertIn("+ purpose archive", new.output)
+        self.assertEqual((await tool.run("table set vestry archive")).code, 0)
+        gone = await tool.run("purpose remove archive")
+        self.assertIn("- row vestry/archive", gone.output)
+
+    async def check_files(self, tool, folder):
+        for name in ("table.toml", "table.csv"):
+            path = Path(folder, name)
+            exported = await tool.run(f"table export {path}")
+            self.assertEqual(exported.code, ExitCode.DONE, exported)
+            base = exported.output.split("--base ")[1].strip()
+            rewrite(path, "harbour", "harbor")
+            apply = f"table apply {path} --base {base}"
+            asked = await tool.run(apply)
+            self.assertEqual(asked.code, ExitCode.REFUSED, asked)
+            self.assertIn("+ row harbor/name-check", asked.output)
+            applied = await tool.run(apply + " --yes")
+            self.assertEqual(applied.code, ExitCode.DONE, applied)
+            again = await tool.run(apply.replace("apply", "apply --yes"))
+            self.assertEqual(again.code, ExitCode.CONFLICT, again)
+            rewrite(path, "harbor", "harbour")
+            base = (await tool.json("table show", TableView)).version
+            await tool.run(f"table apply {path} --yes --base {base}")
+        unsaid = await tool.run(f"table apply {path} --yes")
+        self.assertEqual(unsaid.code, ExitCode.USAGE)
+        self.assertIn("--base", unsaid.errors)
+
+    async def check_services(self, tool):
+        added = await tool.run("service add archive archive-0 127.0.0.1:9 z1")
+        self.assertEqual(added.code, ExitCode.DONE, added)
+        self.assertIn("in force at i1, i2", added.output)
+        await tool.run("service drain archive archive-0")
+        listed = await tool.run("service list")
+        self.assertRegex(listed.output, "archive +archive-0 .* draining")
+        removed = await tool.run("service remove archive archive-0")
+        self.assertEqual(removed.code, ExitCode.DONE)
+
+    async def check_one_instance_cut_off(self, tool, deployment):
+        """See an edit through while one instance stands still.
+
+        "Done" would hide that callers of that instance still meet the old
+        table. The tool says where the edit is in force, and names the other.
+        """
+        frozen = deployment.instances[1].process
+        frozen.send(signal.SIGSTOP)
+        edited = await tool.run("table set vestry bulk-lookup --weight 5 --wait-s 30")
+        frozen.send(signal.SIGCONT)
+        self.assertEqual(edited.code, ExitCode.IN_PART, edited)
+        self.assertIn("accepted as version", edited.output)
+        self.assertRegex(edited.output, r"in force at i1\n")
+        self.assertIn("could not be reached: i2", edited.output)
+
+
+def rewrite(path, old, new):
+    """Replace a text in a file."""
+    path.write_text(path.read_text().replace(old, new))
+
+
+class FakeClient:
+    """Answers from a list; an exception in it is raised."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.sent = []
+
+    def call(self, method, path, answer, body=None):
+        """Return the next answer."""
+        self.sent.append(body)
+        found = self.answers.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+def problem(code, ran="no", conflict=None):
+    """Return the error of a problem document."""
+    return RefusedError(Problem("", "", 409, "detail", code, ran, conflict=conflict))
+
+
+def status(*versions):
+    """Return a status with a table version for each instance."""
+    replies = tuple(
+        StatusReply(
+            name=f"i{number}",
+            zone="z",
+            table_version=version,
+            revision=version,
+            members=1,
+            ready=True,
+        )
+        for number, version in enumerate(versions, 1)
+    )
+    return StatusReport(replies, ())
+
+
+ACCEPTED = EditAccepted("e", 8, HEAVIER)
+
+
+class EditFlowTest(unittest.TestCase):
+    """An edit is called accepted when that is known, and only then."""
+
+    def edit(self, *answers, base=BASE):
+        self.client = FakeClient(*answers)
+        self.said = []
+        return apply_edit(self.client, base, HEAVIER, wait_s=0.0, say=self.said.append)
+
+    def test_unsettled_edit_is_sent_again_with_its_id_and_base(self):
+        """The platform took the edit and its answer was lost.
+
+        The instance could not settle it in time. Under a new id the edit would
+        meet itself as a conflict; the same id and base find it accepted.
+        """
+        self.edit(problem("write_unknown", "maybe"), ACCEPTED, status(8))
+        first, second = self.client.sent[:2]
+        self.assertEqual(first, second)
+
+    def test_lost_answer_is_not_called_accepted_nor_refused(self):
+        with self.assertRaises(CommandError) as caught:
+            self.edit(UnreachableError("no instance answered", sent=True))
+        self.assertEqual(caught.exception.exit_code, ExitCode.UNKNOWN)
+        self.assertIn("may have been made", str(caught.exception))
+        self.assertEqual(self.said, [])
+
+    def test_accepted_edit_stays_accepted_when_nobody_answers_after(self):
+        """The only instance in reach stops right after it took the edit.
+
+        The tool would end with an error, and the operator would make the edit
+        a second time.
+        """
+        outcome = self.edit(ACCEPTED, UnreachableError("gone", sent=False))
+        self.assertEqual(outcome.version, 8)
+        self.assertFalse(outcome.reach.complete)
+        self.assertIn("accepted as version 8", self.said[0])
+
+    def test_edit_of_other_rows_is_made_again_on_the_new_version(self):
+        theirs = (EditSummary("x", "ben", 0.0, 7),)
+        conflict = TableConflict(7, 8, HEAVIER, theirs, overlaps=False)
+        other = Row("harbour", "name-check")
+        current = TableView(8, Table(BASE.table.purposes, (ROW, other)))
+        refusal = problem("table_conflict", conflict=conflict)
+        outcome = self.edit(refusal, current, EditAccepted("e", 9, HEAVIER), status(9))
+        self.assertEqual((outcome.base_version, outcome.version), (8, 9))
+        self.assertIn(other, self.client.sent[2].table.rows)
+
+    def test_instances_behind_are_named(self):
+        outcome = self.edit(ACCEPTED, status(8, 7))
+        self.assertEqual(outcome.reach.behind, ("i2",))
+
+
+class LocalToolTest(unittest.TestCase):
+    """What needs no instance."""
+
+    def test_help_names_every_command_and_exit_code(self):
+        shown = subprocess.run(
+            [sys.executable, "-c", "import ibisfront.cli; ibisfront.cli.main()", "-h"],
+            capture_output=True,
+            check=True,
+            text=True,
+        ).stdout
+        for name in ("table set", "service drain", "status", "check-settings"):
+            self.assertIn(name, shown)
+        for code in ExitCode:
+            self.assertRegex(shown, rf"\n  {code.value}  \w")
+
+    def test_every_command_prints_json_and_explains_itself(self):
+        application = build_application()
+        own = [
+            c for c in application.all().values() if "ibisfront" in type(c).__module__
+        ]
+        self.assertGreaterEqual(len(own), 16)
+        for command in own:
+            with self.subTest(command.name):
+                self.assertTrue(command.definition.has_option("json"))
+                self.assertTrue(command.description.endswith("."))
+
+    def test_completion(self):
+        with mock.patch("sys.argv", ["ibisfront"]):
+            self.assertIn("table", run_tool("completions bash").output)
+
+    def test_check_settings_lists_faults(self):
+        ended = run_tool("check-settings /nowhere.toml")
+        self.assertEqual(ended.code, ExitCode.USAGE)
+        self.assertIn("cannot be read", ended.output)
+
+    def test_no_instance_named_or_reached(self):
+        unnamed = run_tool("status", IBISFRONT_TOKEN="t", IBISFRONT_ADMIN="")
+        self.assertEqual(unnamed.code, ExitCode.USAGE)
+        ended = run_tool("status --admin 127.0.0.1:1", IBISFRONT_TOKEN="t")
+        self.assertEqual(ended.code, ExitCode.UNREACHABLE)
