Keep the daemon up when one connection breaks the HTTP library

Cause: hypercorn's trio server runs all connections of a listener in one nursery, so that a fault inside it in one connection ends the listener, the other requests and the process. One HTTP/2 request whose path is not ASCII was enough (UnicodeDecodeError in its HTTP stream); a header without :path and a CONNECT request too.

Ruled out: switching HTTP/2 off (hypercorn upgrades by prior knowledge, and has no setting against it). The accept loop is ours now, each connection still hypercorn's; a fault closes that connection and is logged.

--- a/ibisfront/adapters/listener.py
+++ b/ibisfront/adapters/listener.py
@@ -4,16 +4,20 @@
 
 import logging
 import socket
+from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import hypercorn.config
-import hypercorn.trio
+import trio
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState, LifespanState
+from hypercorn.utils import wrap_app
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
-from ibisfront.core.logs import LOGGER_NAME
+from ibisfront.core.logs import LOGGER_NAME, LogPart, part_logger
 
 if TYPE_CHECKING:
-    import trio
     from hypercorn.typing import ASGIFramework
 
     from ibisfront.adapters.asgi import AsgiApplication
@@ -23,6 +27,9 @@
 
 _CLOSE_TIMEOUT_S = 1.0
 _BACKLOG = 1024
+_NO_WSGI_BODY_BYTES = 0
+
+_LOG = part_logger(LogPart.INSTANCE)
 
 
 def cannot_listen(address: Address, error: OSError) -> IbisfrontError:
@@ -69,16 +76,68 @@
     application : callable
         What answers the requests.
     bound : socket
-        Where to listen; the server owns it from now on.
+        Where to listen; owned from now on.
     """
-    config = hypercorn.config.Config()
-    config.bind = [f"fd://{bound.detach()}"]
-    config.backlog = _BACKLOG
-    # The stop waits for every request before it sets the event; what the
-    # server itself still finds running then has had its time.
-    config.graceful_timeout = _CLOSE_TIMEOUT_S
-    config.errorlog = logging.getLogger(f"{LOGGER_NAME}.http")
-    config.include_server_header = False
-    await hypercorn.trio.serve(
-        cast("ASGIFramework", application), config, shutdown_trigger=closing.wait
-    )
+    bound.listen(_BACKLOG)
+    connections = _Connections(application)
+    async with trio.open_nursery() as connection_nursery:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    connections.serve,
+                    [trio.SocketListener(trio.socket.from_stdlib_socket(bound))],
+                    handler_nursery=connection_nursery,
+                )
+            )
+            await closing.wait()
+            accepting.cancel_scope.cancel()
+        await connections.close_idle()
+        # The stop waits for every request before it sets the event; what the
+        # server itself still finds running then has had its time.
+        connection_nursery.cancel_scope.deadline = (
+            trio.current_time() + _CLOSE_TIMEOUT_S
+        )
+
+
+class _Connections:
+    """The connections of one listener, each served by ``hypercorn``.
+
+    ``hypercorn.trio.serve`` runs all its connections in one nursery, where a
+    fault in one of them ends the listener and so the process: a single HTTP/2
+    request whose path is not ASCII did. Here each connection ends for itself.
+
+    Parameters
+    ----------
+    application : callable
+        What answers the requests.
+    """
+
+    __slots__ = ("_application", "_config", "_context")
+
+    def __init__(self, application: AsgiApplication) -> None:
+        self._application = wrap_app(
+            cast("ASGIFramework", application), _NO_WSGI_BODY_BYTES, "asgi"
+        )
+        self._config = hypercorn.config.Config()
+        self._config.errorlog = logging.getLogger(f"{LOGGER_NAME}.http")
+        self._config.include_server_header = False
+        self._context = WorkerContext(None)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it ends."""
+        try:
+            await TCPServer(
+                self._application,
+                self._config,
+                self._context,
+                ConnectionState(LifespanState({})),
+                cast("trio.SSLStream[trio.SocketStream]", stream),
+            )
+        except Exception as error:
+            _LOG.warning("A connection met a fault and was closed: %r.", error)
+            await trio.aclose_forcefully(stream)
+
+    async def close_idle(self) -> None:
+        """Close the connections without a request; the others when theirs ends."""
+        await self._context.terminated.set()
--- a/ibisfront/tests/raw_http.py
+++ b/ibisfront/tests/raw_http.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import h2.config
+import h2.connection
 import h11
 import msgspec
 import trio
 
-__all__ = ["ProblemBody", "RawReply", "post_bytes", "send_bytes"]
+__all__ = ["ProblemBody", "RawReply", "http2_bytes", "post_bytes", "send_bytes"]
 
 _TIMEOUT_S = 20.0
 
@@ -45,6 +47,18 @@
     return "\r\n".join([*head, "", ""]).encode("latin-1") + body
 
 
+def http2_bytes(path):
+    """Return the bytes of an HTTP/2 request, whatever its path is."""
+    config = h2.config.H2Configuration(
+        validate_outbound_headers=False, normalize_outbound_headers=False
+    )
+    connection = h2.connection.H2Connection(config)
+    connection.initiate_connection()
+    headers = {":method": "POST", ":scheme": "http", ":authority": "a", ":path": path}
+    connection.send_headers(1, list(headers.items()), end_stream=True)
+    return connection.data_to_send()
+
+
 async def send_bytes(address, sent):
     """Send bytes over a connection of their own and return the first reply."""
     host, _, port = address.rpartition(":")
--- a/ibisfront/tests/test_bad_input.py
+++ b/ibisfront/tests/test_bad_input.py
@@ -10,7 +10,7 @@
 from ibisfront.core.query import Answer
 from ibisfront.testing.deployment import Deployment, register_shape
 from ibisfront.tests import trio_test_real_clock
-from ibisfront.tests.raw_http import post_bytes, send_bytes
+from ibisfront.tests.raw_http import http2_bytes, post_bytes, send_bytes
 
 QUERY = "/v1/branches/vestry/purposes/name-check/query"
 PERFORM = "/v1/branches/vestry/purposes/print-envelopes/perform"
@@ -139,6 +139,8 @@
     b"POST / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 100_000 + b"\r\n\r\n",
     b"GET /\xff HTTP/1.1\r\nHost: a\r\n\r\n",
     b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 100,
+    http2_bytes(b"/\xff"),
+    http2_bytes(b""),
     b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings\r\n"
     b"Upgrade: h2c\r\nHTTP2-Settings: \xff!\r\n\r\n",
     b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"
@@ -169,8 +171,9 @@
     async def test_bytes_that_are_not_http_leave_the_daemon_unharmed(self):
         """A port scanner or a broken client talks to the callers' listener.
 
-        It sends bytes that are not HTTP, or half of another protocol. Its
-        connection ends; the next caller is answered as if nothing had been.
+        It sends bytes that are not HTTP, or half of another protocol. One
+        HTTP/2 request with a path that is not ASCII ended the whole daemon: the
+        server's fault in one connection ended all. Now only its connection ends.
         """
         async with Deployment(register_shape(services=1, instances=1)) as deployment:
             address = deployment.instances[0].caller_address
