Test the watch, the signs of servers, the status and the pause

A stream's reads share one timeout scope, and a hanging write is noticed by the reader: one scope less for each message.

--- a/ibisfront/adapters/peer_stream.py
+++ b/ibisfront/adapters/peer_stream.py
@@ -73,6 +73,7 @@
         "_queued",
         "_queued_bytes",
         "_scope",
+        "_writing_since_ms",
         "closed",
         "dialled",
         "heard_at_ms",
@@ -90,6 +91,7 @@
         self._queued = trio.Event()
         self._queued_bytes = 0
         self._scope = trio.CancelScope()
+        self._writing_since_ms = math.inf
         self.peer: Member | None = None
         self.neighbour = neighbour
         self.dialled = dialled
@@ -165,39 +167,49 @@
     async def _read(
         self, stream: trio.abc.Stream, receive: Callable[[Frame], None]
     ) -> None:
-        while True:
-            received = await self._receive(stream)
-            if not received:
-                return
-            self.heard_at_ms = self._clock.now_ms()
-            try:
-                frames = self._buffer.feed(received)
-            except MalformedFrame as error:
-                # A peer that is broken, or no peer at all, must cost no more
-                # than its stream: past a bad frame nothing can be read.
-                self._count("malformed")
-                _LOG.warning("A stream sent a malformed frame: %s.", error)
-                return
-            self._count("received", len(frames))
-            for frame in frames:
-                receive(frame)
-            if self._buffer.not_understood:
-                self._count("not_understood", self._buffer.not_understood)
-                self._buffer.not_understood = 0
-
-    async def _receive(self, stream: trio.abc.Stream) -> bytes | bytearray:
         # Something between the two ends can lose track of an open connection,
         # which then stays open and carries nothing. It shows as a neighbour's
         # stream without the heartbeats that it owes; a new stream works.
         bound_ms = SILENCE_MS if self.neighbour else IDLE_MS
-        with self._clock.timeout_ms(bound_ms):
+        with self._clock.timeout_ms(bound_ms) as bound:
             try:
-                return await stream.receive_some(_RECEIVE_BYTES)
+                while received := await stream.receive_some(_RECEIVE_BYTES):
+                    self._clock.extend_ms(bound, bound_ms)
+                    if not self._take(received, receive) or self._write_hangs():
+                        return
             except trio.BrokenResourceError:
                 self._count("reset")
-                return b""
-        self._count("silent" if self.neighbour else "idle")
-        return b""
+        if bound.cancelled_caught:
+            self._count("silent" if self.neighbour else "idle")
+
+    def _take(
+        self, received: bytes | bytearray, receive: Callable[[Frame], None]
+    ) -> bool:
+        self.heard_at_ms = self._clock.now_ms()
+        try:
+            frames = self._buffer.feed(received)
+        except MalformedFrame as error:
+            # A peer that is broken, or no peer at all, must cost no more than
+            # its stream: past a bad frame nothing can be read.
+            self._count("malformed")
+            _LOG.warning("A stream sent a malformed frame: %s.", error)
+            return False
+        self._count("received", len(frames))
+        for frame in frames:
+            receive(frame)
+        if self._buffer.not_understood:
+            self._count("not_understood", self._buffer.not_understood)
+            self._buffer.not_understood = 0
+        return True
+
+    def _write_hangs(self) -> bool:
+        # A peer that sends but no longer reads fills the stream, and a write
+        # then waits for good. It is seen here, as its heartbeats go on.
+        waited_ms = self._clock.now_ms() - self._writing_since_ms
+        if waited_ms < _WRITE_TIMEOUT_MS:
+            return False
+        self._count("write_timed_out")
+        return True
 
     async def _write(self, stream: trio.abc.Stream) -> None:
         while True:
@@ -223,14 +235,14 @@
         return b"".join(frames)
 
     async def _send(self, stream: trio.abc.Stream, data: bytes) -> bool:
-        with self._clock.timeout_ms(_WRITE_TIMEOUT_MS):
-            try:
-                await stream.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return False
-            return True
-        self._count("write_timed_out")
-        return False
+        self._writing_since_ms = self._clock.now_ms()
+        try:
+            await stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        finally:
+            self._writing_since_ms = math.inf
+        return True
 
     def _count(self, reason: str, amount: int = 1) -> None:
         self._counters.add(CounterKind.PEER_MESSAGES, reason, amount)
--- a/ibisfront/core/clock.py
+++ b/ibisfront/core/clock.py
@@ -50,3 +50,7 @@
     def timeout_ms(self, duration_ms: float) -> trio.CancelScope:
         """Return a cancel scope that ends after a duration."""
         return trio.move_on_after(max(duration_ms, 0.0) / MILLISECONDS_PER_SECOND)
+
+    def extend_ms(self, scope: trio.CancelScope, duration_ms: float) -> None:
+        """Let a scope of :meth:`timeout_ms` end a duration after now instead."""
+        scope.deadline = trio.current_time() + duration_ms / MILLISECONDS_PER_SECOND
--- a/ibisfront/core/members.py
+++ b/ibisfront/core/members.py
@@ -62,12 +62,13 @@
         This instance.
     """
 
-    __slots__ = ("_buckets", "_listeners", "_members", "own_name")
+    __slots__ = ("_buckets", "_digest", "_listeners", "_members", "own_name")
 
     def __init__(self, own: Member) -> None:
         self.own_name = own.name
         self._members: dict[str, Member] = {}
         self._buckets = [0] * DIGEST_BUCKETS
+        self._digest = 0
         self._listeners: list[Callable[[Member], None]] = []
         self._replace(own)
 
@@ -79,10 +80,7 @@
     @property
     def digest(self) -> int:
         """A fingerprint of all serving members; equal for equal views."""
-        folded = 0
-        for bucket in self._buckets:
-            folded ^= bucket
-        return folded
+        return self._digest
 
     @property
     def bucket_digests(self) -> tuple[int, ...]:
@@ -137,10 +135,12 @@
     def _replace(self, member: Member) -> None:
         known = self._members.get(member.name)
         bucket = _bucket(member.name)
+        changed = _fingerprint(member)
         if known is not None:
-            self._buckets[bucket] ^= _fingerprint(known)
+            changed ^= _fingerprint(known)
         self._members[member.name] = member
-        self._buckets[bucket] ^= _fingerprint(member)
+        self._buckets[bucket] ^= changed
+        self._digest ^= changed
 
     def _in_states(self, *states: MemberState) -> list[Member]:
         found = [item for item in self._members.values() if item.state in states]
--- /dev/null
+++ b/ibisfront/tests/test_pause.py
@@ -0,0 +1,40 @@
+"""Tests of noticing that the process was frozen."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.core.pause import watch_for_pause
+from ibisfront.tests import trio_test
+
+
+class _JumpingClock(Clock):
+    def __init__(self) -> None:
+        super().__init__()
+        self.frozen_ms = 0.0
+
+    def now_ms(self) -> float:
+        return super().now_ms() + self.frozen_ms
+
+
+class PauseTest(unittest.TestCase):
+    """A frozen process notices by its clock."""
+
+    @trio_test
+    async def test_pause_is_noticed_once_and_delay_is_not_one(self) -> None:
+        clock = _JumpingClock()
+        pauses: list[float] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_for_pause, clock, pauses.append)
+            await clock.sleep_ms(1000.0)
+            clock.frozen_ms += 700.0
+            await clock.sleep_ms(1000.0)
+            self.assertEqual(pauses, [])
+            clock.frozen_ms += 60_000.0
+            await clock.sleep_ms(5000.0)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(len(pauses), 1)
+        self.assertGreaterEqual(pauses[0], 60_000.0 - 250.0)
--- /dev/null
+++ b/ibisfront/tests/test_status.py
@@ -0,0 +1,52 @@
+"""Tests of asking all instances for their status."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.core.members import Member, Members, MemberState
+from ibisfront.core.status import StatusReply, StatusRequest, collect_status
+from ibisfront.testing.peers import PeerNetwork
+from ibisfront.tests import trio_test
+
+
+def _reply(name: str, version: int) -> StatusReply:
+    return StatusReply(name, "z1", version, version, 3, ready=True)
+
+
+class CollectStatusTest(unittest.TestCase):
+    """An edit is in force at these, and those could not be reached."""
+
+    @trio_test
+    async def test_unreachable_instances_are_named(self) -> None:
+        """An edit was accepted while one instance is cut off.
+
+        Left out of the report, it would go on by the old table while the
+        operator believes that the new one holds everywhere.
+        """
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            network = PeerNetwork(clock=clock, nursery=nursery)
+            peers = [network.join(f"i{number}") for number in range(4)]
+            members = Members(Member("i0", "z1", "p0", "a0", 1))
+            for number in range(1, 4):
+                peers[number].answer(
+                    StatusRequest,
+                    lambda asker, question, number=number: _reply(f"i{number}", 7),
+                )
+                members.merge(Member(f"i{number}", "z1", "p", "a", 1))
+            dead = msgspec.structs.replace(members.get("i3"), state=MemberState.DEAD)
+            members.merge(dead)
+            network.cut("i0", "i2")
+            network.cut("i0", "i3")
+            report = await collect_status(
+                members=members, peers=peers[0], own=lambda: _reply("i0", 9)
+            )
+            nursery.cancel_scope.cancel()
+        versions = [(reply.name, reply.table_version) for reply in report.replies]
+        self.assertEqual(versions, [("i0", 9), ("i1", 7)])
+        self.assertEqual(report.unreachable, ("i2", "i3"))
--- /dev/null
+++ b/ibisfront/tests/test_watch.py
@@ -0,0 +1,201 @@
+"""Tests of following the platform by a few instances of each zone."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import trio
+
+from ibisfront.adapters.platform import ObjectsRead
+from ibisfront.core.clock import Clock
+from ibisfront.core.counters import CounterKind, Counters
+from ibisfront.core.members import Member, Members
+from ibisfront.core.objects import ObjectKind, ObjectStore
+from ibisfront.core.spread import ObjectSpread
+from ibisfront.core.watch import WATCHERS_PER_ZONE, PlatformWatch
+from ibisfront.testing.peers import PeerNetwork
+from ibisfront.testing.platform_state import FakePlatform
+from ibisfront.testing.platform_types import Outage, PlatformFaults
+from ibisfront.testing.shared_cluster import SharedCluster
+from ibisfront.tests import trio_test
+
+ZONES = 3
+
+
+class WatchersTest(unittest.TestCase):
+    """The calls on the platform do not grow with the fleet."""
+
+    async def _run(self, count: int, scenario) -> None:
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            platform = FakePlatform(clock=clock)
+            cluster = SharedCluster(
+                platform=platform, clock=clock, nursery=nursery, zones=ZONES
+            )
+            await cluster.put(ObjectKind.INDEX, "register", {"snapshots": []})
+            cluster.start(*range(count))
+            await cluster.until(
+                lambda: all(
+                    len(node.members.live()) == count for node in cluster.nodes.values()
+                )
+            )
+            await clock.sleep_ms(5_000.0)
+            await scenario(cluster)
+            nursery.cancel_scope.cancel()
+
+    async def _reads_in_a_minute(self, cluster: SharedCluster) -> int:
+        before = cluster.platform.state().reads.total
+        await cluster.clock.sleep_ms(60_000.0)
+        return cluster.platform.state().reads.total - before
+
+    @trio_test
+    async def test_calls_do_not_grow_with_the_fleet(self) -> None:
+        """A fleet grows from 6 to 12 instances.
+
+        Were each to watch, the platform's rates, which grow more slowly than
+        the fleet, would be used up.
+        """
+        reads = {}
+
+        async def scenario(cluster) -> None:
+            waiting = cluster.platform.state().watches_waiting
+            self.assertEqual(waiting, ZONES * WATCHERS_PER_ZONE)
+            reads[len(cluster.nodes)] = await self._reads_in_a_minute(cluster)
+
+        await self._run(6, scenario)
+        await self._run(12, scenario)
+        watches = ZONES * WATCHERS_PER_ZONE * 60 / 20
+        lists = ZONES * WATCHERS_PER_ZONE * 60 / 10
+        for count, total in reads.items():
+            with self.subTest(count=count):
+                self.assertLess(total, 1.5 * (watches + lists))
+
+    @trio_test
+    async def test_lost_watchers_are_replaced(self) -> None:
+        async def scenario(cluster) -> None:
+            zone = [n for n in cluster.nodes.values() if n.members.own.zone == "z0"]
+            watching = [n for n in zone if n.counters.value(*_WATCHED)]
+            await cluster.kill(*(node.members.own_name for node in watching[:2]))
+            await cluster.clock.sleep_ms(12_000.0)
+            waiting = cluster.platform.state().watches_waiting
+            self.assertEqual(waiting, ZONES * WATCHERS_PER_ZONE)
+            version = await cluster.put(ObjectKind.INDEX, "more", {"snapshots": []})
+            await cluster.until(
+                lambda: all(
+                    node.store.revision >= version for node in cluster.nodes.values()
+                ),
+                within_ms=1000.0,
+            )
+
+        await self._run(12, scenario)
+
+    @trio_test
+    async def test_no_herd_after_an_outage(self) -> None:
+        """The platform is out for a minute and comes back.
+
+        Instances that all retry at once, or list all at once, would take it
+        down again.
+        """
+
+        async def scenario(cluster) -> None:
+            cluster.platform.set_faults(PlatformFaults(outage=Outage.REFUSE))
+            await cluster.clock.sleep_ms(60_000.0)
+            before = cluster.platform.state().reads.total
+            cluster.platform.set_faults(PlatformFaults())
+            await cluster.clock.sleep_ms(1000.0)
+            burst = cluster.platform.state().reads.total - before
+            self.assertLessEqual(burst, ZONES * WATCHERS_PER_ZONE)
+            version = await cluster.put(ObjectKind.INDEX, "more", {"snapshots": []})
+            await cluster.until(
+                lambda: all(
+                    node.store.revision >= version for node in cluster.nodes.values()
+                ),
+                within_ms=11_000.0,
+            )
+
+        await self._run(9, scenario)
+
+
+_WATCHED = (CounterKind.PLATFORM_CALLS, "watched")
+
+
+class _OddPlatform:
+    """A platform whose watches misbehave as told."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.silent = True
+        self.changes_found = ObjectsRead(5, ())
+
+    async def list_objects(self, kinds) -> ObjectsRead:
+        self.calls.append("list")
+        await trio.lowlevel.checkpoint()
+        return ObjectsRead(5, ())
+
+    async def changes(self, kinds, *, after, wait_ms) -> ObjectsRead | None:
+        self.calls.append("changes")
+        if self.silent:
+            await trio.sleep_forever()
+        await trio.lowlevel.checkpoint()
+        return self.changes_found
+
+
+class OddWatchTest(unittest.TestCase):
+    """A watch goes silent, or answers too fast."""
+
+    async def _run(self, platform: _OddPlatform, duration_ms: float) -> Counters:
+        clock = Clock()
+        counters = Counters()
+        async with trio.open_nursery() as nursery:
+            network = PeerNetwork(clock=clock, nursery=nursery)
+            spread = ObjectSpread(
+                ObjectStore(), peers=network.join("i1"), clock=clock, counters=counters
+            )
+            watch = PlatformWatch(
+                platform=platform,
+                spread=spread,
+                members=Members(Member("i1", "z1", "p1", "a1", 1)),
+                connected=lambda: (),
+                clock=clock,
+                counters=counters,
+                random=random.Random(1),
+                wait_ms=20_000.0,
+            )
+            nursery.start_soon(watch.run)
+            await clock.sleep_ms(duration_ms)
+            nursery.cancel_scope.cancel()
+        return counters
+
+    @trio_test
+    async def test_silent_watch_is_given_up(self) -> None:
+        """A watch stays open and never answers again; new calls would work.
+
+        Without a bound of its own the instance would never see an edit again.
+        """
+        platform = _OddPlatform()
+        counters = await self._run(platform, 60_000.0)
+        self.assertEqual(
+            counters.value(CounterKind.PLATFORM_CALLS, "watch_silent"),
+            platform.calls.count("changes") - 1,
+        )
+        self.assertGreaterEqual(platform.calls.count("changes"), 3)
+
+    @trio_test
+    async def test_watch_that_answers_at_once_is_not_called_in_a_loop(self) -> None:
+        """A proxy answers each waiting call at once with nothing.
+
+        Called in a loop, one instance would use up the platform's reads.
+        """
+        platform = _OddPlatform()
+        platform.silent = False
+        await self._run(platform, 60_000.0)
+        self.assertLess(len(platform.calls), 60)
+
+    @trio_test
+    async def test_revision_always_too_old_is_not_called_in_a_loop(self) -> None:
+        platform = _OddPlatform()
+        platform.silent = False
+        platform.changes_found = None
+        await self._run(platform, 60_000.0)
+        self.assertLess(len(platform.calls), 100)
