--- a/ibisfront/core/watch.py
+++ b/ibisfront/core/watch.py
@@ -24,7 +24,13 @@
     from ibisfront.core.spread import ObjectSpread
     from ibisfront.core.types import Version
 
-__all__ = ["WATCHERS_PER_ZONE", "ObjectsReadLike", "PlatformWatch", "WatchedPlatform"]
+__all__ = [
+    "WATCHERS_PER_ZONE",
+    "ObjectsReadLike",
+    "PlatformWatch",
+    "WatchedPlatform",
+    "watcher_names",
+]
 
 WATCHERS_PER_ZONE = 2
 """How many instances of each zone watch the platform."""
@@ -68,6 +74,12 @@
         ...
 
 
+def watcher_names(members: Members, zone: str) -> list[str]:
+    """Return the names of the members that watch the platform for a zone."""
+    names = [member.name for member in members.live() if member.zone == zone]
+    return rendezvous_order(f"watch {zone}", names)[:WATCHERS_PER_ZONE]
+
+
 class PlatformWatch:
     """Follows the platform while this instance is a watcher of its zone.
 
@@ -143,9 +155,7 @@
         """
         if self._watcher is None:
             own = self._members.own
-            names = [m.name for m in self._members.live() if m.zone == own.zone]
-            order = rendezvous_order(f"watch {own.zone}", names)
-            self._watcher = own.name in order[:WATCHERS_PER_ZONE]
+            self._watcher = own.name in watcher_names(self._members, own.zone)
         return self._watcher
 
     def restart(self) -> None:
--- a/ibisfront/tests/test_watch.py
+++ b/ibisfront/tests/test_watch.py
@@ -13,7 +13,7 @@
 from ibisfront.core.members import Member, Members
 from ibisfront.core.objects import ObjectKind, ObjectStore
 from ibisfront.core.spread import ObjectSpread
-from ibisfront.core.watch import WATCHERS_PER_ZONE, PlatformWatch
+from ibisfront.core.watch import WATCHERS_PER_ZONE, PlatformWatch, watcher_names
 from ibisfront.testing.peers import PeerNetwork
 from ibisfront.testing.platform_state import FakePlatform
 from ibisfront.testing.platform_types import Outage, PlatformFaults
@@ -74,9 +74,8 @@
     @trio_test
     async def test_lost_watchers_are_replaced(self) -> None:
         async def scenario(cluster) -> None:
-            zone = [n for n in cluster.nodes.values() if n.members.own.zone == "z0"]
-            watching = [n for n in zone if n.counters.value(*_WATCHED)]
-            await cluster.kill(*(node.members.own_name for node in watching[:2]))
+            members = cluster.nodes["i0"].members
+            await cluster.kill(*watcher_names(members, "z1"))
             await cluster.clock.sleep_ms(12_000.0)
             waiting = cluster.platform.state().watches_waiting
             self.assertEqual(waiting, ZONES * WATCHERS_PER_ZONE)
@@ -117,9 +116,6 @@
         await self._run(9, scenario)
 
 
-_WATCHED = (CounterKind.PLATFORM_CALLS, "watched")
-
-
 class _OddPlatform:
     """A platform whose watches misbehave as told."""
 
