--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
 import trio
 
 from benchmarks.bounds import broken_bounds, read_bounds
+from benchmarks.recorded import read_recorded, record, recorded_of
 from benchmarks.report import html_page, text_table
 from benchmarks.runner import BASELINE, OURS, Run, run_scenario
 from benchmarks.scenarios import SCENARIOS, scenario_named
@@ -23,14 +24,19 @@
     """Run what the options choose; 1 if a bound is broken."""
     options = _options()
     runs = trio.run(_run_all, options)
+    recorded = read_recorded()
     broken = broken_bounds(runs, read_bounds())
     _RESULTS.mkdir(exist_ok=True)
     (_RESULTS / "runs.json").write_bytes(msgspec.json.encode(runs))
-    (_RESULTS / "report.html").write_text(html_page(runs, broken))
-    print(text_table(runs))
+    (_RESULTS / "report.html").write_text(
+        html_page([*runs, *recorded_of(runs, recorded)], broken)
+    )
+    print(text_table([*runs, *recorded_of(runs, recorded)]))
     for line in broken:
         print(f"BROKEN: {line}")
     print(f"{len(runs)} runs, {len(broken)} broken bounds; see {_RESULTS}/report.html")
+    if options.record:
+        record(runs)
     return 1 if broken else 0
 
 
@@ -39,6 +45,9 @@
     parser.add_argument("--scenario", action="append", help="only this one; repeatable")
     parser.add_argument("--user", choices=(MAILING, LISTING), action="append")
     parser.add_argument("--policy", choices=(OURS, BASELINE), action="append")
+    parser.add_argument(
+        "--record", action="store_true", help="keep our figures for later runs"
+    )
     parser.add_argument("--seed", type=int, default=1)
     return parser.parse_args()
 
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -39,7 +39,7 @@
 th, td { text-align: right; padding: .2rem .6rem; border-bottom: 1px solid #dde2e6; }
 th:nth-child(-n+3), td:nth-child(-n+3), th:last-child, td:last-child {
   text-align: left; }
-tr.baseline { color: #7a8793; }
+tr.baseline, tr.recorded { color: #7a8793; }
 .pair { display: flex; flex-wrap: wrap; gap: 2rem; }
 figure { margin: 0; } figcaption { font-size: .85rem; color: #55626f; }
 .broken { background: #fde8e4; padding: .6rem 1rem; border-left: 4px solid #c0452c; }
@@ -117,8 +117,9 @@
 
 
 def _charts(runs: Sequence[Run]) -> list[str]:
-    titles = dict.fromkeys((run.user, run.scenario) for run in runs)
-    return [_chart_pair(user, scenario, runs) for user, scenario in titles]
+    charted = [run for run in runs if run.figures.buckets]
+    titles = dict.fromkeys((run.user, run.scenario) for run in charted)
+    return [_chart_pair(user, scenario, charted) for user, scenario in titles]
 
 
 def _chart_pair(user: str, scenario: str, runs: Sequence[Run]) -> str:
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -60,7 +60,8 @@
     name : str
         The service.
     servers : int
-        How many backend servers; spread over the zones in turn.
+        How many backend servers; spread over the zones in turn, from another
+        zone for each service, so that every zone has its own.
     options : tuple of str
         Further options of ``python -m ibisfront.testing.backend``.
     """
@@ -411,7 +412,8 @@
     async def _backend_server(
         self, service: str, number: int, address: str
     ) -> BackendServer:
-        zone = self.shape.zones[number % len(self.shape.zones)]
+        first = [shape.name for shape in self.shape.services].index(service)
+        zone = self.shape.zones[(first + number) % len(self.shape.zones)]
         return BackendServer(
             name=f"{service}-{number}",
             address=await self._relayed(address, self.place_of(zone)),
