--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON3 ?= python3
 export PYTHONHASHSEED := 0
 
-.PHONY: test lint format demo bench clean
+.PHONY: test lint format demo bench pages clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON3) -m venv $(VENV)
@@ -31,5 +31,8 @@
 bench: $(VENV)/.ready  ## measure the tier and check the regression bounds
 	$(PYTHON) -m benchmarks
 
+pages: $(VENV)/.ready  ## write the generated parts of the pages
+	$(PYTHON) -m ibisfront.testing.pages
+
 clean:
 	rm -rf $(VENV) build *.egg-info .mypy_cache .ruff_cache .import_linter_cache
--- a/ibisfront/adapters/admin.py
+++ b/ibisfront/adapters/admin.py
@@ -28,9 +28,11 @@
     from ibisfront.core.table_edit import EditablePlatform
 
 __all__ = [
+    "InstanceStatus",
     "NamedService",
     "OperatedInstance",
     "TableView",
+    "TierStatus",
     "admin_routes",
     "bearer_authorization",
     "health_routes",
@@ -38,6 +40,7 @@
 
 _ADMIN = "/v1/admin/"
 _SERVERS = _ADMIN + r"services/([^/]+)/servers"
+_HEALTH = "health"
 _Body = TypeVar("_Body")
 
 
@@ -56,6 +59,46 @@
     table: Table
 
 
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """What one instance says of itself.
+
+    Attributes
+    ----------
+    name, zone : str
+        The instance and its availability zone.
+    table_version : int
+        The version of the table in force there; 0 if none is.
+    revision : int
+        The platform's revision up to which it knows everything.
+    members : int
+        How many instances it believes to serve, itself included.
+    ready : bool
+        Whether the balancer may send callers there.
+    """
+
+    name: str
+    zone: str
+    table_version: Version
+    revision: Version
+    members: int
+    ready: bool
+
+
+class TierStatus(msgspec.Struct, frozen=True):
+    """Every instance that has not left.
+
+    Attributes
+    ----------
+    instances : tuple of InstanceStatus
+        Those that answered, by name.
+    unreachable : tuple of str
+        The names of those that did not.
+    """
+
+    instances: tuple[InstanceStatus, ...]
+    unreachable: tuple[str, ...]
+
+
 class NamedService(msgspec.Struct, frozen=True):
     """One service as this instance knows it."""
 
@@ -110,11 +153,13 @@
     """Return the routes that the balancer asks."""
 
     async def alive(request: HttpRequest) -> HttpResponse:
-        return json_response({"alive": True})
+        return json_response({"alive": True}, outcome=_HEALTH)
 
     async def ready(request: HttpRequest) -> HttpResponse:
         return json_response(
-            {"ready": instance.ready}, status=200 if instance.ready else 503
+            {"ready": instance.ready},
+            status=200 if instance.ready else 503,
+            outcome=_HEALTH,
         )
 
     return (
@@ -152,7 +197,9 @@
         return HttpResponse(200, text.encode(), CONTENT_TYPE)
 
     async def status(request: HttpRequest) -> HttpResponse:
-        return json_response(await instance.status_of_all())
+        report = await instance.status_of_all()
+        statuses = tuple(_instance_status(reply) for reply in report.replies)
+        return json_response(TierStatus(statuses, report.unreachable))
 
     async def counters(request: HttpRequest) -> HttpResponse:
         return json_response(instance.counters.values())
@@ -242,6 +289,17 @@
     ]
 
 
+def _instance_status(reply: StatusReply) -> InstanceStatus:
+    return InstanceStatus(
+        name=reply.name,
+        zone=reply.zone,
+        table_version=reply.table_version,
+        revision=reply.revision,
+        members=reply.members,
+        ready=reply.ready,
+    )
+
+
 def _view(version: Version, table: Table) -> TableView:
     return TableView(version, msgspec.structs.replace(table, history=()))
 
--- a/ibisfront/adapters/callers.py
+++ b/ibisfront/adapters/callers.py
@@ -65,7 +65,9 @@
         )
 
     async def outcome(request: HttpRequest) -> HttpResponse:
-        return json_response(await service.outcome(request.parts[0]))
+        answer = await service.outcome(request.parts[0])
+        own = msgspec.structs.replace(answer, request_id=request.request_id)
+        return json_response(own, outcome="outcome_told")
 
     return (
         Route(
--- a/ibisfront/cli/status.py
+++ b/ibisfront/cli/status.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from ibisfront.adapters.admin import TierStatus
 from ibisfront.cli.command import OperatorCommand
 from ibisfront.cli.exits import ExitCode
 from ibisfront.cli.output import columns
-from ibisfront.core.status import StatusReport
 
 if TYPE_CHECKING:
     from ibisfront.cli.client import AdminClient
@@ -23,16 +23,16 @@
 
     def run_with(self, client: AdminClient) -> ExitCode:
         """Print the instances; name those that could not be reached."""
-        report = client.call("GET", "/v1/admin/status", StatusReport)
+        report = client.call("GET", "/v1/admin/status", TierStatus)
         if self.wants_json:
             self.print_json(report)
         else:
             self._print(report)
-        ready = all(reply.ready for reply in report.replies)
+        ready = all(reply.ready for reply in report.instances)
         complete = ready and not report.unreachable
         return ExitCode.DONE if complete else ExitCode.IN_PART
 
-    def _print(self, report: StatusReport) -> None:
+    def _print(self, report: TierStatus) -> None:
         lines = columns(
             ("INSTANCE", "ZONE", "TABLE", "REVISION", "SEES", "READY"),
             [
@@ -44,7 +44,7 @@
                     reply.members,
                     "yes" if reply.ready else "no",
                 )
-                for reply in report.replies
+                for reply in report.instances
             ],
         )
         for line in lines:
--- a/ibisfront/cli/table.py
+++ b/ibisfront/cli/table.py
@@ -59,7 +59,9 @@
         if self.wants_json:
             self.print_json(view)
             return ExitCode.DONE
-        self.print_text(f"version {view.version}, edited by {view.table.edited_by}")
+        self.print_text(
+            f"version {view.version}, edited by {view.table.edited_by or 'unknown'}"
+        )
         for lines in (_purpose_lines(view.table), _row_lines(view.table)):
             self.print_text("")
             for line in lines:
--- a/ibisfront/cli/table_edits.py
+++ b/ibisfront/cli/table_edits.py
@@ -9,14 +9,13 @@
 
 import msgspec
 
-from ibisfront.adapters.admin import TableView
+from ibisfront.adapters.admin import InstanceStatus, TableView, TierStatus
 from ibisfront.cli.exits import (
     CommandError,
     ExitCode,
     RefusedError,
     UnreachableError,
 )
-from ibisfront.core.status import StatusReply, StatusReport
 from ibisfront.core.table import EditSummary, Table
 from ibisfront.core.table_changes import TableChange, apply_changes, undo_changes
 from ibisfront.core.table_edit import EditAccepted, TableProposal
@@ -97,6 +96,10 @@
     """
     if base == current.version:
         return current.table
+    if base > current.version:
+        raise CommandError(
+            f"there is no version {base} of the table yet: it is at {current.version}"
+        )
     history = client.call("GET", f"{TABLE_PATH}/history", tuple[EditSummary, ...])
     since = tuple(edit for edit in history if edit.base_version >= base)
     traced = bool(since) and since[0].base_version == base
@@ -166,7 +169,7 @@
 
 
 def wait_in_force(
-    client: AdminClient, has_it: Callable[[StatusReply], bool], *, wait_s: float
+    client: AdminClient, has_it: Callable[[InstanceStatus], bool], *, wait_s: float
 ) -> Reach:
     """Ask for the status until every instance has a version, or time is up.
 
@@ -184,16 +187,16 @@
         time.sleep(_POLL_S)
 
 
-def _ask_reach(client: AdminClient, has_it: Callable[[StatusReply], bool]) -> Reach:
+def _ask_reach(client: AdminClient, has_it: Callable[[InstanceStatus], bool]) -> Reach:
     # The edit is accepted by now. That no instance can tell where it is in
     # force must not look like a refused edit, which would be made again.
     try:
-        report = client.call("GET", _STATUS_PATH, StatusReport)
+        report = client.call("GET", _STATUS_PATH, TierStatus)
     except CommandError:
         return Reach((), (), (), known=False)
     return Reach(
-        in_force=tuple(reply.name for reply in report.replies if has_it(reply)),
-        behind=tuple(reply.name for reply in report.replies if not has_it(reply)),
+        in_force=tuple(reply.name for reply in report.instances if has_it(reply)),
+        behind=tuple(reply.name for reply in report.instances if not has_it(reply)),
         unreachable=report.unreachable,
     )
 
--- a/ibisfront/core/logs.py
+++ b/ibisfront/core/logs.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import Any
 
-__all__ = ["LOGGER_NAME", "LogPart", "PartLogger", "part_logger"]
+__all__ = ["LOGGER_NAME", "LOG_PART_HELP", "LogPart", "PartLogger", "part_logger"]
 
 LOGGER_NAME = "ibisfront"
 
@@ -29,6 +29,23 @@
     STOP = "stop"
 
 
+LOG_PART_HELP: dict[LogPart, str] = {
+    LogPart.INSTANCE: "the process as a whole: start, end, standstill, faults",
+    LogPart.CALLERS: "callers' requests; those refused unrun only at `debug`",
+    LogPart.ADMIN: "operators' requests",
+    LogPart.QUERY: "searches: requests that crash backend servers",
+    LogPart.BACKEND: "backend servers: which are left out, drain or come back",
+    LogPart.PLATFORM: "the platform's object API: watches that fail and recover",
+    LogPart.TABLE: "versions of the table: from where, in force, refused",
+    LogPart.PEERS: "streams to the other instances",
+    LogPart.MEMBERS: "instances that come, are suspected, die or leave",
+    LogPart.LIMITS: "the table's limits and the shares of them",
+    LogPart.LEDGER: "claims of non-idempotent requests",
+    LogPart.STOP: "a planned stop, and each request that it cut off",
+}
+"""What each part's lines are about."""
+
+
 class PartLogger(logging.LoggerAdapter[logging.Logger]):
     """Puts the prefix of a part before each message."""
 
--- a/ibisfront/core/query.py
+++ b/ibisfront/core/query.py
@@ -60,7 +60,7 @@
     results: tuple[msgspec.Raw, ...]
 
 
-class PerformAnswer(msgspec.Struct, frozen=True):
+class PerformAnswer(msgspec.Struct, frozen=True, rename={"result_json": "result"}):
     """The outcome of a non-idempotent request that ran.
 
     Attributes
--- a/ibisfront/testing/demo.py
+++ b/ibisfront/testing/demo.py
@@ -16,11 +16,10 @@
 import psutil
 import trio
 
-from ibisfront.adapters.admin import TableView
+from ibisfront.adapters.admin import TableView, TierStatus
 from ibisfront.core.clock import Clock
 from ibisfront.core.idempotency_key import make_key
 from ibisfront.core.query import Answer, PerformAnswer
-from ibisfront.core.status import StatusReport
 from ibisfront.core.table_edit import EditAccepted, TableProposal
 from ibisfront.testing.balanced_load import BalancedLoad, SearchKind
 from ibisfront.testing.demo_shape import (
@@ -163,7 +162,7 @@
             reply = await deployment.admin(
                 deployment.instances[0], "GET", "/v1/admin/status"
             )
-            replies = reply.decode(StatusReport).replies
+            replies = reply.decode(TierStatus).instances
             versions = [item.table_version for item in replies]
             if len(versions) == len(deployment.instances) and min(versions) >= (
                 accepted.version
--- a/ibisfront/tests/test_admin.py
+++ b/ibisfront/tests/test_admin.py
@@ -7,12 +7,11 @@
 
 import msgspec
 
-from ibisfront.adapters.admin import NamedService, TableView
+from ibisfront.adapters.admin import NamedService, TableView, TierStatus
 from ibisfront.core.counters import CounterValue
 from ibisfront.core.latencies import LatencyValue
 from ibisfront.core.service import BackendServer
 from ibisfront.core.service_edit import ServiceEdited
-from ibisfront.core.status import StatusReport
 from ibisfront.core.table import EditSummary
 from ibisfront.core.table_edit import EditAccepted, TableConflict, TableProposal
 from ibisfront.testing.deployment import ADMIN_TOKEN, Deployment, register_shape
@@ -81,8 +80,8 @@
         lines = metrics.body.decode().splitlines()
         self.assertIn('ibisfront_answers_total{reason="whole"} 2', lines)
         self.assertIn("ibisfront_ready 1", lines)
-        status = await self.get(deployment, "status", StatusReport)
-        self.assertEqual([reply.name for reply in status.replies], ["i1"])
+        status = await self.get(deployment, "status", TierStatus)
+        self.assertEqual([reply.name for reply in status.instances], ["i1"])
 
     @trio_test_real_clock
     async def test_two_edits_of_one_version_conflict_and_both_are_shown(self):
--- a/ibisfront/tests/test_cli.py
+++ b/ibisfront/tests/test_cli.py
@@ -14,7 +14,7 @@
 import trio
 from cleo.testers.application_tester import ApplicationTester
 
-from ibisfront.adapters.admin import TableView
+from ibisfront.adapters.admin import InstanceStatus, TableView, TierStatus
 from ibisfront.adapters.http import Problem
 from ibisfront.cli.application import build_application
 from ibisfront.cli.exits import (
@@ -25,7 +25,6 @@
 )
 from ibisfront.cli.table_edits import EditOutcome, apply_edit
 from ibisfront.core.query import Answer
-from ibisfront.core.status import StatusReply, StatusReport
 from ibisfront.core.table import EditSummary, Purpose, Row, RowChange, Table
 from ibisfront.core.table_edit import EditAccepted, TableConflict
 from ibisfront.testing.deployment import ADMIN_TOKEN, Deployment, register_shape
@@ -199,7 +198,7 @@
 def status(*versions):
     """Return a status with a table version for each instance."""
     replies = tuple(
-        StatusReply(
+        InstanceStatus(
             name=f"i{number}",
             zone="z",
             table_version=version,
@@ -209,7 +208,7 @@
         )
         for number, version in enumerate(versions, 1)
     )
-    return StatusReport(replies, ())
+    return TierStatus(replies, ())
 
 
 ACCEPTED = EditAccepted("e", 8, HEAVIER)
