--- a/ibisfront/core/ledger.py
+++ b/ibisfront/core/ledger.py
@@ -49,6 +49,7 @@
 
 __all__ = ["Ledger"]
 
+_PROCESS_NAME_BYTES = 8
 _CLAIM_TIMEOUT_MS = 3_000.0
 _WITHDRAW_FOR_MS = 60_000.0
 _SETTLE_FOR_MS = 600_000.0
@@ -75,13 +76,14 @@
         The tier's clock.
     counters : Counters
         Where claims are counted.
+    process : str, optional
+        The name of this process, never used before; random if left out.
     """
 
     __slots__ = (
         "_attempts",
         "_clock",
         "_counters",
-        "_instance",
         "_nursery",
         "_peers",
         "_platform",
@@ -91,10 +93,15 @@
     )
 
     def __init__(
-        self, *, instance: str, run_once: RunOnce, clock: Clock, counters: Counters
+        self,
+        *,
+        instance: str,
+        run_once: RunOnce,
+        clock: Clock,
+        counters: Counters,
+        process: str = "",
     ) -> None:
-        self._instance = instance
-        self._process = secrets.token_hex(8)
+        self._process = process or secrets.token_hex(_PROCESS_NAME_BYTES)
         self._attempts = AttemptRegistry(instance=instance, process=self._process)
         self._run_once = run_once
         self._clock = clock
@@ -124,10 +131,16 @@
                 nursery=nursery,
                 clock=self._clock,
                 counters=self._counters,
-                seed=hash(self._process),
+                seed=self._process,
             )
             task_status.started()
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                # A caller's task may end later than this one. It must find
+                # the ledger closed, not a nursery that takes no more tasks.
+                self._writer = None
+                self._nursery = None
 
     async def perform(
         self, request: CallerRequest, purpose: Purpose, key: str
@@ -190,7 +203,7 @@
             return self._repeat(held, request, attempt.key)
         self._counters.add(CounterKind.CLAIMS, "claimed")
         run = ClaimedRun(request, purpose, attempt=attempt, clock=self._clock)
-        self._started_nursery().start_soon(self._execute, run)
+        self._start(run)
         with self._until_deadline(attempt):
             await attempt.ended.wait()
         return self._answer(attempt, request)
@@ -204,7 +217,7 @@
         """
         dead: ClaimRecord | None = None
         poll_ms = _FIRST_POLL_MS
-        found = await self._claim(attempt, dead=None)
+        found = await self._claim(attempt, dead=None, fresh=False)
         while found.attempt != attempt.attempt_id and not found.is_final:
             told = await self._ask(found.attempt)
             if told.is_dead:
@@ -222,7 +235,7 @@
         self, attempt: Attempt, dead: ClaimRecord | None
     ) -> ClaimRecord:
         try:
-            return await self._claim(attempt, dead=dead)
+            return await self._claim(attempt, dead=dead, fresh=True)
         except IbisfrontError as error:
             if error.kind is ErrorKind.CLAIM_UNAVAILABLE:
                 raise outcome_unknown(
@@ -264,7 +277,7 @@
             self._record(attempt, kept_record(outcome), for_ms=_SETTLE_FOR_MS)
 
     async def _claim(
-        self, attempt: Attempt, *, dead: ClaimRecord | None
+        self, attempt: Attempt, *, dead: ClaimRecord | None, fresh: bool
     ) -> ClaimRecord:
         """Claim a key for an attempt; return the record then in force.
 
@@ -274,6 +287,10 @@
             The attempt.
         dead : ClaimRecord or None
             A record whose attempt is proved dead, which may be replaced.
+        fresh : bool
+            Whether to read the object anew. A first claim may go by an old
+            copy of it, whose version its write then does not meet; a repeated
+            one waits for news that an old copy would never show.
 
         Raises
         ------
@@ -293,10 +310,6 @@
             results.append(result)
             done.set()
 
-        # A first claim may meet an old copy of the object: its write then
-        # fails. A repeated one must not go by an old copy, or it would wait
-        # for news that the copy never shows.
-        fresh = attempt.submitted
         attempt.submitted = True
         change = Change(attempt.key, decide, resolve, lambda: not attempt.is_active)
         writer.submit(change, fresh=fresh)
@@ -326,6 +339,7 @@
                 f"the ledger has no room for {key}: use a new key",
                 retry_after_ms=SLOT_MS,
             )
+        attempt.submitted = record.attempt == attempt.attempt_id
         if record.fingerprint != attempt.fingerprint:
             raise self._key_reused(attempt.key)
         return record
@@ -431,9 +445,13 @@
             )
         return writer
 
-    def _started_nursery(self) -> trio.Nursery:
-        assert self._nursery is not None, "run() has started: a claim was written"
-        return self._nursery
+    def _start(self, run: ClaimedRun) -> None:
+        if self._nursery is None:
+            raise IbisfrontError(
+                ErrorKind.CLAIM_UNAVAILABLE,
+                f"this instance has stopped before {run.attempt.key.text} was sent",
+            )
+        self._nursery.start_soon(self._execute, run)
 
     def _until_deadline(self, waiting: Attempt | CallerRequest) -> trio.CancelScope:
         return self._clock.timeout_ms(waiting.deadline_at_ms - self._clock.now_ms())
--- a/ibisfront/core/ledger_writer.py
+++ b/ibisfront/core/ledger_writer.py
@@ -119,7 +119,7 @@
         The tier's clock.
     counters : Counters
         Where writes are counted.
-    seed : int
+    seed : str
         Of the jitter between retries.
 
     Attributes
@@ -147,7 +147,7 @@
         nursery: trio.Nursery,
         clock: Clock,
         counters: Counters,
-        seed: int,
+        seed: str,
     ) -> None:
         self._platform = platform
         self._nursery = nursery
@@ -201,10 +201,9 @@
     async def _commit(self, lane: _Lane) -> bool:
         """Bring one batch into force; return False if the platform failed."""
         try:
-            if lane.view is None:
-                lane.view = await read_bucket(self._platform, lane.name)
             await self._clock.sleep_ms(self._jittered(lane.gap_ms))
-            await self._write_batch(lane, lane.view)
+            view = lane.view or await read_bucket(self._platform, lane.name)
+            await self._write_batch(lane, view)
         except WriteConflict:
             self._note_conflict(lane)
         except IbisfrontError as error:
@@ -214,6 +213,7 @@
         return True
 
     async def _write_batch(self, lane: _Lane, view: BucketView) -> None:
+        lane.view = view
         batch = lane.pending[:BATCH_LIMIT]
         plan = plan_changes(view.bucket, batch, size_bytes=view.size_bytes)
         if plan.value_json is not None:
--- /dev/null
+++ b/properties/ledger_histories.py
@@ -0,0 +1,350 @@
+"""Histories of copies, crashes, pauses, lost writes and cuts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+import trio.testing
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from ibisfront.core.errors import Ran
+from ibisfront.core.ledger_bucket import RING_SLOTS, SLOT_MS
+from ibisfront.testing.backend_types import BackendFaults, CrashPoint
+from ibisfront.testing.ledger_world import (
+    WALL_START_MS,
+    LedgerWorld,
+    key_of_first_bucket,
+)
+from ibisfront.testing.platform_types import Outage, PlatformFaults
+
+__all__ = [
+    "BackendRules",
+    "ClockRules",
+    "CopyRules",
+    "CutRules",
+    "History",
+    "LedgerHistory",
+    "PlatformRules",
+    "ProcessRules",
+    "run_history",
+]
+
+INSTANCES = 3
+KEYS = 2
+QUIET_MS = 30_000.0
+PROBED_MS = 15_000.0  # by then each instance has noticed that the platform serves
+MARKER = "crash"
+RING_MS = float(RING_SLOTS * SLOT_MS)
+
+_PLATFORM_FAULTS = {
+    "answers lost": PlatformFaults(lose_answers_fraction=0.5),
+    "requests lost": PlatformFaults(lose_requests_fraction=0.5),
+    "late writes": PlatformFaults(late_writes_fraction=0.5, late_write_ms=300.0),
+    "very late writes": PlatformFaults(late_writes_fraction=0.5, late_write_ms=9e3),
+    "slow": PlatformFaults(slow_ms=800.0),
+    "stale": PlatformFaults(stale_revisions=2),
+    "refusing": PlatformFaults(outage=Outage.REFUSE),
+    "hanging": PlatformFaults(outage=Outage.HANG),
+}
+_BACKEND_FAULTS = {
+    "shedding": BackendFaults(shedding=True),
+    "draining": BackendFaults(draining=True),
+    "answers lost": BackendFaults(lose_answer_fraction=0.5),
+    "failing": BackendFaults(fail_fraction=0.5),
+    "late answers": BackendFaults(late_answer_fraction=0.5, late_answer_ms=1e3),
+    "crash before": BackendFaults(
+        crash_marker='"key"', crash_point=CrashPoint.BEFORE_RUNNING
+    ),
+    "crash after": BackendFaults(
+        crash_marker='"key"', crash_point=CrashPoint.AFTER_RUNNING
+    ),
+}
+
+Step = Callable[["Scene"], None]
+
+_instances = st.integers(0, INSTANCES - 1)
+_keys = st.integers(0, KEYS - 1)
+_deadlines_ms = st.sampled_from([8.0, 25.0, 80.0, 400.0, 2_000.0, 8_000.0])
+_whiles_ms = st.sampled_from([20.0, 200.0, 3_000.0, 20_000.0])
+
+
+class Scene:
+    """One history as it runs."""
+
+    def __init__(self, nursery, seed):
+        self.world = LedgerWorld(nursery, seed=seed, instances=INSTANCES)
+        self.keys = [
+            key_of_first_bucket(number, wall_ms=WALL_START_MS) for number in range(KEYS)
+        ]
+
+    def new_key(self, after_ms):
+        """Return a key of the first bucket that no step has used yet."""
+        wall_ms = WALL_START_MS + after_ms
+        return key_of_first_bucket(len(self.world.copies) + KEYS, wall_ms=wall_ms)
+
+    def later(self, wait_ms, undo):
+        """Call a function after a while."""
+
+        async def run():
+            await self.world.clock.sleep_ms(wait_ms)
+            undo()
+
+        self.world.nursery.start_soon(run)
+
+    def send(self, instance, key, *, deadline_ms, body=None):
+        """Send a copy."""
+        self.world.send_copy(instance, key, deadline_ms=deadline_ms, body=body)
+
+    def send_new(self):
+        """Send the first copy of a new key to the first instance."""
+        world = self.world
+        world.nodes[0].skew_ms = 0.0
+        key = self.new_key(world.clock.now_ms() - world.start_ms)
+        return world.send_copy(0, key, deadline_ms=5_000.0)
+
+    def heal(self):
+        """End every fault."""
+        world = self.world
+        world.network.mend()
+        world.refused_connections_fraction = 0.0
+        world.connect_ms = 0.0
+        world.platform.set_faults(PlatformFaults())
+        for backend in world.backends.values():
+            backend.set_faults(BackendFaults())
+        for node in world.nodes:
+            node.is_cut_off = False
+            node.resume()
+
+    def check(self):
+        """Check that the history broke no promise."""
+        world = self.world
+        for key in {copy.key for copy in world.copies}:
+            runs = world.runs_of_key(key)
+            assert runs <= 1, f"{key} ran {runs} times"
+        for copy in world.copies:
+            if copy.ran is Ran.NO:
+                assert world.runs_of_copy(copy) == 0, f"{copy} ran after all"
+            if copy.ran is Ran.YES:
+                assert world.runs_of_key(copy.key) == 1, f"{copy} did not run"
+
+
+def run_history(seed, steps):
+    """Run the steps of a history, heal all, send each key again, and check."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            scene = Scene(nursery, seed)
+            for wait_ms, step in steps:
+                step(scene)
+                await scene.world.clock.sleep_ms(wait_ms)
+            await scene.world.clock.sleep_ms(QUIET_MS)
+            scene.heal()
+            await scene.world.clock.sleep_ms(PROBED_MS)
+            for instance, key in enumerate([*scene.keys, scene.keys[0]]):
+                scene.send(instance, key, deadline_ms=5_000.0)
+            last = scene.send_new()
+            await scene.world.clock.sleep_ms(QUIET_MS)
+            scene.check()
+            assert last.ran is Ran.YES, f"{last} did not run with all faults healed"
+            nursery.cancel_scope.cancel()
+
+    _make_scheduling_repeatable(seed)
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
+def _make_scheduling_repeatable(seed):
+    """Let trio pick the same order of tasks in each run of a seed.
+
+    Trio shuffles the tasks that are ready, from its own source of random
+    numbers; without this a failing history could not be run again.
+    """
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+
+
+class History(RuleBasedStateMachine):
+    """Builds a history rule by rule and runs it at the end."""
+
+    def __init__(self):
+        super().__init__()
+        self.seed = 0
+        self.steps = []
+
+    @initialize(seed=st.integers(0, 1 << 20))
+    def begin(self, seed):
+        self.seed = seed
+
+    def teardown(self):
+        run_history(self.seed, self.steps)
+
+    def add(self, step: Step, wait_ms=0.0):
+        """Add a step to the history."""
+        self.steps.append((wait_ms, step))
+
+
+class CopyRules:
+    """Callers send copies, and may go away."""
+
+    @rule(
+        instance=_instances,
+        key=_keys,
+        deadline_ms=_deadlines_ms,
+        wait_ms=st.sampled_from([0.0, 1.0, 5.0, 20.0, 100.0, 1_000.0]),
+    )
+    def copy(self, instance, key, deadline_ms, wait_ms):
+        self.add(
+            lambda scene: scene.send(
+                instance, scene.keys[key], deadline_ms=deadline_ms
+            ),
+            wait_ms,
+        )
+
+    @rule(
+        key=_keys,
+        deadline_ms=_deadlines_ms,
+        gap_ms=st.sampled_from([0.0, 4.0, 30.0, 300.0]),
+    )
+    def copies_everywhere(self, key, deadline_ms, gap_ms):
+        for instance in range(INSTANCES):
+            self.copy(instance, key, deadline_ms, gap_ms)
+
+    @rule(instance=_instances, key=_keys)
+    def other_body(self, instance, key):
+        def step(scene):
+            name = scene.keys[key]
+            scene.send(
+                instance, name, deadline_ms=400.0, body={"key": name, "other": 1}
+            )
+
+        self.add(step)
+
+    @rule(wait_ms=st.sampled_from([2.0, 50.0, 500.0, 5_000.0]))
+    def wait(self, wait_ms):
+        self.add(lambda scene: None, wait_ms)
+
+    @rule(number=st.integers(0, 5))
+    def disconnect(self, number):
+        def step(scene):
+            copies = scene.world.copies
+            if number < len(copies):
+                scene.world.disconnect(copies[-1 - number])
+
+        self.add(step)
+
+
+class ProcessRules:
+    """Instances are killed and paused."""
+
+    @rule(instance=_instances)
+    def kill(self, instance):
+        self.add(lambda scene: scene.world.restart(instance))
+
+    @rule(instance=_instances, while_ms=_whiles_ms)
+    def pause(self, instance, while_ms):
+        def step(scene):
+            node = scene.world.nodes[instance]
+            node.pause()
+            scene.later(while_ms, node.resume)
+
+        self.add(step)
+
+
+class CutRules:
+    """Instances are cut off from the platform and from each other."""
+
+    @rule(instance=_instances, while_ms=_whiles_ms)
+    def cut_off_platform(self, instance, while_ms):
+        def step(scene):
+            node = scene.world.nodes[instance]
+            node.is_cut_off = True
+            scene.later(while_ms, lambda: setattr(node, "is_cut_off", False))
+
+        self.add(step)
+
+    @rule(instance=_instances, while_ms=_whiles_ms)
+    def cut_off_peers(self, instance, while_ms):
+        def step(scene):
+            for other in range(INSTANCES):
+                scene.world.network.cut(f"i{instance + 1}", f"i{other + 1}")
+            scene.later(while_ms, scene.world.network.mend)
+
+        self.add(step)
+
+
+class PlatformRules:
+    """The platform loses calls, answers late, or is out."""
+
+    @rule(fault=st.sampled_from(sorted(_PLATFORM_FAULTS)), while_ms=_whiles_ms)
+    def platform_fault(self, fault, while_ms):
+        def step(scene):
+            platform = scene.world.platform
+            platform.set_faults(_PLATFORM_FAULTS[fault])
+            scene.later(while_ms, lambda: platform.set_faults(PlatformFaults()))
+
+        self.add(step)
+
+
+class BackendRules:
+    """Backend servers refuse, fail, crash and lose answers."""
+
+    @rule(fault=st.sampled_from(sorted(_BACKEND_FAULTS)), while_ms=_whiles_ms)
+    def backend_fault(self, fault, while_ms):
+        def step(scene):
+            for backend in scene.world.backends.values():
+                backend.set_faults(_BACKEND_FAULTS[fault])
+                scene.later(
+                    while_ms, lambda item=backend: item.set_faults(BackendFaults())
+                )
+
+        self.add(step)
+
+    @rule(
+        fraction=st.sampled_from([0.0, 0.5, 1.0]),
+        connect_ms=st.sampled_from([0.0, 20.0, 80.0, 450.0]),
+    )
+    def connections(self, fraction, connect_ms):
+        """Let connections be refused, or take long to open."""
+
+        def step(scene):
+            scene.world.refused_connections_fraction = fraction
+            scene.world.connect_ms = connect_ms
+
+        self.add(step)
+
+
+class ClockRules:
+    """The ledger's ring comes round, and clocks differ."""
+
+    @rule(instance=_instances, slow=_instances, key=_keys)
+    def ring_comes_round(self, instance, slow, key):
+        """Let the ledger's ring come round; one instance's clock is slow.
+
+        The slow instance still accepts an old key.
+        """
+
+        def step(scene):
+            world = scene.world
+            after_ms = world.clock.now_ms() - world.start_ms
+            world.nodes[slow].skew_ms = -after_ms
+            if instance != slow:
+                world.nodes[instance].skew_ms = 0.0
+                newer = scene.new_key(RING_MS)
+                scene.send(instance, newer, deadline_ms=2_000.0)
+
+        self.add(lambda scene: None, RING_MS)
+        self.add(step, 500.0)
+        self.copy(slow, key, 2_000.0, 0.0)
+
+
+class LedgerHistory(
+    CopyRules,
+    ProcessRules,
+    CutRules,
+    PlatformRules,
+    BackendRules,
+    ClockRules,
+    History,
+):
+    """Every rule together."""
--- /dev/null
+++ b/properties/ledger_variants.py
@@ -0,0 +1,235 @@
+"""Broken variants of the ledger; the state machine must find each fault."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from contextlib import AbstractContextManager, ExitStack
+from unittest.mock import patch
+
+import msgspec
+import trio
+
+from ibisfront.core import claimed_run, ledger, ledger_bucket, ledger_messages
+from ibisfront.core.attempts import Attempt, AttemptRegistry, AttemptState
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.ledger_bucket import ChangeResult
+from ibisfront.core.ledger_messages import AttemptAnswer
+from ibisfront.core.ledger_writer import LedgerWriter
+from ibisfront.core.query import SubRequestError
+from ibisfront.testing import ledger_world
+from properties.ledger_histories import (
+    BackendRules,
+    ClockRules,
+    CopyRules,
+    CutRules,
+    History,
+    PlatformRules,
+    ProcessRules,
+)
+
+__all__ = ["VARIANTS", "Variant"]
+
+
+def claim_after_send():
+    """Send first, and claim once it has run."""
+
+    async def claim_until_held(self, attempt):
+        attempt.submitted = True
+        return attempt.record()
+
+    return patch.object(ledger.Ledger, "_claim_until_held", claim_until_held)
+
+
+def trust_lost_write_as_failed():
+    """Tell others that a claim failed when only the write's answer was lost."""
+    lost = set()
+    note_failure = LedgerWriter._note_failure
+    attempt_answer = ledger_messages.attempt_answer
+
+    def note(self, lane, error):
+        if error.kind is ErrorKind.WRITE_UNKNOWN:
+            lost.update(change.key.text for change in lane.pending)
+        note_failure(self, lane, error)
+
+    def answer(attempt):
+        is_open = attempt is not None and attempt.state is AttemptState.OPEN
+        if is_open and attempt.key.text in lost:
+            return AttemptAnswer(AttemptState.DROPPED)
+        return attempt_answer(attempt)
+
+    return _patches(
+        patch.object(LedgerWriter, "_note_failure", note),
+        patch.object(ledger, "attempt_answer", answer),
+    )
+
+
+def trust_lost_write_as_done():
+    """Send when the claim's write has no answer."""
+    note_failure = LedgerWriter._note_failure
+
+    def note(self, lane, error):
+        note_failure(self, lane, error)
+        if error.kind is ErrorKind.WRITE_UNKNOWN:
+            pending, lane.pending = lane.pending, []
+            for change in pending:
+                change.resolve(ChangeResult(change.decide(None)))
+
+    return patch.object(LedgerWriter, "_note_failure", note)
+
+
+def recreate_after_expiry():
+    """Take a key older than the object's slot for a new one."""
+
+    def apply(bucket, change, size_bytes):
+        decided = change.decide(bucket.records.get(change.key.text))
+        if decided is not None:
+            bucket.records[change.key.text] = decided
+        return ChangeResult(decided)
+
+    return patch.object(ledger_bucket, "_apply", apply)
+
+
+def send_after_refusal():
+    """Refuse a copy whose claim is slow, and let the claim go on."""
+    claim_and_run = ledger.Ledger._claim_and_run
+
+    async def refuse_when_slow(self, attempt, request, purpose):
+        answers = []
+        ended = trio.Event()
+
+        async def go_on():
+            try:
+                answers.append(await claim_and_run(self, attempt, request, purpose))
+            except IbisfrontError as error:
+                answers.append(error)
+            ended.set()
+
+        self._nursery.start_soon(go_on)
+        left_ms = attempt.deadline_at_ms - self._clock.now_ms()
+        with self._clock.timeout_ms(left_ms / 2):
+            await ended.wait()
+        if not answers and attempt.state is AttemptState.OPEN:
+            raise IbisfrontError(ErrorKind.CLAIM_UNAVAILABLE, "the claim is slow")
+        await ended.wait()
+        if isinstance(answers[0], IbisfrontError):
+            raise answers[0]
+        return answers[0]
+
+    return _patches(
+        patch.object(ledger.Ledger, "_claim_and_run", refuse_when_slow),
+        patch.object(ledger.Ledger, "_let_go", lambda self, attempt: None),
+    )
+
+
+def send_late():
+    """Send after the deadline, with the budget that was left before it."""
+    exchange = ledger_world.FakeConnection.exchange
+
+    def start_send(self, *, now_ms):
+        self.state = AttemptState.SENT
+        return True
+
+    async def exchange_late(self, work, sub_request):
+        late = msgspec.structs.replace(sub_request, deadline_at_ms=math.inf)
+        return await exchange(self, work, late)
+
+    return _patches(
+        patch.object(Attempt, "start_send", start_send),
+        patch.object(ledger_world.FakeConnection, "exchange", exchange_late),
+    )
+
+
+def retry_on_reset():
+    """Try another server when the connection breaks after the send."""
+    try_servers = claimed_run._try_servers
+
+    async def try_again(run, run_once):
+        async def run_once_or_again(asked):
+            try:
+                return await run_once(asked)
+            except SubRequestError as error:
+                raise SubRequestError(error.reason, not_run=True) from error
+
+        return await try_servers(run, run_once_or_again)
+
+    return patch.object(claimed_run, "_try_servers", try_again)
+
+
+def take_over_from_the_silent():
+    """Take over the claim of an instance that does not answer."""
+
+    def is_dead(self):
+        return self.state is None or self.state is AttemptState.DROPPED
+
+    return patch.object(AttemptAnswer, "is_dead", property(is_dead))
+
+
+def forget_the_process():
+    """Let a restarted instance speak for the process before it."""
+
+    def init(self, *, instance, process):
+        original(self, instance=instance, process="")
+
+    original = AttemptRegistry.__init__
+    return patch.object(AttemptRegistry, "__init__", init)
+
+
+def write_without_condition():
+    """Replace whatever version of the object is there."""
+    write_batch = LedgerWriter._write_batch
+
+    class Unconditional:
+        def __init__(self, platform):
+            self._platform = platform
+
+        async def get(self, kind, name):
+            return await self._platform.get(kind, name)
+
+        async def put(self, kind, name, value_json, *, if_version):
+            found = await self._platform.get(kind, name)
+            version = None if found is None else found.version
+            return await self._platform.put(kind, name, value_json, if_version=version)
+
+    async def write(self, lane, view):
+        if not isinstance(self._platform, Unconditional):
+            self._platform = Unconditional(self._platform)
+        await write_batch(self, lane, view)
+
+    return patch.object(LedgerWriter, "_write_batch", write)
+
+
+def _patches(*items):
+    stack = ExitStack()
+    for item in items:
+        stack.enter_context(item)
+    return stack
+
+
+class Variant(msgspec.Struct, frozen=True):
+    """A broken variant, and the rules that can bring its fault out.
+
+    The other rules only make the search longer; the whole machine has them.
+    """
+
+    breaks: Callable[[], AbstractContextManager[object]]
+    rules: tuple[type, ...]
+
+    @property
+    def machine(self):
+        """The state machine of these rules."""
+        return type("VariantHistory", (CopyRules, *self.rules, History), {})
+
+
+VARIANTS = (
+    Variant(claim_after_send, ()),
+    Variant(trust_lost_write_as_failed, (PlatformRules,)),
+    Variant(trust_lost_write_as_done, (PlatformRules,)),
+    Variant(recreate_after_expiry, (ClockRules,)),
+    Variant(send_after_refusal, ()),
+    Variant(retry_on_reset, (BackendRules,)),
+    Variant(take_over_from_the_silent, (CutRules,)),
+    Variant(forget_the_process, (ProcessRules,)),
+    Variant(write_without_condition, ()),
+    Variant(send_late, (BackendRules, ProcessRules)),
+)
