Ask the instance of an attempt what became of it, over the peers

The messages join the codec's closed list. A leaving instance first writes the outcomes that it knows, within the bound of its leaving hooks.

--- a/ibisfront/adapters/peer_codec.py
+++ b/ibisfront/adapters/peer_codec.py
@@ -11,6 +11,7 @@
 
 from ibisfront.core.heartbeat import Heartbeat
 from ibisfront.core.hello import Hello
+from ibisfront.core.ledger_messages import AttemptAnswer, AttemptQuestion
 from ibisfront.core.membership import MemberNews, ViewsCompared
 from ibisfront.core.peers import PeerMessage
 from ibisfront.core.quarantine import CrashSeen
@@ -38,6 +39,8 @@
     | CrashSeen
     | StatusRequest
     | StatusReply
+    | AttemptQuestion
+    | AttemptAnswer
 )
 
 
--- a/ibisfront/core/ledger.py
+++ b/ibisfront/core/ledger.py
@@ -142,6 +142,11 @@
                 self._writer = None
                 self._nursery = None
 
+    async def finish(self) -> None:
+        """Wait until every outcome known here is written."""
+        if self._writer is not None:
+            await self._writer.wait_written()
+
     async def perform(
         self, request: CallerRequest, purpose: Purpose, key: str
     ) -> PerformAnswer:
--- a/ibisfront/core/ledger_writer.py
+++ b/ibisfront/core/ledger_writer.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
+import trio
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.errors import ErrorKind, IbisfrontError
@@ -21,8 +22,6 @@
 from ibisfront.core.objects import ObjectKind, VersionedObject, WriteConflict
 
 if TYPE_CHECKING:
-    import trio
-
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.core.ledger_bucket import Change
@@ -133,6 +132,7 @@
         "_clock",
         "_counters",
         "_failures",
+        "_lane_ended",
         "_lanes",
         "_nursery",
         "_platform",
@@ -156,6 +156,7 @@
         self._random = random.Random(seed)
         self._lanes: OrderedDict[str, _Lane] = OrderedDict()
         self._failures = 0
+        self._lane_ended = trio.Event()
         self.is_platform_out = False
 
     def submit(self, change: Change, *, fresh: bool = False) -> None:
@@ -176,6 +177,11 @@
             lane.is_running = True
             self._nursery.start_soon(self._run_lane, lane)
 
+    async def wait_written(self) -> None:
+        """Wait until no change waits."""
+        while any(lane.is_running for lane in self._lanes.values()):
+            await self._lane_ended.wait()
+
     def _lane(self, name: str) -> _Lane:
         lane = self._lanes.setdefault(name, _Lane(name))
         self._lanes.move_to_end(name)
@@ -197,6 +203,8 @@
                 backoff_ms = min(2 * backoff_ms, _MAXIMUM_BACKOFF_MS)
         finally:
             lane.is_running = False
+            self._lane_ended.set()
+            self._lane_ended = trio.Event()
 
     async def _commit(self, lane: _Lane) -> bool:
         """Bring one batch into force; return False if the platform failed."""
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -117,6 +117,8 @@
             clock=clock,
             counters=self.counters,
         )
+        self.ledger.use_peers(self.peers)
+        self.stopping.on_leaving(self.ledger.finish)
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
--- a/ibisfront/testing/ledger_world.py
+++ b/ibisfront/testing/ledger_world.py
@@ -269,6 +269,10 @@
         await node.step()
         return _sub_reply(reply)
 
+    async def probe(self) -> bool:
+        """Return whether the server answers."""
+        return True
+
     def is_usable(self) -> bool:
         """Return whether another exchange may start."""
         return True
