--- a/ibisfront/testing/ledger_world.py
+++ b/ibisfront/testing/ledger_world.py
@@ -312,7 +312,7 @@
             )
             for port in (1, 2)
         }
-        self.catalogue = Catalogue(_store_of(self.backends))
+        self.catalogue = _catalogue_of(self.backends)
         self.copies: list[CopyAnswer] = []
         self._scopes: dict[str, trio.CancelScope] = {}
         self._processes = 0
@@ -424,15 +424,16 @@
             return key
 
 
-def _store_of(backends: dict[str, FakeBackend]) -> ObjectStore:
+def _catalogue_of(backends: dict[str, FakeBackend]) -> Catalogue:
     servers = tuple(
         BackendServer(backend.name, address, "z1")
         for address, backend in backends.items()
     )
     value_json = msgspec.json.encode(Service(servers))
     store = ObjectStore()
+    catalogue = Catalogue(store)
     store.merge([VersionedObject(ObjectKind.SERVICE, _SERVICE, 1, value_json)])
-    return store
+    return catalogue
 
 
 def _sub_reply(reply: BackendReply) -> SubReply:
