--- a/ibisfront/core/ledger.py
+++ b/ibisfront/core/ledger.py
@@ -196,7 +196,7 @@
             raise outcome_unknown(
                 key,
                 "the last claimed copy did not run, but another may be on its way;"
-                " send the request again with the same key, or revoke the key",
+                " send the request again with the same key",
             )
         return answer_of(record, request_id="", key=parsed.text, repeated=True)
 
@@ -412,6 +412,7 @@
                     decide,
                     lambda result: None,
                     lambda: self._clock.now_ms() > until_ms,
+                    is_urgent=False,
                 )
             )
 
--- a/ibisfront/core/ledger_bucket.py
+++ b/ibisfront/core/ledger_bucket.py
@@ -113,12 +113,15 @@
         Called with the result once it is in force.
     is_abandoned : callable
         Returns whether nobody needs it any more.
+    is_urgent : bool
+        Whether a caller waits for it.
     """
 
     key: IdempotencyKey
     decide: Decide
     resolve: Callable[[ChangeResult], None]
     is_abandoned: Callable[[], bool]
+    is_urgent: bool = True
 
 
 class BucketPlan(msgspec.Struct, frozen=True):
--- a/ibisfront/core/ledger_writer.py
+++ b/ibisfront/core/ledger_writer.py
@@ -34,9 +34,12 @@
 _KEPT_LANES = 64
 _FIRST_BACKOFF_MS = 20.0
 _MAXIMUM_BACKOFF_MS = 2_000.0
-_MAXIMUM_GAP_MS = 200.0
+_MAXIMUM_GAP_MS = 400.0
 _GAP_STEP_MS = 5.0
+_GAP_EASE_MS = 0.5
+_RIDE_WAIT_MS = 400.0
 _FAILURES_OF_AN_OUTAGE = 3
+_SILENCE_OF_AN_OUTAGE_MS = 1_000.0
 _FIRST_PROBE_MS = 500.0
 _MAXIMUM_PROBE_MS = 5_000.0
 _PROBED_NAME = "000-00"
@@ -90,7 +93,7 @@
 class _Lane:
     """The changes of one object that wait, and what is known of the object."""
 
-    __slots__ = ("gap_ms", "is_running", "name", "pending", "view")
+    __slots__ = ("gap_ms", "is_running", "name", "pending", "urgent_came", "view")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -98,6 +101,18 @@
         self.view: BucketView | None = None
         self.is_running = False
         self.gap_ms = 0.0
+        self.urgent_came = trio.Event()
+
+    def add(self, change: Change) -> None:
+        """Queue a change."""
+        self.pending.append(change)
+        if change.is_urgent:
+            self.urgent_came.set()
+
+    def has_urgent(self) -> bool:
+        """Return whether somebody waits for a change."""
+        self.urgent_came = trio.Event()
+        return any(change.is_urgent for change in self.pending)
 
     def drop_abandoned(self) -> bool:
         """Forget the changes that nobody needs; return whether others wait."""
@@ -129,9 +144,11 @@
     """
 
     __slots__ = (
+        "_answered_at_ms",
         "_clock",
         "_counters",
         "_failures",
+        "_gap_ms",
         "_lane_ended",
         "_lanes",
         "_nursery",
@@ -156,6 +173,8 @@
         self._random = random.Random(seed)
         self._lanes: OrderedDict[str, _Lane] = OrderedDict()
         self._failures = 0
+        self._answered_at_ms = clock.now_ms()
+        self._gap_ms = 0.0
         self._lane_ended = trio.Event()
         self.is_platform_out = False
 
@@ -172,13 +191,15 @@
         lane = self._lane(bucket_name(change.key))
         if fresh:
             lane.view = None
-        lane.pending.append(change)
+        lane.add(change)
         if not lane.is_running:
             lane.is_running = True
             self._nursery.start_soon(self._run_lane, lane)
 
     async def wait_written(self) -> None:
-        """Wait until no change waits."""
+        """Wait until no change waits; outcomes no longer wait for company."""
+        for lane in self._lanes.values():
+            lane.urgent_came.set()
         while any(lane.is_running for lane in self._lanes.values()):
             await self._lane_ended.wait()
 
@@ -209,7 +230,7 @@
     async def _commit(self, lane: _Lane) -> bool:
         """Bring one batch into force; return False if the platform failed."""
         try:
-            await self._clock.sleep_ms(self._jittered(lane.gap_ms))
+            await self._wait_for_company(lane)
             view = lane.view or await read_bucket(self._platform, lane.name)
             await self._write_batch(lane, view)
         except WriteConflict:
@@ -217,9 +238,22 @@
         except IbisfrontError as error:
             self._note_failure(lane, error)
             return False
-        self._note_success()
         return True
 
+    async def _wait_for_company(self, lane: _Lane) -> None:
+        """Let more changes join the next write.
+
+        An outcome is in no hurry: its instance tells it to whoever asks. It
+        rides with the next claim, or is written alone after a while, so that
+        under load a request costs less than two writes.
+        """
+        if not lane.has_urgent():
+            with self._clock.timeout_ms(self._jittered(_RIDE_WAIT_MS)):
+                await lane.urgent_came.wait()
+        gap_ms = lane.gap_ms + self._gap_ms
+        if gap_ms > 0:
+            await self._clock.sleep_ms(self._jittered(gap_ms))
+
     async def _write_batch(self, lane: _Lane, view: BucketView) -> None:
         lane.view = view
         batch = lane.pending[:BATCH_LIMIT]
@@ -237,8 +271,10 @@
                 plan.value_json,
                 if_version=view.version,
             )
+            self._note_success()
             lane.view = BucketView(version, plan.bucket, len(plan.value_json))
             lane.gap_ms = max(0.0, lane.gap_ms - _GAP_STEP_MS)
+            self._gap_ms = max(0.0, self._gap_ms - _GAP_EASE_MS)
             self._counters.add(CounterKind.CLAIMS, "group_writes")
             self._counters.add(CounterKind.CLAIMS, "changes_written", len(batch))
         del lane.pending[: len(batch)]
@@ -249,6 +285,7 @@
         # Another instance writes the same object. To write less often lets
         # more changes join each write, so that two instances that share an
         # object do not keep failing each other's writes.
+        self._note_success()
         lane.view = None
         lane.gap_ms = min(max(2 * lane.gap_ms, _GAP_STEP_MS), _MAXIMUM_GAP_MS)
         self._counters.add(CounterKind.CLAIMS, "write_conflicts")
@@ -256,14 +293,23 @@
     def _note_failure(self, lane: _Lane, error: IbisfrontError) -> None:
         lane.view = None
         self._failures += 1
+        # A platform over its rate refuses some writes and takes others. Fewer,
+        # larger writes are the cure; to refuse claims would not be one.
+        self._gap_ms = min(max(2 * self._gap_ms, _GAP_STEP_MS), _MAXIMUM_GAP_MS)
         self._counters.add(CounterKind.CLAIMS, f"failed_{error.kind.value}")
-        if self._failures >= _FAILURES_OF_AN_OUTAGE and not self.is_platform_out:
+        silent_ms = self._clock.now_ms() - self._answered_at_ms
+        is_out = (
+            self._failures >= _FAILURES_OF_AN_OUTAGE
+            and silent_ms >= _SILENCE_OF_AN_OUTAGE_MS
+        )
+        if is_out and not self.is_platform_out:
             self.is_platform_out = True
             _LOG.warning("The platform does not answer; new claims are refused.")
             self._nursery.start_soon(self._probe)
 
     def _note_success(self) -> None:
         self._failures = 0
+        self._answered_at_ms = self._clock.now_ms()
         if self.is_platform_out:
             self.is_platform_out = False
             _LOG.info("The platform answers again; claims are taken.")
--- /dev/null
+++ b/ibisfront/tests/test_ledger.py
@@ -0,0 +1,259 @@
+"""Tests of the ledger in one process, under the mock clock."""
+
+from __future__ import annotations
+
+import functools
+import unittest
+
+import msgspec
+import trio
+import trio.testing
+
+from ibisfront.core.attempts import Attempt
+from ibisfront.core.claim import AttemptId, ClaimRecord, ClaimState
+from ibisfront.core.errors import IbisfrontError, Ran
+from ibisfront.core.idempotency_key import make_key, parse_key
+from ibisfront.core.ledger_bucket import (
+    FULL_BYTES,
+    LARGE_BYTES,
+    RING_SLOTS,
+    SLOT_MS,
+    Bucket,
+    Change,
+    plan_changes,
+)
+from ibisfront.testing.backend_types import BackendFaults
+from ibisfront.testing.ledger_world import (
+    WALL_START_MS,
+    LedgerWorld,
+    key_of_first_bucket,
+)
+from ibisfront.testing.platform_types import Outage, PlatformFaults
+
+KEY = key_of_first_bucket(0, wall_ms=WALL_START_MS)
+PLENTY_MS = 5_000.0
+
+
+def world_test(test):
+    """Run a test with a world of three instances, under the mock clock."""
+
+    @functools.wraps(test)
+    def run(self):
+        async def main():
+            async with trio.open_nursery() as nursery:
+                world = LedgerWorld(nursery, seed=6)
+                await world.clock.sleep_ms(1.0)
+                await test(self, world)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+    return run
+
+
+class LedgerTest(unittest.TestCase):
+    """Claims, copies and refusals."""
+
+    @world_test
+    async def test_one_write_claims_all_that_arrived_meanwhile(self, world):
+        world.platform.set_faults(PlatformFaults(slow_ms=40.0))
+        for number in range(50):
+            key = key_of_first_bucket(number, wall_ms=WALL_START_MS)
+            world.send_copy(0, key, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        told = {copy.ran for copy in world.copies}
+        self.assertEqual(told, {Ran.YES})
+        self.assertLess(world.platform.state().writes.total, 20)
+
+    @world_test
+    async def test_a_copy_elsewhere_waits_for_the_first_ones_answer(self, world):
+        for backend in world.backends.values():
+            backend.set_faults(
+                BackendFaults(straggle_fraction=1.0, straggle_factor=200.0)
+            )
+        first = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(300.0)
+        second = world.send_copy(1, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual((first.ran, second.ran), (Ran.YES, Ran.YES))
+        self.assertEqual(first.result, second.result)
+        self.assertEqual(world.runs_of_key(KEY), 1)
+
+    @world_test
+    async def test_the_same_key_with_another_body_is_refused(self, world):
+        world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        body = {"key": KEY, "other": 1}
+        for number in (0, 1):
+            copy = world.send_copy(number, KEY, deadline_ms=PLENTY_MS, body=body)
+            await world.clock.sleep_ms(PLENTY_MS)
+            self.assertEqual((copy.code, copy.ran), ("key_reused", Ran.NO))
+
+    @world_test
+    async def test_an_outage_is_answered_at_once(self, world):
+        """Every request of a cut-off zone waits for its whole deadline.
+
+        The platform is out, so that no claim can be written. Each caller
+        waits seconds for a refusal that could have been given at once.
+        """
+        world.platform.set_faults(PlatformFaults(outage=Outage.REFUSE))
+        world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        copy = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(1.0)
+        self.assertEqual((copy.code, copy.ran), ("claim_unavailable", Ran.NO))
+        world.platform.set_faults(PlatformFaults())
+        await world.clock.sleep_ms(20_000.0)
+        copy = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual(copy.ran, Ran.YES)
+
+    @world_test
+    async def test_a_caller_that_goes_away_before_the_send_runs_nothing(self, world):
+        world.connect_ms = 300.0
+        first = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(200.0)
+        world.disconnect(first)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual(world.runs_of_key(KEY), 0)
+        world.connect_ms = 0.0
+        second = world.send_copy(1, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual(second.ran, Ran.YES)
+
+    @world_test
+    async def test_a_caller_that_goes_away_after_the_send_leaves_the_answer(
+        self, world
+    ):
+        for backend in world.backends.values():
+            backend.set_faults(
+                BackendFaults(late_answer_fraction=1.0, late_answer_ms=1_500.0)
+            )
+        first = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(1_000.0)
+        self.assertEqual(world.runs_of_key(KEY), 1)
+        world.disconnect(first)
+        second = world.send_copy(2, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual(second.ran, Ran.YES)
+        self.assertEqual(world.runs_of_key(KEY), 1)
+
+    @world_test
+    async def test_what_every_server_refused_may_run_later(self, world):
+        for backend in world.backends.values():
+            backend.set_faults(BackendFaults(shedding=True))
+        first = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual((first.code, first.ran), ("backend_refused", Ran.NO))
+        for backend in world.backends.values():
+            backend.set_faults(BackendFaults())
+        second = world.send_copy(1, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual(second.ran, Ran.YES)
+        self.assertEqual(world.runs_of_copy(first), 0)
+
+    @world_test
+    async def test_a_claim_of_a_dead_process_is_maybe(self, world):
+        """An envelope is printed twice after an instance was replaced.
+
+        The instance was killed after its claim, perhaps after its send. The
+        process that took its name answers for it, and knows of no such send.
+        """
+        world.connect_ms = 450.0
+        world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(250.0)
+        world.restart(0)
+        world.connect_ms = 0.0
+        copies = [
+            world.send_copy(number, KEY, deadline_ms=1_000.0) for number in (0, 1)
+        ]
+        await world.clock.sleep_ms(PLENTY_MS)
+        for copy in copies:
+            self.assertEqual((copy.code, copy.ran), ("outcome_unknown", Ran.MAYBE))
+        self.assertEqual(world.runs_of_key(KEY), 0)
+
+    @world_test
+    async def test_the_status_of_an_unknown_key_is_no_promise(self, world):
+        """A status of "not run" is followed by the envelope.
+
+        A caller gave up and asks for the status of its key. The copy that it
+        sent is still on its way to another instance and runs a moment later.
+        """
+        with self.assertRaises(IbisfrontError) as caught:
+            await world.nodes[0].ledger.outcome(KEY)
+        self.assertEqual(caught.exception.ran, Ran.MAYBE)
+        copy = world.send_copy(1, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual(copy.ran, Ran.YES)
+        told = await world.nodes[2].ledger.outcome(KEY)
+        self.assertEqual(bytes(told.result_json).decode(), copy.result)
+
+    @world_test
+    async def test_a_repeated_claim_meets_the_gap_before_a_write(self, world):
+        """An instance ends with AttributeError under contention.
+
+        Two instances conflict on an object, so that writes wait for a gap. In
+        the gap a second copy asks for a fresh read, which dropped the copy of
+        the object that the waiting write was about to use.
+        """
+        for number in range(12):
+            key = key_of_first_bucket(number % 4, wall_ms=WALL_START_MS)
+            world.send_copy(number % 3, key, deadline_ms=PLENTY_MS)
+            await world.clock.sleep_ms(20.0)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual({copy.ran for copy in world.copies}, {Ran.YES})
+
+
+class PlanTest(unittest.TestCase):
+    """Changes of one object of the ledger."""
+
+    def attempt(self, slot, number):
+        key = parse_key(make_key(wall_ms=slot * SLOT_MS, random_bits=number))
+        attempt_id = AttemptId("i1", "p1", number)
+        return Attempt(attempt_id, key, fingerprint="f", deadline_at_ms=0.0)
+
+    def claim(self, attempt):
+        return Change(
+            attempt.key,
+            lambda found: found or attempt.record(),
+            lambda result: None,
+            lambda: False,
+        )
+
+    def test_an_older_key_is_refused_in_the_write_that_clears_its_slot(self):
+        """Two keys a whole ring apart are claimed in one write.
+
+        The older one is told that its claim is in force, yet the newer one
+        cleared its slot in the same write; its next copy runs again.
+        """
+        older, newer = self.attempt(5, 1), self.attempt(5 + RING_SLOTS, 2)
+        changes = [self.claim(older), self.claim(newer)]
+        plan = plan_changes(Bucket(5), changes, size_bytes=0)
+        self.assertTrue(plan.results[0].expired)
+        self.assertEqual(set(plan.bucket.records), {newer.key.text})
+        again = plan_changes(plan.bucket, [self.claim(older)], size_bytes=0)
+        self.assertTrue(again.results[0].expired)
+        self.assertIsNone(again.value_json)
+
+    def test_a_full_object_takes_outcomes_but_no_claims(self):
+        known, new = self.attempt(5, 1), self.attempt(5, 2)
+        bucket = Bucket(5, {known.key.text: known.record()})
+        ran = known.record(ClaimState.RAN)
+        ran = msgspec.structs.replace(ran, result_json="1")
+        outcome = Change(
+            known.key, lambda found: ran, lambda result: None, lambda: False
+        )
+        changes = [self.claim(new), outcome]
+        full = plan_changes(bucket, changes, size_bytes=FULL_BYTES)
+        self.assertTrue(full.results[0].full)
+        self.assertEqual(full.bucket.records[known.key.text].state, ClaimState.RAN)
+        large = plan_changes(bucket, [outcome], size_bytes=LARGE_BYTES)
+        self.assertIsNone(large.bucket.records[known.key.text].result_json)
+
+    def test_a_record_comes_back_as_it_was_written(self):
+        record = ClaimRecord(
+            "f", AttemptId("i1", "p1", 1), ClaimState.RAN, "", '{"a":["ð"]}'
+        )
+        bucket = Bucket(5, {"k": record})
+        encoded = msgspec.json.encode(bucket)
+        self.assertEqual(msgspec.json.decode(encoded, type=Bucket), bucket)
--- a/ibisfront/tests/test_ledger_processes.py
+++ b/ibisfront/tests/test_ledger_processes.py
@@ -2,21 +2,46 @@
 
 from __future__ import annotations
 
+import random
 import secrets
+import signal
 import time
 import unittest
+from collections import Counter
 
+import httpcore
 import msgspec
+import trio
 
+from ibisfront.core.errors import Ran
 from ibisfront.core.idempotency_key import make_key
 from ibisfront.core.query import PerformAnswer
 from ibisfront.testing.backend_types import PerformRun
-from ibisfront.testing.deployment import Deployment, register_shape
+from ibisfront.testing.deployment import Deployment, InstanceProcess, register_shape
 from ibisfront.tests import trio_test_real_clock
 
+PATH = "/v1/branches/vestry/purposes/print-envelopes/perform"
+NO_FAULTS = {
+    "outage": "none",
+    "lose_answers_fraction": 0.0,
+    "late_writes_fraction": 0.0,
+}
+CALLERS = 6
+COPIES = 4
 
-class _Runs(msgspec.Struct):
-    performed: list[PerformRun]
+
+class _Problem(msgspec.Struct):
+    code: str
+    ran: Ran
+
+
+class _Told(msgspec.Struct):
+    """What the caller of one copy was told; nothing if it gave up."""
+
+    copy: str
+    key: str
+    ran: Ran | None = None
+    code: str = ""
 
 
 def new_key() -> str:
@@ -26,12 +51,9 @@
 
 async def printed(deployment: Deployment) -> list[PerformRun]:
     """Return every run at the print queue's servers."""
-    control = deployment.backend_controls["print-queue"]
     runs: list[PerformRun] = []
     for server in deployment.backend_servers["print-queue"]:
-        url = f"http://{control}/control/servers/{server.name}/runs"
-        reply = await deployment.client.send("GET", url)
-        runs += reply.decode(_Runs).performed
+        runs += await deployment.performed(server.name)
     return runs
 
 
@@ -63,3 +85,118 @@
         self.assertEqual([run.request for run in runs], [{"n": 1}])
         self.assertEqual(reused.status, 422)
         self.assertEqual(told.decode(PerformAnswer).result_json, answers[0].result_json)
+
+
+class Callers:
+    """Callers that send each request until it has an outcome."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.random = random.Random(6)
+        self.told: list[_Told] = []
+        self.stopped = False
+
+    async def run(self) -> None:
+        """Send requests one after the other."""
+        while not self.stopped:
+            key = new_key()
+            async with trio.open_nursery() as nursery:
+                if self.random.random() < 0.5:
+                    nursery.start_soon(self.send, key)
+                for _ in range(COPIES):
+                    if await self.send(key) is Ran.YES:
+                        break
+
+    async def send(self, key: str) -> Ran | None:
+        """Send one copy to any instance, and note what was said."""
+        told = _Told(secrets.token_hex(8), key)
+        self.told.append(told)
+        instance = self.random.choice(self.deployment.instances)
+        headers = {
+            "Idempotency-Key": key,
+            "X-Request-Id": told.copy,
+            "X-Deadline-Ms": "800",
+        }
+        try:
+            with trio.move_on_after(1.0):
+                reply = await self.deployment.client.send(
+                    "POST", instance.url(PATH), body={"key": key}, headers=headers
+                )
+                if reply.status == 200:
+                    told.ran = Ran.YES
+                else:
+                    problem = reply.decode(_Problem)
+                    told.ran, told.code = problem.ran, problem.code
+        except (OSError, httpcore.NetworkError, httpcore.ProtocolError):
+            pass  # the instance was killed
+        return told.ran
+
+
+async def kill(deployment: Deployment, instance: InstanceProcess) -> InstanceProcess:
+    """Kill an instance without a word and start another in its place."""
+    instance.process.send(signal.SIGKILL)
+    await instance.process.wait()
+    deployment.instances.remove(instance)
+    return await deployment.start_instance(instance.name, like=instance)
+
+
+async def freeze(instance: InstanceProcess, *, seconds: float) -> None:
+    """Stop an instance and let it go on."""
+    instance.process.send(signal.SIGSTOP)
+    await trio.sleep(seconds)
+    instance.process.send(signal.SIGCONT)
+
+
+async def upset(deployment: Deployment) -> None:
+    """Kill and freeze instances, and let the platform fail and go out."""
+    by_name = {instance.name: instance for instance in deployment.instances}
+    await trio.sleep(0.5)
+    await kill(deployment, by_name["i1"])
+    await freeze(by_name["i2"], seconds=1.2)
+    await deployment.set_platform_faults(
+        lose_answers_fraction=0.3, late_writes_fraction=0.2, late_write_ms=400.0
+    )
+    await trio.sleep(1.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lambda: freeze(by_name["i3"], seconds=1.2))
+        await trio.sleep(0.4)
+        await deployment.set_platform_faults(**NO_FAULTS | {"outage": "refuse"})
+    await trio.sleep(0.5)
+    await deployment.set_platform_faults(**NO_FAULTS)
+    await kill(deployment, by_name["i3"])
+    await trio.sleep(1.0)
+
+
+class UpsetTest(unittest.TestCase):
+    """Envelopes are counted while everything around them fails."""
+
+    @trio_test_real_clock
+    async def test_kills_freezes_and_an_outage_print_no_double(self):
+        """A frozen or killed instance prints an envelope twice.
+
+        A caller gets no answer and sends its request again to another
+        instance, while the first is frozen right before its send, or was
+        killed right after it, or the platform lost the answer of its claim.
+        """
+        async with Deployment(register_shape(services=1, instances=3)) as deployment:
+            callers = Callers(deployment)
+            async with trio.open_nursery() as nursery:
+                for _ in range(CALLERS):
+                    nursery.start_soon(callers.run)
+                await upset(deployment)
+                callers.stopped = True
+            runs = await printed(deployment)
+        by_key = Counter(run.request["key"] for run in runs)
+        doubles = [key for key, count in by_key.items() if count > 1]
+        ran_copies = {run.request_id.partition(".")[0] for run in runs}
+        told_no = {told.copy for told in callers.told if told.ran is Ran.NO}
+        self.assertEqual(doubles, [])
+        self.assertEqual(told_no & ran_copies, set())
+        for told in callers.told:
+            if told.ran is Ran.YES:
+                self.assertEqual(by_key[told.key], 1, told)
+        said = Counter(told.ran for told in callers.told)
+        codes = Counter(told.code for told in callers.told)
+        counts = f"{len(by_key)} printed, told {dict(said)}, codes {dict(codes)}"
+        self.assertGreater(len(by_key), 20, counts)
+        self.assertGreater(said[Ran.NO], 0, counts)
