--- a/ibisfront/cli/command.py
+++ b/ibisfront/cli/command.py
@@ -97,6 +97,8 @@
         if self.wants_json and isinstance(error, RefusedError):
             self.print_json(error.problem)
         self.line_error(f"ibisfront: {error}".replace("<", "\\<"))
+        if isinstance(error, RefusedError):
+            self.line_error(f"what to do: {error.advice}".replace("<", "\\<"))
 
     def optional_settings(self) -> Settings | None:
         """Return the settings that ``--settings`` names, if it is given."""
--- a/ibisfront/cli/exits.py
+++ b/ibisfront/cli/exits.py
@@ -5,6 +5,9 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
+from ibisfront.core.error_advice import ADVICE
+from ibisfront.core.errors import ErrorKind
+
 if TYPE_CHECKING:
     from ibisfront.adapters.http import Problem
 
@@ -91,3 +94,11 @@
         code = codes.get(problem.code, codes.get(problem.ran, ExitCode.UNKNOWN))
         super().__init__(f"{problem.code}: {problem.detail}", code)
         self.problem = problem
+
+    @property
+    def advice(self) -> str:
+        """What an operator can do about it."""
+        try:
+            return ADVICE[ErrorKind(self.problem.code)].operator
+        except ValueError:
+            return "update this tool: the instance knows more kinds of errors"
--- a/ibisfront/tests/test_cli.py
+++ b/ibisfront/tests/test_cli.py
@@ -96,6 +96,7 @@
         refused = await tool.run("query vestry nothing '{}'")
         self.assertEqual(refused.code, ExitCode.REFUSED)
         self.assertIn("unknown_purpose", refused.errors)
+        self.assertIn("what to do: Add it: `ibisfront purpose set", refused.errors)
         counters = await tool.run("counters")
         self.assertRegex(counters.output, r"answers +whole +1\n")
 
