--- a/ibisfront/core/discovery.py
+++ b/ibisfront/core/discovery.py
@@ -117,21 +117,19 @@
             first_ms=ALONE_EVERY_MS, maximum_ms=LIST_EVERY_MS, random=self._random
         )
         while True:
-            alone = len(self._members.live()) == 1
-            if alone or self._is_watcher():
+            if self._members.alone or self._is_watcher():
                 try:
                     self._membership.list_read(await self._platform.members())
                     backoff.reset()
                 except IbisfrontError:
                     await self._clock.sleep_ms(backoff.next_ms())
                     continue
-            alone = len(self._members.live()) == 1
-            every_ms = ALONE_EVERY_MS if alone else LIST_EVERY_MS
+            every_ms = ALONE_EVERY_MS if self._members.alone else LIST_EVERY_MS
             await self._clock.sleep_ms(every_ms * self._random.uniform(0.5, 1.5))
 
     async def _greet_seeds(self) -> None:
         while True:
-            if len(self._members.live()) == 1:
+            if self._members.alone:
                 for address in self._seeds:
                     if address != self._members.own.peer_address:
                         self._introducer.introduce(address)
--- a/ibisfront/core/members.py
+++ b/ibisfront/core/members.py
@@ -62,13 +62,21 @@
         This instance.
     """
 
-    __slots__ = ("_buckets", "_digest", "_listeners", "_members", "own_name")
+    __slots__ = (
+        "_buckets",
+        "_digest",
+        "_listeners",
+        "_members",
+        "_serving",
+        "own_name",
+    )
 
     def __init__(self, own: Member) -> None:
         self.own_name = own.name
         self._members: dict[str, Member] = {}
         self._buckets = [0] * DIGEST_BUCKETS
         self._digest = 0
+        self._serving = 0
         self._listeners: list[Callable[[Member], None]] = []
         self._replace(own)
 
@@ -77,6 +85,11 @@
         """The member that this instance is."""
         return self._members[self.own_name]
 
+    @property
+    def alone(self) -> bool:
+        """Whether no other member is believed to serve."""
+        return self._serving <= 1
+
     @property
     def digest(self) -> int:
         """A fingerprint of all serving members; equal for equal views."""
@@ -141,6 +154,8 @@
         self._members[member.name] = member
         self._buckets[bucket] ^= changed
         self._digest ^= changed
+        self._serving += member.state in _SERVING
+        self._serving -= known is not None and known.state in _SERVING
 
     def _in_states(self, *states: MemberState) -> list[Member]:
         found = [item for item in self._members.values() if item.state in states]
--- a/ibisfront/core/membership.py
+++ b/ibisfront/core/membership.py
@@ -49,6 +49,7 @@
 _TICK_MS = 250.0
 _LATE_TICK_MS = 500.0
 _FLUSH_MS = 20.0
+_FORGET_EVERY_MS = 10_000.0
 _COMPARE_AGAIN_MS = 1000.0
 _DIFFERENT_HEARTBEATS = 2
 _NEWS_MEMBERS = 200
@@ -170,13 +171,12 @@
         different = self._different.get(sender, 0) + 1
         self._different[sender] = different
         now_ms = self._clock.now_ms()
-        alone = len(self._members.live()) == 1
         # News under way makes two views differ for a moment, which needs no
         # comparison; and one comparison at a time fetches a difference once,
         # though every neighbour shows it.
         if now_ms < self._compare_at_ms:
             return
-        if different >= _DIFFERENT_HEARTBEATS or alone:
+        if different >= _DIFFERENT_HEARTBEATS or self._members.alone:
             self._compare_at_ms = now_ms + _COMPARE_AGAIN_MS
             self._different[sender] = 0
             buckets = self._members.bucket_digests
@@ -213,6 +213,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch)
             nursery.start_soon(self._flush)
+            nursery.start_soon(self._forget)
 
     async def _watch(self) -> None:
         due_ms = self._clock.now_ms()
@@ -228,6 +229,10 @@
                 due_ms = self._clock.now_ms()
             self._suspect_silent()
             self._bury_suspects()
+
+    async def _forget(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_FORGET_EVERY_MS)
             self._forget_old()
 
     async def _flush(self) -> None:
--- /dev/null
+++ b/ibisfront/tests/test_shared_processes.py
@@ -0,0 +1,98 @@
+"""Tests of what instances share, with real processes and streams."""
+
+from __future__ import annotations
+
+import signal
+import unittest
+
+import msgspec
+import trio
+
+from ibisfront.core.status import StatusReport
+from ibisfront.core.table import TABLE_NAME
+from ibisfront.testing.deployment import (
+    Deployment,
+    InstanceProcess,
+    register_shape,
+)
+from ibisfront.tests import trio_test_real_clock
+
+_GIVE_UP_S = 30.0
+_POLL_S = 0.05
+
+
+async def _status(deployment: Deployment, instance: InstanceProcess) -> StatusReport:
+    reply = await deployment.admin(instance, "GET", "/v1/admin/status")
+    return reply.decode(StatusReport)
+
+
+async def _until_all_at(deployment: Deployment, version: int, count: int) -> None:
+    with trio.fail_after(_GIVE_UP_S):
+        while True:
+            report = await _status(deployment, deployment.instances[0])
+            versions = [reply.table_version for reply in report.replies]
+            if versions == [version] * count:
+                return
+            await trio.sleep(_POLL_S)
+
+
+async def _edit(deployment: Deployment, weight: float) -> None:
+    table = deployment.shape.table
+    row = msgspec.structs.replace(table.rows[0], weight=weight)
+    wanted = msgspec.structs.replace(table, rows=(row, *table.rows[1:]))
+    await deployment.put_object("table", TABLE_NAME, wanted)
+
+
+class SharedProcessesTest(unittest.TestCase):
+    """Three instances, their streams and the platform's stand-in."""
+
+    @trio_test_real_clock
+    async def test_edit_restart_in_an_outage_and_pause(self) -> None:
+        """An edit is made, the platform goes out, an instance is killed.
+
+        It starts anew with nothing while the platform is out, and must have
+        the edited table from its peers. Another is frozen for longer than the
+        others wait for it, and comes back with the table of that time.
+        """
+        shape = register_shape(services=1, instances=3)
+        async with Deployment(shape) as deployment:
+            first, second, third = deployment.instances
+            before = (await _status(deployment, first)).replies[0].table_version
+            await _edit(deployment, 7.0)
+            version = await self._newer_than(deployment, before)
+            await _until_all_at(deployment, version, 3)
+            await deployment.set_platform_faults(outage="refuse")
+            second.process.send(signal.SIGKILL)
+            await second.process.wait()
+            deployment.instances.remove(second)
+            await deployment.start_instance(second.name, like=second)
+            await _until_all_at(deployment, version, 3)
+            third.process.send(signal.SIGSTOP)
+            await self._until_unreachable(deployment, third.name)
+            await deployment.set_platform_faults(outage="none")
+            await _edit(deployment, 9.0)
+            newest = await self._newer_than(deployment, version)
+            third.process.send(signal.SIGCONT)
+            await _until_all_at(deployment, newest, 3)
+        self.assertGreater(newest, version)
+
+    async def _newer_than(self, deployment: Deployment, version: int) -> int:
+        with trio.fail_after(_GIVE_UP_S):
+            while True:
+                report = await _status(deployment, deployment.instances[0])
+                found = next(
+                    reply.table_version
+                    for reply in report.replies
+                    if reply.name == deployment.instances[0].name
+                )
+                if found > version:
+                    return found
+                await trio.sleep(_POLL_S)
+
+    async def _until_unreachable(self, deployment: Deployment, name: str) -> None:
+        with trio.fail_after(_GIVE_UP_S):
+            while True:
+                report = await _status(deployment, deployment.instances[0])
+                if name in report.unreachable:
+                    return
+                await trio.sleep(_POLL_S)
