Test the spread through cuts, outages and old reads; bound two fears

- An address that is none, from the platform's list or a peer, raised ValueError in the task that dials and would have ended the process.
It now looks like nobody listening.
- Two instances of one name refuted each other as fast as streams carry it.
One refutation a second is enough, as nobody can have doubted a new incarnation sooner.

--- a/ibisfront/adapters/peer_transport.py
+++ b/ibisfront/adapters/peer_transport.py
@@ -54,7 +54,11 @@
 
     async def dial(self, address: Address) -> trio.abc.Stream:
         """Return a new stream; raise ``OSError`` if there is none."""
+        # The address may come from the platform's list or from a peer. One
+        # that is no address must look like one that nobody listens at.
         host, _, port = address.rpartition(":")
+        if not port.isdecimal():
+            raise OSError(f"{address!r} is no address")
         return await trio.open_tcp_stream(
             host.strip("[]"), int(port), local_address=self._outgoing_ip
         )
--- a/ibisfront/core/membership.py
+++ b/ibisfront/core/membership.py
@@ -53,6 +53,7 @@
 _COMPARE_AGAIN_MS = 1000.0
 _DIFFERENT_HEARTBEATS = 2
 _NEWS_MEMBERS = 200
+_REFUTE_AGAIN_MS = 1000.0
 _LONGEST_SUSPECT_AFTER_MS = 60_000.0
 _LOG = part_logger(LogPart.MEMBERS)
 
@@ -116,6 +117,7 @@
         "_news_event",
         "_peers",
         "_random",
+        "_refuted_at_ms",
         "_suspected_at_ms",
         "leaving",
         "neighbours_changed",
@@ -140,6 +142,7 @@
         self._changed_at_ms: dict[str, float] = {}
         self._different: dict[str, int] = {}
         self._compare_at_ms = float("-inf")
+        self._refuted_at_ms = float("-inf")
         self._listed: frozenset[str] = frozenset()
         self._neighbours: frozenset[str] | None = None
         self._news: dict[str, Member] = {}
@@ -286,6 +289,16 @@
             return
         if member.incarnation == own.incarnation and member.state is MemberState.LIVE:
             return
+        # Two instances started under one name would refute each other without
+        # end. It shows as a refutation right after the last one, which nobody
+        # can have doubted yet.
+        now_ms = self._clock.now_ms()
+        if now_ms - self._refuted_at_ms < _REFUTE_AGAIN_MS:
+            self._counters.add(CounterKind.MEMBER_CHANGES, "name_taken")
+            return
+        self._refuted_at_ms = now_ms
+        if member.peer_address != own.peer_address:
+            _LOG.warning("%s at %s has this name.", member.name, member.peer_address)
         # Another instance believes this one suspect, dead or gone, or knows
         # an incarnation of an earlier life whose clock was ahead.
         refuted = msgspec.structs.replace(own, incarnation=member.incarnation + 1)
--- a/ibisfront/testing/shared_cluster.py
+++ b/ibisfront/testing/shared_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -125,6 +126,10 @@
         self.announce()
         return started
 
+    def run(self, node: SharedNode) -> None:
+        """Run one more instance, whoever it says that it is."""
+        self._nursery.start_soon(partial(node.run, wait_ms=self._wait_ms))
+
     async def kill(self, *names: str) -> None:
         """End instances without a word."""
         for name in names:
@@ -190,8 +195,5 @@
         )
         node = SharedNode(own, self)
         self.nodes[own.name] = node
-        self._nursery.start_soon(self._run, node)
+        self.run(node)
         return node
-
-    async def _run(self, node: SharedNode) -> None:
-        await node.run(wait_ms=self._wait_ms)
--- a/ibisfront/tests/test_membership.py
+++ b/ibisfront/tests/test_membership.py
@@ -22,7 +22,7 @@
 from ibisfront.testing.peers import PeerNetwork
 from ibisfront.testing.platform_state import FakePlatform
 from ibisfront.testing.platform_types import Outage, PlatformFaults
-from ibisfront.testing.shared_cluster import SharedCluster
+from ibisfront.testing.shared_cluster import SharedCluster, SharedNode
 from ibisfront.tests import trio_test
 
 
@@ -206,6 +206,36 @@
         await self._run(5, scenario)
 
 
+class NameTest(_ClusterTest):
+    """Two instances have one name by mistake."""
+
+    @trio_test
+    async def test_two_of_one_name_do_not_refute_each_other_without_end(self) -> None:
+        """An operator starts a second instance with the settings of a first.
+
+        Each hears of the other under its own name and raises its incarnation,
+        and the news goes through the whole fleet as fast as streams carry it.
+        """
+
+        async def scenario(cluster) -> None:
+            first = cluster.nodes["i1"]
+            own = first.members.own
+            other = msgspec.structs.replace(
+                own, peer_address="peer-x", incarnation=own.incarnation + 10
+            )
+            second = SharedNode(other, cluster)
+            cluster.run(second)
+            await cluster.clock.sleep_ms(10_000.0)
+            refuted = sum(
+                node.counters.value(CounterKind.MEMBER_CHANGES, "refuted")
+                for node in (first, second)
+            )
+            self.assertLess(refuted, 30)
+            self.assertGreater(refuted, 0)
+
+        await self._run(3, scenario)
+
+
 class _JumpingClock(Clock):
     """A clock of a process that was frozen for a while."""
 
--- a/ibisfront/tests/test_shared.py
+++ b/ibisfront/tests/test_shared.py
@@ -69,3 +69,121 @@
             await cluster.until(lambda: fresh.catalogue.table_version == version)
             nursery.cancel_scope.cancel()
         self.assertEqual(fresh.catalogue.table_version, version)
+
+    @trio_test
+    async def test_edit_reaches_a_zone_that_lost_the_platform_only(self) -> None:
+        """A zone loses the platform but not the other zones.
+
+        Its own watchers fail; the edit must come from the others as fast.
+        """
+
+        async def scenario(cluster) -> None:
+            for node in cluster.nodes.values():
+                node.platform.cut_off = node.members.own.zone == "z1"
+            version = await cluster.put(ObjectKind.TABLE, TABLE_NAME, _table(2.0))
+            took_ms = await cluster.until(lambda: _in_force(cluster, version))
+            self.assertLessEqual(took_ms, 1000.0)
+
+        await self._run(9, scenario)
+
+    @trio_test
+    async def test_cut_zone_keeps_its_table_and_gets_the_newest_afterwards(
+        self,
+    ) -> None:
+        """A zone is cut off from all while the table is edited twice.
+
+        It goes on with the table that it has. When the cut ends it must get
+        the newest, and must not bring its old one to the others.
+        """
+
+        async def scenario(cluster) -> None:
+            old = cluster.nodes["i1"].catalogue.table_version
+            cluster.cut_zone("z1")
+            await cluster.put(ObjectKind.TABLE, TABLE_NAME, _table(2.0))
+            version = await cluster.put(ObjectKind.TABLE, TABLE_NAME, _table(3.0))
+            await cluster.clock.sleep_ms(20_000.0)
+            for node in cluster.nodes.values():
+                cut = node.members.own.zone == "z1"
+                expected = old if cut else version
+                self.assertEqual(node.catalogue.table_version, expected)
+            cluster.mend()
+            await cluster.until(lambda: _in_force(cluster, version), within_ms=15_000.0)
+            await cluster.clock.sleep_ms(5000.0)
+            self.assertTrue(_in_force(cluster, version))
+
+        await self._run(6, scenario)
+
+    @trio_test
+    async def test_all_are_replaced_in_an_outage_and_keep_the_table(self) -> None:
+        """Every instance is replaced, one after the other, in one outage.
+
+        Nobody who was there when the platform answered is left at the end.
+        The table has gone from hand to hand.
+        """
+
+        async def scenario(cluster) -> None:
+            version = cluster.nodes["i0"].catalogue.table_version
+            cluster.platform.set_faults(PlatformFaults(outage=Outage.REFUSE))
+            for number in range(3):
+                await cluster.kill(f"i{number}")
+                cluster.start(number)
+                await cluster.until(lambda: _in_force(cluster, version))
+            self.assertTrue(_in_force(cluster, version))
+
+        await self._run(3, scenario)
+
+    @trio_test
+    async def test_old_reads_after_a_reconnection_revert_nothing(self) -> None:
+        """The platform comes back from an outage and serves old reads.
+
+        Instances that start anew list it and see an old table; the others
+        have the new one. The old one must neither stay nor spread.
+        """
+
+        async def scenario(cluster) -> None:
+            version = await cluster.put(ObjectKind.TABLE, TABLE_NAME, _table(2.0))
+            await cluster.until(lambda: _in_force(cluster, version))
+            cluster.platform.set_faults(PlatformFaults(stale_revisions=1))
+            seen = [node.catalogue for node in cluster.nodes.values()]
+            await cluster.kill("i1", "i2")
+            cluster.start(1, 2)
+            for _ in range(200):
+                await cluster.clock.sleep_ms(50.0)
+                self.assertEqual(seen[0].table_version, version)
+            self.assertTrue(_in_force(cluster, version))
+
+        await self._run(3, scenario)
+
+    @trio_test
+    async def test_instance_without_any_table_says_so(self) -> None:
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            platform = FakePlatform(clock=clock)
+            platform.set_faults(PlatformFaults(outage=Outage.HANG))
+            cluster = SharedCluster(platform=platform, clock=clock, nursery=nursery)
+            (node,) = cluster.start(0)
+            await clock.sleep_ms(30_000.0)
+            nursery.cancel_scope.cancel()
+        self.assertIsNone(node.catalogue.table)
+        self.assertEqual(node.catalogue.table_version, 0)
+
+    async def _run(self, count: int, scenario) -> None:
+        clock = Clock()
+        async with trio.open_nursery() as nursery:
+            platform = FakePlatform(clock=clock)
+            cluster = SharedCluster(platform=platform, clock=clock, nursery=nursery)
+            version = await cluster.put(ObjectKind.TABLE, TABLE_NAME, _table(1.0))
+            nodes = cluster.start(*range(count))
+            await cluster.until(lambda: _in_force(cluster, version))
+            await cluster.until(
+                lambda: all(len(node.members.live()) == count for node in nodes)
+            )
+            await clock.sleep_ms(3000.0)
+            await scenario(cluster)
+            nursery.cancel_scope.cancel()
+
+
+def _in_force(cluster: SharedCluster, version: int) -> bool:
+    return all(
+        node.catalogue.table_version == version for node in cluster.nodes.values()
+    )
--- a/ibisfront/tests/test_shared_processes.py
+++ b/ibisfront/tests/test_shared_processes.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from ibisfront.core.status import StatusReport
+from ibisfront.adapters.admin import TierStatus
 from ibisfront.core.table import TABLE_NAME
 from ibisfront.testing.deployment import (
     Deployment,
@@ -21,16 +21,16 @@
 _POLL_S = 0.05
 
 
-async def _status(deployment: Deployment, instance: InstanceProcess) -> StatusReport:
+async def _status(deployment: Deployment, instance: InstanceProcess) -> TierStatus:
     reply = await deployment.admin(instance, "GET", "/v1/admin/status")
-    return reply.decode(StatusReport)
+    return reply.decode(TierStatus)
 
 
 async def _until_all_at(deployment: Deployment, version: int, count: int) -> None:
     with trio.fail_after(_GIVE_UP_S):
         while True:
             report = await _status(deployment, deployment.instances[0])
-            versions = [reply.table_version for reply in report.replies]
+            versions = [reply.table_version for reply in report.instances]
             if versions == [version] * count:
                 return
             await trio.sleep(_POLL_S)
@@ -57,7 +57,7 @@
         shape = register_shape(services=1, instances=3)
         async with Deployment(shape) as deployment:
             first, second, third = deployment.instances
-            before = (await _status(deployment, first)).replies[0].table_version
+            before = (await _status(deployment, first)).instances[0].table_version
             await _edit(deployment, 7.0)
             version = await self._newer_than(deployment, before)
             await _until_all_at(deployment, version, 3)
@@ -82,7 +82,7 @@
                 report = await _status(deployment, deployment.instances[0])
                 found = next(
                     reply.table_version
-                    for reply in report.replies
+                    for reply in report.instances
                     if reply.name == deployment.instances[0].name
                 )
                 if found > version:
