--- a/ibisfront/adapters/backend.py
+++ b/ibisfront/adapters/backend.py
@@ -23,6 +23,7 @@
 __all__ = ["HttpBackendConnection", "connection_opener"]
 
 _OK = 200
+_RAN_AND_FAILED = 500
 _PROBE_TARGET = b"/healthz"
 _MILLISECONDS_PER_SECOND = 1000.0
 _KEEP_ALIVE_IDLE_S = 5
@@ -260,6 +261,7 @@
         draining=headers.draining,
         snapshots=headers.snapshots,
         whole_reply=True,
+        ran=status == _RAN_AND_FAILED,
     )
 
 
--- a/ibisfront/core/claimed_run.py
+++ b/ibisfront/core/claimed_run.py
@@ -115,6 +115,8 @@
         try:
             return _ran(run.attempt, await run_once(run))
         except SubRequestError as error:
+            if error.ran:
+                return run.attempt.record(ClaimState.FAILED, error.reason.value)
             if not error.not_run:
                 return _ended(run.attempt, error.reason)
             if error.reason is not MissingReason.NO_SERVER or not run.tried:
@@ -131,8 +133,6 @@
 def _ended(attempt: Attempt, reason: MissingReason) -> ClaimRecord:
     if attempt.state is not AttemptState.SENT:
         return attempt.record(ClaimState.NOT_RUN, reason.value)
-    if reason is MissingReason.SERVER_ERROR:
-        return attempt.record(ClaimState.FAILED, reason.value)
     return attempt.record(ClaimState.UNKNOWN, reason.value)
 
 
--- a/ibisfront/core/query.py
+++ b/ibisfront/core/query.py
@@ -154,6 +154,8 @@
     whole_reply : bool, optional
         Whether a whole reply that belongs to the sub-request said so; the
         connection may then be used again.
+    ran : bool, optional
+        Whether the server said that it ran the sub-request and failed.
     """
 
     def __init__(
@@ -165,6 +167,7 @@
         draining: bool = False,
         snapshots: tuple[str, ...] = (),
         whole_reply: bool = False,
+        ran: bool = False,
     ) -> None:
         super().__init__(f"{reason.value} ({'not run' if not_run else 'maybe run'})")
         self.reason = reason
@@ -173,3 +176,4 @@
         self.draining = draining
         self.snapshots = snapshots
         self.whole_reply = whole_reply
+        self.ran = ran
--- a/ibisfront/testing/ledger_world.py
+++ b/ibisfront/testing/ledger_world.py
@@ -443,4 +443,4 @@
         raise SubRequestError(MissingReason(reply.not_run.value), not_run=True)
     reasons = {400: MissingReason.REFUSED, 504: MissingReason.TIMED_OUT}
     reason = reasons.get(reply.status, MissingReason.SERVER_ERROR)
-    raise SubRequestError(reason, not_run=reply.status == 400)
+    raise SubRequestError(reason, not_run=reply.status == 400, ran=reply.status == 500)
--- a/ibisfront/tests/test_ledger.py
+++ b/ibisfront/tests/test_ledger.py
@@ -11,6 +11,8 @@
 
 from ibisfront.core.attempts import Attempt
 from ibisfront.core.claim import AttemptId, ClaimRecord, ClaimState
+from ibisfront.core.claimed_run import ClaimedRun, run_claimed
+from ibisfront.core.coverage import MissingReason
 from ibisfront.core.errors import IbisfrontError, Ran
 from ibisfront.core.idempotency_key import make_key, parse_key
 from ibisfront.core.ledger_bucket import (
@@ -22,6 +24,7 @@
     Change,
     plan_changes,
 )
+from ibisfront.core.query import SubRequestError
 from ibisfront.testing.backend_types import BackendFaults
 from ibisfront.testing.ledger_world import (
     WALL_START_MS,
@@ -152,6 +155,33 @@
         self.assertEqual(second.ran, Ran.YES)
         self.assertEqual(world.runs_of_copy(first), 0)
 
+    @world_test
+    async def test_a_server_error_is_yes_only_if_the_server_said_so(self, world):
+        """A caller is told "ran and failed" of an envelope that never was.
+
+        Something in front of the print queue answers 502 in its place. Only
+        the 500 of the server itself says that it ran the request.
+        """
+        for backend in world.backends.values():
+            backend.set_faults(BackendFaults(fail_fraction=1.0))
+        failed = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual((failed.code, failed.ran), ("backend_failed", Ran.YES))
+        copy = world.send_copy(1, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual((copy.code, copy.ran), ("backend_failed", Ran.YES))
+        self.assertEqual(world.runs_of_key(KEY), 1)
+        attempt = PlanTest().attempt(5, 1)
+
+        async def answer_502(run):
+            run.start_send()
+            raise SubRequestError(MissingReason.SERVER_ERROR, not_run=False)
+
+        attempt.deadline_at_ms = world.clock.now_ms() + PLENTY_MS
+        run = ClaimedRun(None, None, attempt=attempt, clock=world.clock)
+        record = await run_claimed(run, answer_502, world.clock)
+        self.assertEqual(record.state, ClaimState.UNKNOWN)
+
     @world_test
     async def test_a_claim_of_a_dead_process_is_maybe(self, world):
         """An envelope is printed twice after an instance was replaced.
--- a/ibisfront/tests/test_ledger_processes.py
+++ b/ibisfront/tests/test_ledger_processes.py
@@ -150,6 +150,10 @@
 async def upset(deployment: Deployment) -> None:
     """Kill and freeze instances, and let the platform fail and go out."""
     by_name = {instance.name: instance for instance in deployment.instances}
+    for server in deployment.backend_servers["print-queue"]:
+        await deployment.command_backend(
+            server.name, "faults", lose_answer_fraction=0.1
+        )
     await trio.sleep(0.5)
     await kill(deployment, by_name["i1"])
     await freeze(by_name["i2"], seconds=1.2)
