--- a/ibisfront/core/attempts.py
+++ b/ibisfront/core/attempts.py
@@ -152,13 +152,18 @@
         This instance's name.
     process : str
         The random name of this process.
+
+    Attributes
+    ----------
+    process : str
+        The same.
     """
 
-    __slots__ = ("_active", "_attempts", "_instance", "_numbers", "_process")
+    __slots__ = ("_active", "_attempts", "_instance", "_numbers", "process")
 
     def __init__(self, *, instance: str, process: str) -> None:
         self._instance = instance
-        self._process = process
+        self.process = process
         self._numbers = itertools.count(1)
         self._attempts: OrderedDict[AttemptId, Attempt] = OrderedDict()
         self._active: dict[str, Attempt] = {}
@@ -167,7 +172,7 @@
         self, key: IdempotencyKey, *, fingerprint: str, deadline_at_ms: float
     ) -> Attempt:
         """Return a new attempt."""
-        attempt_id = AttemptId(self._instance, self._process, next(self._numbers))
+        attempt_id = AttemptId(self._instance, self.process, next(self._numbers))
         attempt = Attempt(
             attempt_id, key, fingerprint=fingerprint, deadline_at_ms=deadline_at_ms
         )
--- /dev/null
+++ b/ibisfront/core/claiming.py
@@ -0,0 +1,253 @@
+"""Claiming a key for an attempt, against the other copies of its request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from ibisfront.core.claim import ClaimRecord, ClaimState
+from ibisfront.core.claim_answers import outcome_unknown
+from ibisfront.core.counters import CounterKind
+from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.idempotency_key import IdempotencyKey, key_expired
+from ibisfront.core.ledger_bucket import SLOT_MS, Change, ChangeResult
+from ibisfront.core.ledger_messages import (
+    AttemptAnswer,
+    AttemptQuestion,
+    attempt_answer,
+)
+
+if TYPE_CHECKING:
+    from ibisfront.core.attempts import Attempt, AttemptRegistry
+    from ibisfront.core.claim import AttemptId
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.ledger_writer import LedgerWriter
+    from ibisfront.core.peers import Peers
+    from ibisfront.core.query import CallerRequest
+
+__all__ = ["Claimer"]
+
+_CLAIM_TIMEOUT_MS = 3_000.0
+_ASK_TIMEOUT_MS = 250.0
+_FIRST_POLL_MS = 50.0
+_MAXIMUM_POLL_MS = 1_000.0
+
+
+class Claimer:
+    """Claims keys in the ledger for the attempts of this process.
+
+    Parameters
+    ----------
+    attempts : AttemptRegistry
+        The attempts.
+    clock : Clock
+        The tier's clock.
+    counters : Counters
+        Where claims are counted.
+
+    Attributes
+    ----------
+    writer : LedgerWriter or None
+        Writes the claims; None while the ledger does not run.
+    peers : Peers or None
+        The other instances.
+    """
+
+    __slots__ = ("_attempts", "_clock", "_counters", "peers", "writer")
+
+    def __init__(
+        self, attempts: AttemptRegistry, *, clock: Clock, counters: Counters
+    ) -> None:
+        self._attempts = attempts
+        self._clock = clock
+        self._counters = counters
+        self.peers: Peers | None = None
+        self.writer: LedgerWriter | None = None
+
+    def until_deadline(self, waiting: Attempt | CallerRequest) -> trio.CancelScope:
+        """Return a cancel scope that ends when a caller stops waiting."""
+        return self._clock.timeout_ms(waiting.deadline_at_ms - self._clock.now_ms())
+
+    async def until_held(self, attempt: Attempt) -> ClaimRecord:
+        """Return the record of this attempt, or the final one of another copy.
+
+        A claim of another attempt is replaced only once that one is proved
+        dead. That time has passed is no proof: its instance may be paused
+        right before the send.
+        """
+        dead: ClaimRecord | None = None
+        poll_ms = _FIRST_POLL_MS
+        found = await self._claim(attempt, dead=None, fresh=False)
+        while found.attempt != attempt.attempt_id and not found.is_final:
+            told = await self.ask(found.attempt)
+            if told.is_dead:
+                self._counters.add(CounterKind.CLAIMS, "taken_over")
+                dead = found
+            elif told.outcome is not None:
+                return told.outcome
+            else:
+                await self._wait_for_other(attempt, poll_ms)
+                poll_ms = min(2 * poll_ms, _MAXIMUM_POLL_MS)
+            found = await self._claim_again(attempt, dead)
+        return found
+
+    async def _claim_again(
+        self, attempt: Attempt, dead: ClaimRecord | None
+    ) -> ClaimRecord:
+        try:
+            return await self._claim(attempt, dead=dead, fresh=True)
+        except IbisfrontError as error:
+            if error.kind is ErrorKind.CLAIM_UNAVAILABLE:
+                raise outcome_unknown(
+                    attempt.key.text, "another copy holds the claim"
+                ) from error
+            raise
+
+    async def _wait_for_other(self, attempt: Attempt, wait_ms: float) -> None:
+        left_ms = attempt.deadline_at_ms - self._clock.now_ms()
+        if left_ms <= wait_ms:
+            await self._clock.sleep_ms(left_ms)
+            raise outcome_unknown(
+                attempt.key.text, "another copy holds the claim and has no outcome yet"
+            )
+        await self._clock.sleep_ms(wait_ms)
+
+    async def _claim(
+        self, attempt: Attempt, *, dead: ClaimRecord | None, fresh: bool
+    ) -> ClaimRecord:
+        """Claim a key for an attempt; return the record then in force.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The attempt.
+        dead : ClaimRecord or None
+            A record whose attempt is proved dead, which may be replaced.
+        fresh : bool
+            Whether to read the object anew. A first claim may go by an old
+            copy of it, whose version its write then does not meet; a repeated
+            one waits for news that an old copy would never show.
+
+        Raises
+        ------
+        IbisfrontError
+            If it is not known in time which record is in force.
+        """
+        writer = self._serving_writer(attempt.key)
+        results: list[ChangeResult] = []
+        done = trio.Event()
+
+        def decide(found: ClaimRecord | None) -> ClaimRecord | None:
+            if not attempt.is_active:
+                return found
+            return _claimed_by(attempt, found, dead)
+
+        def resolve(result: ChangeResult) -> None:
+            results.append(result)
+            done.set()
+
+        attempt.submitted = True
+        change = Change(attempt.key, decide, resolve, lambda: not attempt.is_active)
+        writer.submit(change, fresh=fresh)
+        with self._clock.timeout_ms(_CLAIM_TIMEOUT_MS), self.until_deadline(attempt):
+            await done.wait()
+        return self._claim_result(attempt, results)
+
+    def _claim_result(
+        self, attempt: Attempt, results: list[ChangeResult]
+    ) -> ClaimRecord:
+        key = attempt.key.text
+        if not results:
+            self._counters.add(CounterKind.CLAIMS, "not_in_time")
+            raise IbisfrontError(
+                ErrorKind.CLAIM_UNAVAILABLE,
+                f"the claim of {key} was not known to be in force in time; this copy"
+                " will not run: send it again with the same key",
+            )
+        if results[0].expired:
+            self._counters.add(CounterKind.CLAIMS, "expired")
+            raise key_expired(attempt.key)
+        record = results[0].record
+        if record is None:
+            self._counters.add(CounterKind.CLAIMS, "full")
+            raise IbisfrontError(
+                ErrorKind.CLAIM_UNAVAILABLE,
+                f"the ledger has no room for {key}: use a new key",
+                retry_after_ms=SLOT_MS,
+            )
+        attempt.submitted = record.attempt == attempt.attempt_id
+        if record.fingerprint != attempt.fingerprint:
+            raise self.key_reused(attempt.key)
+        return record
+
+    async def ask(self, attempt_id: AttemptId) -> AttemptAnswer:
+        """Return what the process of an attempt says of it."""
+        if attempt_id.process == self._attempts.process:
+            return attempt_answer(self._attempts.get(attempt_id))
+        if self.peers is None:
+            return AttemptAnswer()
+        told = await self.peers.ask(
+            attempt_id.instance,
+            AttemptQuestion(attempt_id),
+            timeout_ms=_ASK_TIMEOUT_MS,
+        )
+        return told if isinstance(told, AttemptAnswer) else AttemptAnswer()
+
+    def tell(self, asker: str, question: AttemptQuestion) -> AttemptAnswer:
+        """Return what this process says of one of its attempts."""
+        return attempt_answer(self._attempts.get(question.attempt))
+
+    def record(self, attempt: Attempt, record: ClaimRecord, *, for_ms: float) -> None:
+        """Write what became of an attempt, as soon as that can be done."""
+        until_ms = self._clock.now_ms() + for_ms
+
+        def decide(found: ClaimRecord | None) -> ClaimRecord | None:
+            # With no record in sight, a claim of this attempt may still land.
+            # This write then is what keeps it out: its condition fails.
+            if found is None or found.attempt == attempt.attempt_id:
+                return record
+            return found
+
+        if self.writer is not None:
+            self.writer.submit(
+                Change(
+                    attempt.key,
+                    decide,
+                    lambda result: None,
+                    lambda: self._clock.now_ms() > until_ms,
+                    is_urgent=False,
+                )
+            )
+
+    def key_reused(self, key: IdempotencyKey) -> IbisfrontError:
+        """Count and return the refusal of another body under a known key."""
+        self._counters.add(CounterKind.CLAIMS, "reused")
+        return IbisfrontError(
+            ErrorKind.KEY_REUSED,
+            f"{key.text} came before with another branch, purpose or body: use a"
+            " new key for new work",
+        )
+
+    def _serving_writer(self, key: IdempotencyKey) -> LedgerWriter:
+        writer = self.writer
+        if writer is None or writer.is_platform_out:
+            self._counters.add(CounterKind.CLAIMS, "platform_out")
+            raise IbisfrontError(
+                ErrorKind.CLAIM_UNAVAILABLE,
+                f"the platform does not answer; {key.text} cannot be claimed now",
+            )
+        return writer
+
+
+def _claimed_by(
+    attempt: Attempt, found: ClaimRecord | None, dead: ClaimRecord | None
+) -> ClaimRecord:
+    """Return the record of a key after an attempt asked for it."""
+    if found is None or found == dead:
+        return attempt.record()
+    is_free = found.state is ClaimState.NOT_RUN
+    if is_free and found.fingerprint == attempt.fingerprint:
+        return attempt.record()
+    return found
--- a/ibisfront/tests/test_ledger.py
+++ b/ibisfront/tests/test_ledger.py
@@ -218,6 +218,21 @@
         told = await world.nodes[2].ledger.outcome(KEY)
         self.assertEqual(bytes(told.result_json).decode(), copy.result)
 
+    @world_test
+    async def test_a_leaving_instance_writes_its_outcomes_first(self, world):
+        """After a planned stop a request that ran is told as "maybe".
+
+        Its outcome waited for a claim to ride with when the instance left.
+        """
+        first = world.send_copy(0, KEY, deadline_ms=PLENTY_MS)
+        while first.ran is None:
+            await world.clock.sleep_ms(1.0)
+        await world.nodes[0].ledger.finish()
+        world.restart(0)
+        second = world.send_copy(1, KEY, deadline_ms=PLENTY_MS)
+        await world.clock.sleep_ms(PLENTY_MS)
+        self.assertEqual((second.ran, second.result), (Ran.YES, first.result))
+
     @world_test
     async def test_a_repeated_claim_meets_the_gap_before_a_write(self, world):
         """An instance ends with AttributeError under contention.
--- a/properties/ledger_variants.py
+++ b/properties/ledger_variants.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from ibisfront.core import claimed_run, ledger, ledger_bucket, ledger_messages
+from ibisfront.core import claimed_run, claiming, ledger, ledger_bucket, ledger_messages
 from ibisfront.core.attempts import Attempt, AttemptRegistry, AttemptState
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.core.ledger_bucket import ChangeResult
@@ -34,11 +34,11 @@
 def claim_after_send():
     """Send first, and claim once it has run."""
 
-    async def claim_until_held(self, attempt):
+    async def until_held(self, attempt):
         attempt.submitted = True
         return attempt.record()
 
-    return patch.object(ledger.Ledger, "_claim_until_held", claim_until_held)
+    return patch.object(claiming.Claimer, "until_held", until_held)
 
 
 def trust_lost_write_as_failed():
@@ -60,7 +60,7 @@
 
     return _patches(
         patch.object(LedgerWriter, "_note_failure", note),
-        patch.object(ledger, "attempt_answer", answer),
+        patch.object(claiming, "attempt_answer", answer),
     )
 
 
