Refuse a backend server whose address is none

An operator who left out the port had the edit accepted, in force at every instance. Seen to fail in test_admin on the earlier adapters/admin.py (the edit of "127.0.0.1" answered 200). The address is now checked as the settings' are. What a hand writes straight into the platform is not checked by this.

--- a/ibisfront/adapters/admin.py
+++ b/ibisfront/adapters/admin.py
@@ -13,6 +13,7 @@
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.core.service import BackendServer, Service
 from ibisfront.core.service_edit import add_server, drain_server, remove_server
+from ibisfront.core.settings_check import address_problem
 from ibisfront.core.table import EditSummary, Table
 from ibisfront.core.table_edit import TableProposal, edit_table, read_table
 from ibisfront.core.types import Version
@@ -258,6 +259,7 @@
 
     async def add(request: HttpRequest) -> HttpResponse:
         server = _decoded(request.body, BackendServer)
+        _check_server(server)
         edited = await add_server(platform, request.parts[0], server, clock=clock)
         return json_response(edited, outcome="edit_accepted")
 
@@ -304,6 +306,21 @@
     return TableView(version, msgspec.structs.replace(table, history=()))
 
 
+def _check_server(server: BackendServer) -> None:
+    # An address that nothing can connect to would be met first by the searches
+    # of every branch, at every instance.
+    problem = address_problem(server.address)
+    if problem is not None:
+        raise IbisfrontError(
+            ErrorKind.BAD_REQUEST,
+            f"the address is {server.address!r}, {problem}: write IP:PORT",
+        )
+    if not server.name or not server.zone:
+        raise IbisfrontError(
+            ErrorKind.BAD_REQUEST, "name or zone is empty: a server needs both"
+        )
+
+
 def _decoded(body: bytes, body_type: type[_Body]) -> _Body:
     try:
         return msgspec.json.decode(body, type=body_type)
--- a/ibisfront/core/settings_check.py
+++ b/ibisfront/core/settings_check.py
@@ -24,6 +24,7 @@
     "SECRET_TEXT",
     "VISIBLE_TEXT",
     "SettingsFault",
+    "address_problem",
     "check_distinct_addresses",
     "check_struct",
     "describe_type",
@@ -147,7 +148,7 @@
         is_address = _check_name(leaf.field.type) in _ADDRESS_CHECKS
         if not is_address or not isinstance(address, str):
             continue
-        if _address_problem(address) is not None:
+        if address_problem(address) is not None:
             continue
         if address in first_key:
             problem = f"is {_shown(address)}, as is {first_key[address]}"
@@ -223,7 +224,7 @@
 
 
 def _check_address(value: str, check: str, key: str) -> list[SettingsFault]:
-    problem = _address_problem(value)
+    problem = address_problem(value)
     if problem is None and check == OWN_ADDRESS[_CHECK]:
         problem = _unspecified_problem(value)
     if problem is None:
@@ -304,7 +305,8 @@
     return found
 
 
-def _address_problem(address: str) -> str | None:
+def address_problem(address: str) -> str | None:
+    """Return what keeps a text from being an address; None if nothing does."""
     matched = _ADDRESS_PATTERN.fullmatch(address)
     if matched is None or not _is_ip(matched["ip"]):
         return "not an IP number and a port"
--- a/ibisfront/tests/test_admin.py
+++ b/ibisfront/tests/test_admin.py
@@ -110,6 +110,11 @@
 
     @trio_test_real_clock
     async def test_servers_are_added_drained_and_removed(self):
+        """Edit the servers of a service, also with an address of a wrong form.
+
+        An operator leaves out the port. The edit was accepted, and nothing can
+        connect to such an address; now it is refused, naming the value.
+        """
         async with one_instance() as (deployment, instance):
             path = ADMIN + "services/archive%2F1/servers"
             server = BackendServer("archive-0", "127.0.0.1:9", "z1")
@@ -124,6 +129,12 @@
                 drained.decode(ServiceEdited).service.backend_servers[0].state,
                 "draining",
             )
+            for address in ("127.0.0.1", "localhost:9", "127.0.0.1:x", ""):
+                wrong = msgspec.structs.replace(server, address=address)
+                refused = await deployment.admin(instance, "POST", path, wrong)
+                problem = refused.decode(ProblemBody)
+                self.assertEqual(problem.code, "bad_request", address)
+                self.assertIn(repr(address), problem.detail)
             unknown = await deployment.admin(instance, "POST", path + "/nobody/drain")
             self.assertEqual(unknown.decode(ProblemBody).code, "not_found")
             removed = await deployment.admin(instance, "DELETE", path + "/archive-0")
