--- a/ibisfront/testing/search_fixture.py
+++ b/ibisfront/testing/search_fixture.py
@@ -30,12 +30,12 @@
     from collections.abc import AsyncIterator
 
     from ibisfront.core.counters import CounterKind
-    from ibisfront.core.link import BackendLink
+    from ibisfront.core.link import BackendLink, OpenConnection
     from ibisfront.core.peers import Peers
     from ibisfront.core.query import Answer
     from ibisfront.core.server_signs import ServerSigns
 
-__all__ = ["INDEX", "SearchFixture"]
+__all__ = ["INDEX", "SearchFixture", "address_of"]
 
 INDEX = "register"
 """The one index of the fixture."""
@@ -89,6 +89,12 @@
         self._backend = backend or BackendSettings()
         self._seed = seed
         self._peers = peers
+        self._open_connection: OpenConnection = self.network.open_connection
+        self.follow_signs(None)
+
+    def connect_by(self, open_connection: OpenConnection) -> None:
+        """Start the query path anew, over other connections."""
+        self._open_connection = open_connection
         self.follow_signs(None)
 
     def follow_signs(self, signs: ServerSigns | None) -> None:
@@ -96,7 +102,7 @@
         self.links = BackendLinks(
             catalogue=self.catalogue,
             members=self.members,
-            open_connection=self.network.open_connection,
+            open_connection=self._open_connection,
             clock=self.clock,
             counters=self.counters,
             backend=self._backend,
--- a/ibisfront/tests/test_adapters_backend.py
+++ b/ibisfront/tests/test_adapters_backend.py
@@ -120,7 +120,7 @@
 
     @trio_test_real_clock
     async def test_request_is_sent_in_one_piece(self):
-        """A tenth of the tier's processor time goes into half-filled packets.
+        """Processor time goes into half-filled packets, here and at the servers.
 
         The library writes the head and the body of a request apart, with a
         system call here and a wake-up of the server for each.
