--- a/ibisfront/core/policies.py
+++ b/ibisfront/core/policies.py
@@ -123,7 +123,11 @@
         return max(waited_ms, settings.straggler_floor_ms)
 
     return QueryPolicy(
-        choose=two_choices(cross_zone_ms=settings.cross_zone_ms, seed=seed),
+        choose=two_choices(
+            cross_zone_ms=settings.cross_zone_ms,
+            slots_per_server=settings.slots_per_server,
+            seed=seed,
+        ),
         hedge_delay_ms=lambda service: service.hedge_delay_ms,
         allow_retry=allow_retry,
         retry_delay_ms=retry_delay_ms,
--- a/ibisfront/core/server_choice.py
+++ b/ibisfront/core/server_choice.py
@@ -15,6 +15,10 @@
 __all__ = ["Choice", "ChooseServer", "round_robin", "two_choices"]
 
 
+_SPILL_SLOTS = 3
+_SPILL_FACTOR = 4.0
+
+
 class Choice(msgspec.Struct, frozen=True):
     """What a server is chosen for.
 
@@ -55,33 +59,43 @@
     return choose
 
 
-def two_choices(*, cross_zone_ms: float, seed: int | None = None) -> ChooseServer:
-    """Return a choice of the less loaded of two servers.
+def two_choices(
+    *, cross_zone_ms: float, slots_per_server: int, seed: int | None = None
+) -> ChooseServer:
+    """Return a choice of the less loaded of two servers, own zone first.
 
-    The load is this instance's own sub-requests at the server times the
-    smoothed latency that it saw. A server of another zone costs the way there
-    and back on top, so that the own zone goes first until its wait outgrows
-    that way. There is no threshold to cross, so nothing switches over and
-    back; see ``docs/design/query-path.md`` for the rules weighed.
+    The load is this instance's own sub-requests at the server and the smoothed
+    latency that it saw. A server of another zone is taken only if the own one
+    has many more of this instance's sub-requests, or is many times slower.
+    Comparing expected waits alone was measured and let work go to and fro
+    between the zones; see ``docs/design/query-path.md`` for the rules weighed.
 
     Parameters
     ----------
     cross_zone_ms : float
         What the way to another zone and back costs.
+    slots_per_server : int
+        How many requests a server runs at once.
     seed : int, optional
         Makes the choices repeatable.
     """
     generator = random.Random(seed)
+    threshold = _SPILL_SLOTS * slots_per_server
 
     def choose(links: Sequence[BackendLink], choice: Choice) -> BackendLink | None:
         usable = [link for link in links if _is_usable(link, choice)]
         candidates = _preferred(usable, choice)
         if len(candidates) <= 1:
             return candidates[0] if candidates else None
-        if len(candidates) > 2:
-            candidates = _sample(candidates, choice.zone, generator)
-        costs = [_cost(link, choice, cross_zone_ms) for link in candidates]
-        return candidates[costs.index(min(costs))]
+        own = _less_loaded(candidates, choice, generator, in_zone=True)
+        other = _less_loaded(candidates, choice, generator, in_zone=False)
+        if own is None or other is None:
+            return own or other
+        more = own.in_flight - other.in_flight
+        own_ms = own.health.unloaded_ms(choice.now_ms)
+        other_ms = other.health.unloaded_ms(choice.now_ms)
+        slow = own_ms > _SPILL_FACTOR * other_ms + cross_zone_ms
+        return other if slow or more > threshold else own
 
     return choose
 
@@ -107,19 +121,20 @@
     return [link for link in untried if link.health.not_before_ms <= now_ms] or untried
 
 
-def _sample(
-    candidates: list[BackendLink], zone: str, generator: random.Random
-) -> list[BackendLink]:
-    """Return two servers of the own zone and one of the others, at random."""
-    generator.shuffle(candidates)
-    own = [link for link in candidates if link.server.zone == zone]
-    others = [link for link in candidates if link.server.zone != zone]
-    return own[:2] + others[:1] if own else others[:2]
-
-
-def _cost(link: BackendLink, choice: Choice, cross_zone_ms: float) -> tuple[float, int]:
-    """Return the expected wait, then the load to settle equal waits."""
-    cost_ms = link.health.load_ms(link.in_flight, choice.now_ms)
-    if link.server.zone != choice.zone:
-        cost_ms += cross_zone_ms
-    return cost_ms, link.in_flight
+def _less_loaded(
+    candidates: list[BackendLink],
+    choice: Choice,
+    generator: random.Random,
+    *,
+    in_zone: bool,
+) -> BackendLink | None:
+    """Return the less loaded of two servers, inside or outside the own zone."""
+    links = [
+        link for link in candidates if (link.server.zone == choice.zone) is in_zone
+    ]
+    if len(links) <= 1:
+        return links[0] if links else None
+    first, second = generator.sample(links, 2)
+    first_ms = first.health.load_ms(first.in_flight, choice.now_ms)
+    second_ms = second.health.load_ms(second.in_flight, choice.now_ms)
+    return first if first_ms <= second_ms else second
--- a/ibisfront/core/server_health.py
+++ b/ibisfront/core/server_health.py
@@ -226,12 +226,16 @@
     def load_ms(self, in_flight: int, now_ms: float) -> float:
         """Return the wait that one more sub-request may expect, for comparing."""
         queue_factor = 1.0 + in_flight / self._settings.slots_per_server
-        load_ms = max(self.latency_ms, 1.0) * queue_factor
-        if now_ms < self._slow_start_until_ms:
-            remaining_ms = self._slow_start_until_ms - now_ms
-            longest_ms = max(self._settings.slow_start_ms, 1.0)
-            load_ms *= 1.0 + _SLOW_START_FACTOR * remaining_ms / longest_ms
-        return load_ms
+        return self.unloaded_ms(now_ms) * queue_factor
+
+    def unloaded_ms(self, now_ms: float) -> float:
+        """Return the smoothed latency, raised while the server starts slowly."""
+        latency_ms = max(self.latency_ms, 1.0)
+        remaining_ms = self._slow_start_until_ms - now_ms
+        if remaining_ms <= 0.0:
+            return latency_ms
+        longest_ms = max(self._settings.slow_start_ms, 1.0)
+        return latency_ms * (1.0 + _SLOW_START_FACTOR * remaining_ms / longest_ms)
 
     def note_fresh_answer(self, now_ms: float) -> None:
         """Take in that a fresh connection was answered."""
--- a/ibisfront/tests/test_server_choice.py
+++ b/ibisfront/tests/test_server_choice.py
@@ -48,7 +48,7 @@
 
 def chosen(links, *, times=100, **fields):
     """Return how often each server is chosen."""
-    choose = two_choices(cross_zone_ms=3.0, seed=1)
+    choose = two_choices(cross_zone_ms=3.0, slots_per_server=2, seed=1)
     choice = Choice("z1", fields.pop("now_ms", 1.0), **fields)
     names = Counter()
     for _ in range(times):
@@ -75,6 +75,19 @@
         links = [make_link("near", "z1", latency_ms=30.0), make_link("far", "z2")]
         self.assertEqual(chosen(links), {"far": 100})
 
+    @trio_test
+    async def test_overloaded_server_of_the_own_zone_spills(self):
+        """One zone's desk waits in a queue that the next zone could take.
+
+        The near server has far more of this instance's sub-requests than the
+        far one. A few more do not count, or work would go to and fro.
+        """
+        near, far = make_link("near", "z1"), make_link("far", "z2")
+        near._places.held = 6
+        self.assertEqual(chosen([near, far]), {"near": 100})
+        near._places.held = 7
+        self.assertEqual(chosen([near, far]), {"far": 100})
+
     @trio_test
     async def test_many_servers_share_the_work(self):
         links = [make_link(f"s{number}", "z1") for number in range(4)]
