Let a server's wrong address cost its service only, not the search

Trial on: a server written into the platform with the address "127.0.0.1" turned every search over its service into a 500, "a fault of the tier", since the value error of its one sub-request ended the search. It counts as a failed connection now. test_adapters_backend failed on for each of the four addresses tried.

--- a/ibisfront/adapters/backend.py
+++ b/ibisfront/adapters/backend.py
@@ -217,7 +217,10 @@
                 outgoing_ip=outgoing_ip,
                 options=options,
             )
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # An entry written into the platform by hand may have an address
+            # that is none; it shows as a value error here. It must cost the
+            # service's rows at most, not the whole search.
             raise SubRequestError(MissingReason.CONNECT_FAILED, not_run=True) from error
         connection = httpcore.AsyncHTTP11Connection(_url(address).origin, stream)
         return HttpBackendConnection(address, connection, clock)
--- a/ibisfront/tests/test_adapters_backend.py
+++ b/ibisfront/tests/test_adapters_backend.py
@@ -78,6 +78,20 @@
         self.assertIs(caught.exception.reason, MissingReason.WRONG_REPLY)
         self.assertFalse(caught.exception.whole_reply)
 
+    @trio_test_real_clock
+    async def test_an_address_that_is_none_counts_as_a_failed_connection(self):
+        """Every search of a branch comes back as a fault of the tier.
+
+        Somebody wrote a server without a port into the platform. The fault
+        of its one sub-request ended the searches that touch its service.
+        """
+        for address in ("127.0.0.1", "127.0.0.1:x", "127.0.0.1:99999", ""):
+            with self.subTest(address=address):
+                with self.assertRaises(SubRequestError) as caught:
+                    await connection_opener(Clock(), BackendSettings())(address)
+                self.assertIs(caught.exception.reason, MissingReason.CONNECT_FAILED)
+                self.assertTrue(caught.exception.not_run)
+
     @trio_test_real_clock
     async def test_connection_with_a_doubled_reply_is_not_used_again(self):
         """A search fails although its server is well.
