Share the table's limits over all instances by loans and leases

Cause: each instance enforced the whole of limit_per_s and max_in_flight by itself, so that nine instances started up to nine times the limit.

Each instance owns a safe share, the limit over the members that have not left, and lends it to one owner at a time (rendezvous hashing of 16 buckets of rows). The owner's pool is what it was lent; it grants by max-min of demand for a lease and counts what it granted until that is acknowledged or has lapsed. Two owners at once, as in a cut, a takeover or differing views, can therefore never give out a share twice, and no owner needs to know the members. A late report counts from the grants that it acknowledges, not from its arrival.

--- a/ibisfront/adapters/peer_codec.py
+++ b/ibisfront/adapters/peer_codec.py
@@ -16,6 +16,7 @@
 from ibisfront.core.peers import PeerMessage
 from ibisfront.core.quarantine import CrashSeen
 from ibisfront.core.server_signs import ServerSignNews
+from ibisfront.core.share_messages import ShareGrants, ShareReport
 from ibisfront.core.spread import NewestKnown, ObjectsChanged, ObjectsWanted
 from ibisfront.core.status import StatusReply, StatusRequest
 
@@ -37,6 +38,8 @@
     | NewestKnown
     | ServerSignNews
     | CrashSeen
+    | ShareReport
+    | ShareGrants
     | StatusRequest
     | StatusReply
     | AttemptQuestion
--- a/ibisfront/core/admission.py
+++ b/ibisfront/core/admission.py
@@ -5,8 +5,6 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from ibisfront.core.counters import CounterKind
-from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.core.group_queue import GroupQueue
 
 if TYPE_CHECKING:
@@ -15,6 +13,7 @@
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.core.group_queue import Place
+    from ibisfront.core.shares import Shares
     from ibisfront.core.table import Purpose, Row
 
 __all__ = ["Admission"]
@@ -29,21 +28,18 @@
         The tier's clock.
     counters : Counters
         Where refusals are counted.
+    shares : Shares
+        This instance's shares of the table's limits.
     """
 
-    __slots__ = ("_clock", "_counters", "_groups", "_in_flight")
+    __slots__ = ("_clock", "_counters", "_groups", "shares")
 
-    def __init__(self, *, clock: Clock, counters: Counters) -> None:
+    def __init__(self, *, clock: Clock, counters: Counters, shares: Shares) -> None:
         self._clock = clock
         self._counters = counters
-        self._in_flight: dict[tuple[str, str], int] = {}
+        self.shares = shares
         self._groups: dict[str, GroupQueue] = {}
 
-    @property
-    def running(self) -> int:
-        """How many requests run or wait here."""
-        return sum(self._in_flight.values())
-
     @asynccontextmanager
     async def admitted(
         self,
@@ -68,26 +64,13 @@
         IbisfrontError
             ``over_limit``, ``overloaded`` or ``deadline_too_short``, at once.
         """
-        key = (row.branch, row.purpose)
-        running = self._in_flight.get(key, 0)
-        if running >= row.max_in_flight:
-            self._counters.add(CounterKind.REFUSALS, ErrorKind.OVER_LIMIT.value)
-            raise IbisfrontError(
-                ErrorKind.OVER_LIMIT,
-                f"{row.branch}/{row.purpose} has {running} of"
-                f" {row.max_in_flight} requests running",
-            )
-        self._in_flight[key] = running + 1
-        try:
-            group = self.group(purpose)
-            async with group.place(
+        async with (
+            self.shares.started(row, deadline_at_ms=deadline_at_ms),
+            self.group(purpose).place(
                 row, purpose, deadline_at_ms=deadline_at_ms
-            ) as place:
-                yield place
-        finally:
-            self._in_flight[key] -= 1
-            if not self._in_flight[key]:
-                del self._in_flight[key]
+            ) as place,
+        ):
+            yield place
 
     def group(self, purpose: Purpose) -> GroupQueue:
         """Return the queue of the services that a purpose uses."""
--- a/ibisfront/core/settings.py
+++ b/ibisfront/core/settings.py
@@ -38,6 +38,7 @@
     "QuerySettings",
     "Settings",
     "SettingsError",
+    "ShareSettings",
     "StopSettings",
     "check_settings",
     "read_settings",
@@ -157,6 +158,25 @@
     ] = 31_000
 
 
+class ShareSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the table's limits are shared over the instances.
+
+    The lease itself is no setting: instances with different ones would let
+    each other's shares run twice.
+    """
+
+    join_ms: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=60_000,
+            description="How long a new process is not ready and uses only what"
+            " others grant it; below two leases (2,000), a restart under load can"
+            " go over a limit for a moment.",
+        ),
+    ] = 2_000
+
+
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The log, written to standard error."""
 
@@ -176,6 +196,7 @@
     platform: PlatformSettings
     backend: BackendSettings = BackendSettings()
     stop: StopSettings = StopSettings()
+    shares: ShareSettings = ShareSettings()
     query: QuerySettings = QuerySettings()
     logs: LogSettings = LogSettings()
 
--- /dev/null
+++ b/ibisfront/core/share_holder.py
@@ -0,0 +1,208 @@
+"""What this instance may use of each row, by its own clock.
+
+Its use of a row has two parts. What an owner granted, while the lease holds.
+And its own safe share, unless that is lent: then nothing in place of it while
+the lease holds, and after a lapse the smaller of the safe share and the last
+grant, until everything that rests on the loan has lapsed too.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisfront.core.share_messages import (
+    BUCKETS,
+    NO_SHARE,
+    BucketReport,
+    Share,
+    bucket_of,
+    row_key,
+)
+
+if TYPE_CHECKING:
+    from ibisfront.core.share_messages import (
+        RowDemand,
+        RowKey,
+        ShareGrants,
+        ShareTimes,
+    )
+    from ibisfront.core.table import Row
+
+__all__ = ["ShareHolder"]
+
+_LOAN_LEASES = 2
+"""An owner counts a report for one lease, and its grants last for one more."""
+
+
+class _Granted:
+    """The grants of one owner."""
+
+    __slots__ = ("lease_until_ms", "shares")
+
+    def __init__(self) -> None:
+        self.lease_until_ms = 0.0
+        self.shares: dict[RowKey, Share] = {}
+
+    def share(self, key: RowKey) -> Share:
+        """Return the last grant of a row, valid or not."""
+        return self.shares.get(key, NO_SHARE)
+
+
+class _Loan:
+    """One bucket: to whom its safe shares are lent, and what was granted."""
+
+    __slots__ = (
+        "acknowledged",
+        "answered_at_ms",
+        "current",
+        "former",
+        "in_flight_lent_until_ms",
+        "lending",
+        "owner",
+        "rate_lent_until_ms",
+    )
+
+    def __init__(self, lent_until_ms: float) -> None:
+        self.owner = ""
+        self.lending = False
+        self.acknowledged = 0
+        self.answered_at_ms = 0.0
+        self.current = _Granted()
+        self.former = _Granted()
+        self.rate_lent_until_ms = lent_until_ms
+        self.in_flight_lent_until_ms = lent_until_ms
+
+    def move_to(self, owner: str) -> None:
+        """Report to another owner from now on."""
+        if self.lending:
+            self.former = self.current
+        self.current = _Granted()
+        self.owner = owner
+        self.lending = False
+        self.acknowledged = 0
+
+    def own_share(self, key: RowKey, safe: Share, now_ms: float) -> Share:
+        """Return what may be used of the safe share, or in its place."""
+        lent_to = self.current if self.lending else self.former
+        last = lent_to.share(key)
+        if now_ms < lent_to.lease_until_ms:
+            return NO_SHARE if self.lending else last
+        rate_per_s, in_flight = safe.rate_per_s, safe.in_flight
+        if now_ms < self.rate_lent_until_ms:
+            rate_per_s = min(rate_per_s, last.rate_per_s)
+        if now_ms < self.in_flight_lent_until_ms:
+            in_flight = min(in_flight, last.in_flight)
+        return Share(rate_per_s, in_flight)
+
+
+class ShareHolder:
+    """The shares of this instance.
+
+    A lease counts from when its request was sent, by our own clock, so that
+    it ends here before it ends at the owner. Every use asks the clock first:
+    a process that was stopped for longer than its lease finds it lapsed
+    before it uses anything.
+
+    Parameters
+    ----------
+    times : ShareTimes
+        The times by which shares are lent.
+    started_at_ms : float
+        When this process started. An earlier process of the same instance may
+        have lent its shares until a moment ago, and the others do not know of
+        a new one yet; so nothing but grants is used for a time.
+    """
+
+    __slots__ = ("_loans", "_times", "left")
+
+    def __init__(self, *, times: ShareTimes, started_at_ms: float) -> None:
+        self._times = times
+        joined_at_ms = started_at_ms + times.join_ms
+        self._loans = [_Loan(joined_at_ms) for _ in range(BUCKETS)]
+        self.left = False
+
+    def usable(self, row: Row, safe: Share, *, now_ms: float) -> Share:
+        """Return what may be used of a row now.
+
+        Parameters
+        ----------
+        row : Row
+            The row.
+        safe : Share
+            This instance's safe share of it.
+        now_ms : float
+            The time now, just read.
+        """
+        if self.left:
+            return NO_SHARE
+        key = row_key(row)
+        loan = self._loans[bucket_of(key)]
+        own = loan.own_share(key, safe, now_ms)
+        if now_ms >= loan.current.lease_until_ms:
+            return own
+        granted = loan.current.share(key)
+        return Share(
+            granted.rate_per_s + own.rate_per_s, granted.in_flight + own.in_flight
+        )
+
+    def has_lease(self, key: RowKey, *, now_ms: float) -> bool:
+        """Return whether a lease names the row."""
+        current = self._loans[bucket_of(key)].current
+        return now_ms < current.lease_until_ms and key in current.shares
+
+    def report(
+        self, bucket: int, owner: str, rows: tuple[RowDemand, ...], *, now_ms: float
+    ) -> BucketReport:
+        """Return the report of a bucket that is sent to its owner now."""
+        loan = self._loans[bucket]
+        if loan.owner != owner:
+            loan.move_to(owner)
+        if loan.acknowledged and now_ms >= loan.in_flight_lent_until_ms:
+            loan.lending = True
+        if loan.lending:
+            # The owner counts the loan from when it issued what is now
+            # acknowledged, which was before we had it; a report that brings
+            # no reply extends nothing.
+            lent_until_ms = loan.answered_at_ms + _LOAN_LEASES * self._times.lease_ms
+            loan.rate_lent_until_ms = lent_until_ms
+            loan.in_flight_lent_until_ms = lent_until_ms + self._times.drain_ms
+        return BucketReport(bucket, loan.acknowledged, loan.lending, rows)
+
+    def apply(
+        self,
+        buckets: list[int],
+        owner: str,
+        grants: ShareGrants,
+        *,
+        sent_at_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Put grants into force, in place of all earlier ones.
+
+        Parameters
+        ----------
+        buckets : list of int
+            The buckets that were reported.
+        owner : str
+            Who granted.
+        grants : ShareGrants
+            What was granted.
+        sent_at_ms, now_ms : float
+            When the report that asked for them was sent, and now.
+        """
+        for bucket in buckets:
+            loan = self._loans[bucket]
+            if loan.owner != owner:
+                continue  # the bucket moved on while the reply was under way
+            loan.acknowledged = grants.sequence
+            loan.answered_at_ms = now_ms
+            loan.current.lease_until_ms = sent_at_ms + self._times.lease_ms
+            loan.current.shares = {
+                item.row: item.share
+                for item in grants.rows
+                if bucket_of(item.row) == bucket
+            }
+
+    def lapsed(self, *, now_ms: float) -> int:
+        """Return how many buckets are without a lease."""
+        return sum(now_ms >= loan.current.lease_until_ms for loan in self._loans)
--- a/ibisfront/core/stopping.py
+++ b/ibisfront/core/stopping.py
@@ -71,7 +71,7 @@
         self.begun = True
 
     def on_leaving(self, hook: LeavingHook) -> None:
-        """Call a function once the last request has ended."""
+        """Call a function, after those before it, once no request is left."""
         self._hooks.append(hook)
 
     async def wait_quiet(self) -> None:
@@ -89,13 +89,12 @@
                 return
 
     async def leave(self) -> None:
-        """Call every leaving hook, for a bounded time."""
-        with self._clock.timeout_ms(LEAVE_TIMEOUT_MS) as scope:
-            async with trio.open_nursery() as nursery:
-                for hook in self._hooks:
-                    nursery.start_soon(hook)
-        if scope.cancelled_caught:
-            _LOG.warning("Peers were not all told within %d ms.", LEAVE_TIMEOUT_MS)
+        """Call every leaving hook in order, each for a bounded time."""
+        for hook in self._hooks:
+            with self._clock.timeout_ms(LEAVE_TIMEOUT_MS) as scope:
+                await hook()
+            if scope.cancelled_caught:
+                _LOG.warning("Peers were not all told within %d ms.", LEAVE_TIMEOUT_MS)
 
 
 async def stop_in_order(
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -21,6 +21,8 @@
 from ibisfront.core.objects import ObjectStore
 from ibisfront.core.perform_sender import PerformSender
 from ibisfront.core.quarantine import Quarantine
+from ibisfront.core.share_messages import ShareTimes
+from ibisfront.core.shares import Shares
 from ibisfront.core.status import StatusReply, StatusRequest, collect_status
 from ibisfront.core.stopping import Stopping
 from ibisfront.shared import SharedState
@@ -73,7 +75,16 @@
             counters=self.counters,
             random=self._random,
         )
-        self.admission = Admission(clock=clock, counters=self.counters)
+        self.shares = Shares(
+            members=self.members,
+            clock=clock,
+            counters=self.counters,
+            find_table=lambda: self.catalogue.table,
+            times=ShareTimes(join_ms=settings.shares.join_ms),
+        )
+        self.admission = Admission(
+            clock=clock, counters=self.counters, shares=self.shares
+        )
         self.links = BackendLinks(
             catalogue=self.catalogue,
             members=self.members,
@@ -99,6 +110,7 @@
             zone=settings.instance.zone,
             settings=settings.query,
         )
+        self.stopping.on_leaving(self.shares.hand_back)
         self.stopping.on_leaving(self.shared.leave)
         self.peers.answer(StatusRequest, lambda asker, question: self.status())
         self._adapters = adapters
@@ -129,6 +141,7 @@
             stack.push_async_callback(platform.aclose)
             stack.push_async_callback(self.links.aclose)
             nursery = await stack.enter_async_context(trio.open_nursery())
+            nursery.start_soon(self.shares.run, self.peers)
             nursery.start_soon(self.links.keep_up)
             await nursery.start(self.ledger.run, platform)
             await nursery.start(
@@ -145,7 +158,11 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.catalogue.table is not None and not self.stopping.begun
+        return (
+            self.catalogue.table is not None
+            and self.shares.joined
+            and not self.stopping.begun
+        )
 
     def status(self) -> StatusReply:
         """Return what this instance says of itself."""
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -96,6 +96,8 @@
         Further settings of every instance, as TOML.
     balancer_lag_ms : int
         How long an instance accepts requests after its stop began.
+    join_ms : int
+        How long a new instance uses only shares that others grant it.
     relayed : bool
         Whether all paths but the callers' pass a relay that can cut zones.
     """
@@ -107,6 +109,7 @@
     instances: int = 3
     settings_text: str = ""
     balancer_lag_ms: int = 0
+    join_ms: int = 300
     relayed: bool = False
 
 
@@ -455,6 +458,7 @@
             "admin": {"address": admin, "token": ADMIN_TOKEN},
             "platform": {"address": self._platform_seen},
             "stop": {"balancer_lag_ms": self.shape.balancer_lag_ms},
+            "shares": {"join_ms": self.shape.join_ms},
         }
 
 
--- a/ibisfront/tests/test_admission.py
+++ b/ibisfront/tests/test_admission.py
@@ -10,6 +10,9 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.counters import CounterKind, Counters
 from ibisfront.core.errors import ErrorKind, IbisfrontError, Ran
+from ibisfront.core.members import Member, Members
+from ibisfront.core.share_messages import ShareTimes
+from ibisfront.core.shares import Shares
 from ibisfront.core.table import Purpose, Row
 from ibisfront.tests import trio_test
 
@@ -42,10 +45,23 @@
             self.errors.append(error)
 
 
+def lone_admission(counters):
+    """Return the admission of a tier of one instance."""
+    clock = Clock()
+    shares = Shares(
+        members=Members(Member("i1", "z1", "", "")),
+        clock=clock,
+        counters=counters,
+        find_table=lambda: None,
+        times=ShareTimes(join_ms=0.0),
+    )
+    return Admission(clock=clock, counters=counters, shares=shares)
+
+
 def new_caller():
     """Return a caller of a new admission whose run time is known."""
     clock = Clock()
-    admission = Admission(clock=clock, counters=Counters())
+    admission = lone_admission(Counters())
     admission.group(BULK).limit.duration_ms = RUN_MS
     return Caller(admission, clock)
 
@@ -125,7 +141,7 @@
             nursery.cancel_scope.cancel()
         queue = caller.admission.group(BULK).queue
         self.assertEqual((queue.running, queue.waiting), (0, 0))
-        self.assertEqual(caller.admission.running, 0)
+        self.assertEqual(caller.admission.shares.running, 0)
 
     @trio_test
     async def test_full_queue_refuses_the_flood_and_not_its_victim(self):
@@ -153,7 +169,7 @@
     @trio_test
     async def test_refusals_are_counted_by_reason(self):
         counters = Counters()
-        admission = Admission(clock=Clock(), counters=counters)
+        admission = lone_admission(counters)
         row = Row("vestry", "bulk", max_in_flight=0)
         with self.assertRaises(IbisfrontError):
             async with admission.admitted(row, BULK, deadline_at_ms=1e9):
