--- a/ibisfront/core/fair_queue.py
+++ b/ibisfront/core/fair_queue.py
@@ -93,10 +93,12 @@
 
     @property
     def weight(self) -> float:
-        """The sum of the weights of the rows in use."""
-        return sum(
-            row.weight for row in self.rows.values() if row.waiting or row.running
-        )
+        """The sum of the weights of its rows.
+
+        A row that is idle for a moment counts too: what it does not use is
+        its branch's before it is anybody else's.
+        """
+        return sum(row.weight for row in self.rows.values())
 
     @property
     def urgent_waiting(self) -> int:
@@ -223,7 +225,11 @@
         return branch.start_tag, not branch.urgent_waiting, name
 
     def _total_weight(self) -> float:
-        return sum(flow.weight for flow in self._branches.values())
+        return sum(
+            flow.weight
+            for flow in self._branches.values()
+            if flow.waiting or flow.running
+        )
 
     def _forget_idle(self, waiter: Waiter) -> None:
         # Names of branches come from the table and go with its rows; a flow
--- a/ibisfront/testing/share_cluster.py
+++ b/ibisfront/testing/share_cluster.py
@@ -114,7 +114,7 @@
         self.most_running = 0
         self._nursery = nursery
         self._random = random.Random(seed)
-        self._new_shares = new_shares or self._leased_shares
+        self.new_shares = new_shares or self._leased_shares
         self._cuts: set[frozenset[str]] = set()
         self._incarnation = 0
 
@@ -217,7 +217,7 @@
         members = Members(Member(name, "z1", "", "", incarnation=self._incarnation))
         for other in known:
             members.merge(Member(other, "z1", "", ""))
-        shares = self._new_shares(members)
+        shares = self.new_shares(members)
         peers = self.network.join(name)
         node = ShareNode(name, members=members, shares=shares, peers=peers)
         self.nodes[name] = node
