Let newly wanted rows wait for a share; hand back after the listener closed

A trace of the refusals showed newly wanted rows: the owner had granted spare to instances that still used their own share, so that the next one found 0.9 of 33 a second free for the next 250 ms. The owner now grants spare only to those that lend, and requests of a row wanted for less than a second wait up to 500 ms, later ones 400 ms, and hurry the reports.

Tried first and kept for its own sake, though it was not the cause: shares are handed back after the listener has closed, since a request that comes while the peers are told would find none. The last instance to leave also found no owner.

--- a/ibisfront/core/share_owner.py
+++ b/ibisfront/core/share_owner.py
@@ -308,10 +308,11 @@
         # Dividing anew for each report would cost the square of the number of
         # instances; a division serves all reports of the next moment.
         fresh = now_ms < bucket.divided_at_ms.get(key, -math.inf) + _DIVIDE_AGAIN_MS
-        if not fresh or name not in bucket.targets[key]:
+        lends = bucket.lenders[name].lends
+        if not fresh or (lends and name not in bucket.targets[key]):
             bucket.targets[key] = self._divided(bucket, key, pool, now_ms)
             bucket.divided_at_ms[key] = now_ms
-        return bucket.targets[key][name]
+        return bucket.targets[key].get(name, NO_SHARE)
 
     def _divided(
         self, bucket: _Bucket, key: RowKey, pool: Share, now_ms: float
@@ -320,6 +321,7 @@
             name
             for name, lender in bucket.lenders.items()
             if key in lender.demands
+            and lender.lends  # else it uses its own share, and needs no spare
             and now_ms < lender.reported_at_ms + self._times.lease_ms
         ]
         # With fewer places than instances some get none; they take turns.
--- a/ibisfront/core/shares.py
+++ b/ibisfront/core/shares.py
@@ -41,7 +41,8 @@
 
 __all__ = ["Shares"]
 
-_PATIENCE_MS = 200.0
+_PATIENCE_MS = 400.0
+_NEW_DEMAND_MS = 1_000.0
 _FIRST_GRANT_MS = 500.0
 _EARLY_REPORT_MS = 20.0
 _LEAST_RETRY_MS = 10
@@ -186,9 +187,10 @@
         limit.note_arrival(now_ms=self._clock.now_ms())
         if not limit.waiting and self._try_start(row, limit):
             return
-        # A row that nobody used lately has no share here until it was asked
-        # for. Refusing its first request would be wrong; it waits for a grant.
-        first = self._awaits_first_grant(row, limit)
+        # A row that nobody used lately has no share here, or a small one, until
+        # its demand is known. Refusing its first requests would be wrong while
+        # the tier has room; they wait, and hurry the reports.
+        first = self._clock.now_ms() < limit.wanted_since_ms + _NEW_DEMAND_MS
         if first:
             self._early.set()
         patience_ms = _FIRST_GRANT_MS if first else _PATIENCE_MS
@@ -216,12 +218,6 @@
             with self._clock.timeout_ms(max(_LEAST_PAUSE_MS, wait_ms)):
                 await limit.changed.wait()
 
-    def _awaits_first_grant(self, row: Row, limit: RowLimit) -> bool:
-        now_ms = self._clock.now_ms()
-        return now_ms < limit.wanted_since_ms + _FIRST_GRANT_MS and not (
-            self.holder.has_lease(row_key(row), now_ms=now_ms)
-        )
-
     def _refusal(self, row: Row, limit: RowLimit, wait_ms: float) -> IbisfrontError:
         self._counters.add(CounterKind.REFUSALS, ErrorKind.OVER_LIMIT.value)
         if not math.isfinite(wait_ms):
@@ -306,6 +302,7 @@
 
     def _buckets_by_owner(self) -> dict[str, list[int]]:
         names = [member.name for member in self._members.live()]
+        names = names or [self._members.own_name]  # the last one, leaving
         if names != self._owned_among:
             self._owned_among = names
             self._owned = {}
--- a/ibisfront/daemon.py
+++ b/ibisfront/daemon.py
@@ -87,6 +87,10 @@
         async with trio.open_nursery() as listeners:
             listeners.start_soon(serve_until, closing, callers, caller_socket)
             listeners.start_soon(serve_until, closing, operators, admin_socket)
+        # Not before the listener is closed: a balancer that is slower than its
+        # lag still sends requests while the peers are told, and without shares
+        # each of them would be refused.
+        await instance.shares.hand_back()
         nursery.cancel_scope.cancel()
     _LOG.info("%s has stopped.", settings.instance.name)
 
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -110,7 +110,6 @@
             zone=settings.instance.zone,
             settings=settings.query,
         )
-        self.stopping.on_leaving(self.shares.hand_back)
         self.stopping.on_leaving(self.shared.leave)
         self.peers.answer(StatusRequest, lambda asker, question: self.status())
         self._adapters = adapters
