--- a/ibisfront/tests/test_shares.py
+++ b/ibisfront/tests/test_shares.py
@@ -98,10 +98,10 @@
             tier.nodes["i7"].load = Load(200.0, RUN_MS)
             await tier.clock.sleep_ms(1_000)
             now_ms = tier.clock.now_ms()
-            await tier.clock.sleep_ms(1_000)
+            await tier.clock.sleep_ms(3_000)  # chance moves one second by a fifth
             late = [item for item in tier.started if item.at_ms >= now_ms]
             count = sum(item.instance == "i7" for item in late)
-            self.assertGreaterEqual(count, 0.9 * ROW.limit_per_s / 3)
+            self.assertGreaterEqual(count, 0.9 * ROW.limit_per_s)
             self.assert_limits_held(tier)
 
     @trio_test
