Hedge by the index's latency until a service's own is known

Ruled out: fewer samples for a percentile of 98 (noise decides then); a fixed delay (it knows nothing of the index). The new test was red before.

--- a/ibisfront/core/fanout.py
+++ b/ibisfront/core/fanout.py
@@ -4,6 +4,7 @@
 
 import itertools
 import uuid
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,7 +19,7 @@
 from ibisfront.core.replies import merged_rows
 from ibisfront.core.retry_budget import RetryBudget
 from ibisfront.core.search_run import SearchRun, SearchTask
-from ibisfront.core.service_state import ServiceState
+from ibisfront.core.service_state import RecentLatency, ServiceState
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -73,6 +74,7 @@
         "_counters",
         "_hedges",
         "_ids",
+        "_index_latencies",
         "_links",
         "_name",
         "_policy",
@@ -104,6 +106,7 @@
         self._settings = settings
         self._policy = policy_of(settings, seed=seed)
         self._states: dict[str, ServiceState] = {}
+        self._index_latencies: dict[str, RecentLatency] = {}
         self._hedges = RetryBudget(share=settings.hedge_fraction, burst=HEDGE_BURST)
         self._restarts = RetryBudget(share=_RESTART_SHARE, burst=_RESTART_BURST)
         self._ids = itertools.count(1)
@@ -173,7 +176,7 @@
         return SearchRun(
             task,
             links=self._links,
-            state_of=self._state_of,
+            state_of=partial(self._state_of, task.purpose.index or ""),
             next_id=self._next_id,
             hedge_budget=self._hedges,
             quarantine=self._quarantine,
@@ -225,10 +228,15 @@
             for link in self._links.of_service(service)
         )
 
-    def _state_of(self, service: str) -> ServiceState:
+    def _state_of(self, index: str, service: str) -> ServiceState:
         state = self._states.get(service)
         if state is None:
-            state = self._states[service] = ServiceState(self._settings)
+            index_latency = self._index_latencies.get(index)
+            if index_latency is None:
+                index_latency = RecentLatency(self._settings)
+                self._index_latencies[index] = index_latency
+            state = ServiceState(self._settings, index_latency=index_latency)
+            self._states[service] = state
         return state
 
     def _next_id(self) -> str:
--- a/ibisfront/tests/test_hedging.py
+++ b/ibisfront/tests/test_hedging.py
@@ -59,6 +59,22 @@
         self.assertLessEqual(ours.percentile_ms(99.0), 1.5 * usual.percentile_ms(99.0))
         self.assertLessEqual(extra, 0.03 + HEDGE_BURST / (500 * 20))
 
+    @trio_test
+    async def test_a_new_instance_hedges_before_it_knows_each_service(self):
+        """Searches were slow for a quarter of a minute after each restart.
+
+        An instance among several sends each of twenty services a few
+        sub-requests a second. It waited for fifty samples of a service before
+        it hedged there, so that no straggler was hedged in a run of seconds.
+        """
+        fixture = SearchFixture(services=20, stand_in=SPREAD)
+        for service in fixture.services:
+            for number in range(2):
+                fixture.set_faults(service, number, **STRAGGLING)
+        for _ in range(30):
+            await fixture.search()
+        self.assertGreater(fixture.count(CounterKind.HEDGES, "slow"), 0)
+
     @trio_test
     async def test_brown_out_does_not_overrun_the_budget(self):
         """Slow servers become slower because each request is sent twice.
