--- a/ibisfront/testing/proofs.py
+++ b/ibisfront/testing/proofs.py
@@ -23,7 +23,9 @@
 STATES = ("proved", "partly", "not proved")
 
 _COLUMNS = 6
-_TEST_NAME = re.compile(r"`([\w.]+\.test_\w+)`")
+_TEST_NAME = re.compile(r"`([\w.]+\.(?:test_\w+|runTest))`")
+_FAILED_FIRST = re.compile(r"`[0-9a-f]{7,}`|\bnot seen failing\b")
+_HEADINGS = ("Promise", "Failure", "Bound")
 _STATE = re.compile(r"(proved|partly|not proved)\b")
 
 
@@ -37,12 +39,15 @@
     tests : tuple of str
         The dotted names of the tests, below ``ibisfront.tests`` or
         ``properties``.
+    failed_first : str
+        The commit that records the first failing run, or that none does.
     state : str
         ``proved``, ``partly`` or ``not proved``, and why.
     """
 
     promise: str
     tests: tuple[str, ...]
+    failed_first: str
     state: str
 
 
@@ -50,7 +55,7 @@
     """Return the rows of the page's tables."""
     rows = [_cells(line) for line in text.splitlines() if line.startswith("|")]
     return [
-        Proof(cells[0], tuple(_TEST_NAME.findall(cells[2])), cells[5])
+        Proof(cells[0], tuple(_TEST_NAME.findall(cells[2])), cells[3], cells[5])
         for cells in rows
         if len(cells) == _COLUMNS and not _is_heading(cells)
     ]
@@ -65,6 +70,11 @@
             faults.append(f"{proof.promise!r}: the state must be one of {STATES}")
         elif state.group() != "not proved" and not proof.tests:
             faults.append(f"{proof.promise!r} is {state.group()} but names no test")
+        if _FAILED_FIRST.search(proof.failed_first) is None:
+            faults.append(
+                f"{proof.promise!r}: 'Failed first' must name a commit, such as "
+                "`0123abc`, or say 'not seen failing'"
+            )
         faults.extend(
             f"{proof.promise!r}: {test} did not run"
             for test in proof.tests
@@ -89,7 +99,7 @@
 
 
 def _is_heading(cells: list[str]) -> bool:
-    return cells[0] in ("Promise", "Failure") or set(cells[0]) <= set("-: ")
+    return cells[0] in _HEADINGS or set(cells[0]) <= set("-: ")
 
 
 if __name__ == "__main__":
--- a/ibisfront/tests/test_testing_proofs.py
+++ b/ibisfront/tests/test_testing_proofs.py
@@ -9,10 +9,17 @@
 PAGE = """
 | Promise | Mechanism | Test | Failed first | Figure | State |
 | --- | --- | --- | --- | --- | --- |
-| One snapshot | pinning | `test_x.T.test_one` | abc1234 | none | proved |
-| Coverage | counting | | | | not proved: later |
+| One snapshot | pinning | `test_x.T.test_one` | `abc1234` | none | proved |
+| Coverage | counting | | not seen failing | | not proved: later |
+
+| Bound | Mechanism | Test | Failed first | Figure | State |
+| --- | --- | --- | --- | --- | --- |
+| Machine | drawing | `test_y.Machine.runTest` | not seen failing | | partly: x |
 """
 
+MACHINE = "properties.test_y.Machine.runTest"
+NOT_SEEN = "not seen failing"
+
 
 class ProofsTest(unittest.TestCase):
     """The page must not claim a test that did not run."""
@@ -20,21 +27,36 @@
     def test_rows_are_read(self) -> None:
         proofs = read_proofs(PAGE)
         self.assertEqual(
-            [proof.promise for proof in proofs], ["One snapshot", "Coverage"]
+            [proof.promise for proof in proofs], ["One snapshot", "Coverage", "Machine"]
         )
         self.assertEqual(proofs[0].tests, ("test_x.T.test_one",))
+        self.assertEqual(proofs[0].failed_first, "`abc1234`")
+        self.assertEqual(proofs[2].tests, ("test_y.Machine.runTest",))
 
     def test_a_test_that_did_not_run_is_a_fault(self) -> None:
-        faults = faults_of(read_proofs(PAGE), ["ibisfront.tests.test_x.T.test_two"])
+        faults = faults_of(
+            read_proofs(PAGE), ["ibisfront.tests.test_x.T.test_two", MACHINE]
+        )
         self.assertEqual(len(faults), 1)
         self.assertIn("test_x.T.test_one did not run", faults[0])
 
     def test_tests_that_ran_are_no_fault(self) -> None:
-        ran = ["ibisfront.tests.test_x.T.test_one"]
+        ran = ["ibisfront.tests.test_x.T.test_one", MACHINE]
         self.assertEqual(faults_of(read_proofs(PAGE), ran), [])
 
     def test_a_claim_without_a_test_is_a_fault(self) -> None:
-        self.assertEqual(len(faults_of([Proof("p", (), "proved")], [])), 1)
+        self.assertEqual(len(faults_of([Proof("p", (), NOT_SEEN, "proved")], [])), 1)
 
     def test_an_empty_state_is_a_fault(self) -> None:
-        self.assertEqual(len(faults_of([Proof("p", (), "")], [])), 1)
+        self.assertEqual(len(faults_of([Proof("p", (), NOT_SEEN, "")], [])), 1)
+
+    def test_an_empty_or_vague_failed_first_is_a_fault(self) -> None:
+        """A row claims a proof by a test that nobody ever saw fail.
+
+        The column was left empty, or says "yes", and the reader takes the
+        test for one that can fail.
+        """
+        for vague in ("", "yes", "guard taken out"):
+            with self.subTest(vague):
+                proof = Proof("p", (), vague, "not proved: later")
+                self.assertEqual(len(faults_of([proof], [])), 1)
