State the platform's conditional calls once

Cause: the ledger and the table edits each described the same two calls of the platform (get, and put over a known version) as a protocol of their own. Ruled out: using the client's class as the type (the core would import an edge). After: one protocol in core/conditional_platform.py; no behaviour changed.

--- a/ibisfront/adapters/admin.py
+++ b/ibisfront/adapters/admin.py
@@ -22,11 +22,11 @@
     from ibisfront.adapters.asgi import Authorize
     from ibisfront.core.catalogue import Catalogue
     from ibisfront.core.clock import Clock
+    from ibisfront.core.conditional_platform import ConditionalPlatform
     from ibisfront.core.counters import Counters
     from ibisfront.core.latencies import Latencies
     from ibisfront.core.status import StatusReply, StatusReport
     from ibisfront.core.stopping import Stopping
-    from ibisfront.core.table_edit import EditablePlatform
 
 __all__ = [
     "InstanceStatus",
@@ -170,7 +170,7 @@
 
 
 def admin_routes(
-    instance: OperatedInstance, *, platform: EditablePlatform, clock: Clock
+    instance: OperatedInstance, *, platform: ConditionalPlatform, clock: Clock
 ) -> tuple[Route, ...]:
     """Return the routes that operators use.
 
@@ -178,7 +178,7 @@
     ----------
     instance : OperatedInstance
         The instance.
-    platform : EditablePlatform
+    platform : ConditionalPlatform
         Where edits go.
     clock : Clock
         The tier's clock.
@@ -217,7 +217,7 @@
 
 
 def _table_routes(
-    instance: OperatedInstance, platform: EditablePlatform, clock: Clock
+    instance: OperatedInstance, platform: ConditionalPlatform, clock: Clock
 ) -> tuple[Route, ...]:
     async def get(request: HttpRequest) -> HttpResponse:
         current = await read_table(platform)
@@ -246,7 +246,7 @@
 
 
 def _service_routes(
-    instance: OperatedInstance, platform: EditablePlatform, clock: Clock
+    instance: OperatedInstance, platform: ConditionalPlatform, clock: Clock
 ) -> tuple[Route, ...]:
     async def list_all(request: HttpRequest) -> HttpResponse:
         catalogue = instance.catalogue
--- a/ibisfront/applications.py
+++ b/ibisfront/applications.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from ibisfront.adapters.asgi import AsgiApplication
     from ibisfront.core.clock import Clock
+    from ibisfront.core.conditional_platform import ConditionalPlatform
     from ibisfront.core.settings import Settings
-    from ibisfront.core.table_edit import EditablePlatform
     from ibisfront.instance import EntryInstance
 
 __all__ = ["admin_application", "caller_application"]
@@ -41,7 +41,7 @@
 def admin_application(
     instance: EntryInstance,
     *,
-    platform: EditablePlatform,
+    platform: ConditionalPlatform,
     settings: Settings,
     clock: Clock,
 ) -> AsgiApplication:
--- a/ibisfront/core/ledger.py
+++ b/ibisfront/core/ledger.py
@@ -30,11 +30,12 @@
     key_slot,
 )
 from ibisfront.core.ledger_messages import AttemptQuestion
-from ibisfront.core.ledger_writer import LedgerPlatform, LedgerWriter, read_bucket
+from ibisfront.core.ledger_writer import LedgerWriter, read_bucket
 
 if TYPE_CHECKING:
     from ibisfront.core.attempts import Attempt
     from ibisfront.core.clock import Clock
+    from ibisfront.core.conditional_platform import ConditionalPlatform
     from ibisfront.core.counters import Counters
     from ibisfront.core.peers import Peers
     from ibisfront.core.query import CallerRequest, PerformAnswer
@@ -94,7 +95,7 @@
         self._run_once = run_once
         self._clock = clock
         self._counters = counters
-        self._platform: LedgerPlatform | None = None
+        self._platform: ConditionalPlatform | None = None
         self._nursery: trio.Nursery | None = None
         self._claimer = Claimer(self._attempts, clock=clock, counters=counters)
 
@@ -105,7 +106,7 @@
 
     async def run(
         self,
-        platform: LedgerPlatform,
+        platform: ConditionalPlatform,
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
--- a/ibisfront/core/ledger_writer.py
+++ b/ibisfront/core/ledger_writer.py
@@ -5,7 +5,7 @@
 import random
 from collections import OrderedDict
 from contextlib import suppress
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import msgspec
 import trio
@@ -19,15 +19,15 @@
     plan_changes,
 )
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.core.objects import ObjectKind, VersionedObject, WriteConflict
+from ibisfront.core.objects import ObjectKind, WriteConflict
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.conditional_platform import ConditionalPlatform
     from ibisfront.core.counters import Counters
     from ibisfront.core.ledger_bucket import Change
-    from ibisfront.core.types import JsonBytes, Version
 
-__all__ = ["BucketView", "LedgerPlatform", "LedgerWriter", "read_bucket"]
+__all__ = ["BucketView", "LedgerWriter", "read_bucket"]
 
 _LOG = part_logger(LogPart.LEDGER)
 
@@ -45,33 +45,6 @@
 _PROBED_NAME = "000-00"
 
 
-class LedgerPlatform(Protocol):
-    """The calls of the platform that the ledger needs."""
-
-    async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
-        """Return an object, perhaps an older version of it."""
-        ...
-
-    async def put(
-        self,
-        kind: ObjectKind,
-        name: str,
-        value_json: JsonBytes,
-        *,
-        if_version: Version | None,
-    ) -> Version:
-        """Replace one version of an object and return the new one.
-
-        Raises
-        ------
-        WriteConflict
-            If another version is there; nothing was written.
-        IbisfrontError
-            If the write may take effect, now or later.
-        """
-        ...
-
-
 class BucketView(msgspec.Struct, frozen=True):
     """An object as last read or written here; it may be out of date.
 
@@ -125,7 +98,7 @@
 
     Parameters
     ----------
-    platform : LedgerPlatform
+    platform : ConditionalPlatform
         Where the objects are.
     nursery : trio.Nursery
         Where the writes run.
@@ -159,7 +132,7 @@
 
     def __init__(
         self,
-        platform: LedgerPlatform,
+        platform: ConditionalPlatform,
         *,
         nursery: trio.Nursery,
         clock: Clock,
@@ -328,7 +301,7 @@
         return duration_ms * (0.5 + self._random.random())
 
 
-async def read_bucket(platform: LedgerPlatform, name: str) -> BucketView:
+async def read_bucket(platform: ConditionalPlatform, name: str) -> BucketView:
     """Return an object of the ledger, perhaps an older version of it.
 
     Raises
--- a/ibisfront/core/service_edit.py
+++ b/ibisfront/core/service_edit.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from ibisfront.core.clock import Clock
-    from ibisfront.core.table_edit import EditablePlatform
+    from ibisfront.core.conditional_platform import ConditionalPlatform
 
 __all__ = ["ServiceEdited", "add_server", "drain_server", "remove_server"]
 
@@ -42,7 +42,7 @@
 
 
 async def add_server(
-    platform: EditablePlatform, service: str, server: BackendServer, *, clock: Clock
+    platform: ConditionalPlatform, service: str, server: BackendServer, *, clock: Clock
 ) -> ServiceEdited:
     """Put a server into a service, or replace the entry of its name.
 
@@ -60,7 +60,7 @@
 
 
 async def drain_server(
-    platform: EditablePlatform, service: str, name: str, *, clock: Clock
+    platform: ConditionalPlatform, service: str, name: str, *, clock: Clock
 ) -> ServiceEdited:
     """Let a server get no new work from now on.
 
@@ -84,7 +84,7 @@
 
 
 async def remove_server(
-    platform: EditablePlatform, service: str, name: str, *, clock: Clock
+    platform: ConditionalPlatform, service: str, name: str, *, clock: Clock
 ) -> ServiceEdited:
     """Take a server out of a service; done already if it is not there.
 
@@ -99,7 +99,7 @@
 
 
 async def _edit(
-    platform: EditablePlatform,
+    platform: ConditionalPlatform,
     service: str,
     change: Callable[[Service], Service],
     clock: Clock,
@@ -140,7 +140,7 @@
     )
 
 
-async def _read(platform: EditablePlatform, service: str) -> ServiceEdited:
+async def _read(platform: ConditionalPlatform, service: str) -> ServiceEdited:
     found = await platform.get(ObjectKind.SERVICE, service)
     if found is None or found.value_json is None:
         return ServiceEdited(service, 0, Service())
--- a/ibisfront/core/table_edit.py
+++ b/ibisfront/core/table_edit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -20,12 +20,10 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.core.objects import VersionedObject
-    from ibisfront.core.types import JsonBytes
+    from ibisfront.core.conditional_platform import ConditionalPlatform
 
 __all__ = [
     "EditAccepted",
-    "EditablePlatform",
     "EditedTable",
     "TableConflict",
     "TableConflictError",
@@ -49,25 +47,6 @@
 _VALUE_BYTES = 1_000_000
 
 
-class EditablePlatform(Protocol):
-    """The calls of the platform that an edit needs."""
-
-    async def get(self, kind: ObjectKind, name: str) -> VersionedObject | None:
-        """Return an object, or None if there is none."""
-        ...
-
-    async def put(
-        self,
-        kind: ObjectKind,
-        name: str,
-        value_json: JsonBytes,
-        *,
-        if_version: Version | None,
-    ) -> Version:
-        """Replace one version of an object, or create it."""
-        ...
-
-
 class TableProposal(msgspec.Struct, frozen=True, kw_only=True):
     """One edit as an operator hands it in.
 
@@ -170,7 +149,7 @@
     table: Table
 
 
-async def read_table(platform: EditablePlatform) -> EditedTable:
+async def read_table(platform: ConditionalPlatform) -> EditedTable:
     """Return the table as the platform has it now.
 
     Raises
@@ -193,7 +172,7 @@
 
 
 async def edit_table(
-    platform: EditablePlatform,
+    platform: ConditionalPlatform,
     proposal: TableProposal,
     *,
     clock: Clock,
@@ -238,7 +217,7 @@
 
 
 async def _read_at_least(
-    platform: EditablePlatform, version: Version, clock: Clock
+    platform: ConditionalPlatform, version: Version, clock: Clock
 ) -> EditedTable:
     # A stale read shows an older version than the operator has seen already.
     # Taken for the newest, it would turn into a false conflict.
@@ -286,7 +265,7 @@
 
 
 async def _write(
-    platform: EditablePlatform,
+    platform: ConditionalPlatform,
     proposal: TableProposal,
     table: Table,
     clock: Clock,
@@ -320,7 +299,7 @@
 
 
 async def _read_past(
-    platform: EditablePlatform, version: Version, clock: Clock
+    platform: ConditionalPlatform, version: Version, clock: Clock
 ) -> EditedTable:
     while True:
         try:
