Check a backend server's address before connecting to it

Cause: the resolver takes a port modulo 65536. Ruled out: a range check of our own (httpcore's URL checks the same). Before: the new test is an error (ValueError).

--- a/ibisfront/adapters/backend.py
+++ b/ibisfront/adapters/backend.py
@@ -222,6 +222,9 @@
 
     async def open_connection(address: Address) -> HttpBackendConnection:
         try:
+            # The resolver takes a port modulo 65536: a wrong one could reach
+            # whatever listens there, so the address is checked first.
+            origin = _url(address).origin
             stream = await open_stream(
                 address,
                 timeout_s=timeout_s,
@@ -233,7 +236,7 @@
             # that is none; it shows as a value error here. It must cost the
             # service's rows at most, not the whole search.
             raise SubRequestError(MissingReason.CONNECT_FAILED, not_run=True) from error
-        connection = httpcore.AsyncHTTP11Connection(_url(address).origin, stream)
+        connection = httpcore.AsyncHTTP11Connection(origin, stream)
         return HttpBackendConnection(address, connection, clock)
 
     return open_connection
--- a/ibisfront/tests/test_adapters_backend.py
+++ b/ibisfront/tests/test_adapters_backend.py
@@ -135,6 +135,21 @@
                 self.assertIs(caught.exception.reason, MissingReason.CONNECT_FAILED)
                 self.assertTrue(caught.exception.not_run)
 
+    @trio_test_real_clock
+    async def test_a_port_beyond_the_last_reaches_no_other_server(self):
+        """A search goes to a stranger's port, or ends as a fault of the tier.
+
+        Somebody wrote port 99999 into the platform. The resolver takes it
+        modulo 65536, so that the connection opens if anything listens on
+        34463; the test before this one failed in such a run.
+        """
+        async with scripted_server() as address:
+            host, _, port = address.rpartition(":")
+            wrong = f"{host}:{int(port) + 65_536}"
+            with self.assertRaises(SubRequestError) as caught:
+                await connection_opener(Clock(), BackendSettings())(wrong)
+            self.assertIs(caught.exception.reason, MissingReason.CONNECT_FAILED)
+
     @trio_test_real_clock
     async def test_connection_with_a_doubled_reply_is_not_used_again(self):
         """A search fails although its server is well.
