Ask the signs of leaving servers at each choice, also for performs

Sending a non-idempotent request looked at the register only: a server that had told any instance that it drains was sent each request first, and refused it. And a body that crashes servers, sent again under new keys, met one more server each time, as only searches were quarantined. Searches followed the signs once a second.

The sender now leaves out leaving servers, tells a drain reply, and refuses a quarantined body after its claim and before its first byte ("not run"). A link asks the signs itself; the look once a second is gone.

Ruled out: refusing before the claim, since a repeated key must get its kept outcome; repeating signs to peers, since one that missed a sign sends one request, is refused unrun and tells it again.

--- a/ibisfront/core/claim_answers.py
+++ b/ibisfront/core/claim_answers.py
@@ -6,7 +6,7 @@
 
 from ibisfront.core.claim import ClaimRecord, ClaimState
 from ibisfront.core.coverage import MissingReason
-from ibisfront.core.errors import ErrorKind, IbisfrontError
+from ibisfront.core.errors import ErrorKind, IbisfrontError, Ran
 from ibisfront.core.query import PerformAnswer
 
 __all__ = ["answer_of", "not_run_error", "outcome_unknown"]
@@ -50,6 +50,12 @@
         return IbisfrontError(
             ErrorKind.DEADLINE_TOO_SHORT, f"{key} was not sent before its deadline"
         )
+    if record.reason == MissingReason.QUARANTINED:
+        return IbisfrontError(
+            ErrorKind.QUARANTINED,
+            f"{key} was not run: its body crashed backend servers before",
+            ran=Ran.NO,
+        )
     kind = ErrorKind.BACKEND_REFUSED
     if record.reason in _NO_SERVER_REASONS:
         kind = ErrorKind.NO_BACKEND
--- a/ibisfront/core/claimed_run.py
+++ b/ibisfront/core/claimed_run.py
@@ -27,6 +27,7 @@
 _ANSWER_GRACE_MS = 2_000.0
 _NO_OTHER_SERVER_HELPS = (
     MissingReason.NO_SERVER,
+    MissingReason.QUARANTINED,
     MissingReason.REFUSED,
     MissingReason.TIMED_OUT,
 )
--- a/ibisfront/core/fanout.py
+++ b/ibisfront/core/fanout.py
@@ -223,8 +223,7 @@
     def _holds(self, service: str, snapshot: str) -> bool:
         now_ms = self._clock.now_ms()
         return any(
-            link.health.may_hold(snapshot, now_ms)
-            and not link.health.is_draining(now_ms)
+            link.health.may_hold(snapshot, now_ms) and not link.is_leaving
             for link in self._links.of_service(service)
         )
 
--- a/ibisfront/core/link.py
+++ b/ibisfront/core/link.py
@@ -159,6 +159,17 @@
         """Whether nothing is held or waits here."""
         return not self.in_flight and not self._idle
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the server is to get no new work, whoever heard that it leaves.
+
+        The signs are asked at each choice. Following them now and then would
+        go on sending work for as long as the next look is away.
+        """
+        if self.health.is_draining(self._clock.now_ms()):
+            return True
+        return self._signs is not None and self._signs.is_leaving(self.server)
+
     async def call(self, sub_request: SubRequest) -> SubReply:
         """Run one search on a connection of this link.
 
@@ -282,7 +293,7 @@
             raise SubRequestError(MissingReason.NO_BUDGET, not_run=True)
         # The server may have begun to leave while the sub-request queued for
         # a connection; it must receive no new work then.
-        if self.health.is_draining(now_ms):
+        if self.is_leaving:
             raise SubRequestError(MissingReason.DRAINING, not_run=True)
 
     async def _exchange(
--- a/ibisfront/core/links.py
+++ b/ibisfront/core/links.py
@@ -96,7 +96,6 @@
         "_server_connections",
         "_share",
         "_share_rises_at_ms",
-        "_signs",
     )
 
     def __init__(
@@ -116,7 +115,6 @@
         self._clock = clock
         self._counters = counters
         self._query = query
-        self._signs = signs
         self._server_connections = backend.connections_per_server
         self._share = connection_share(
             self._server_connections, len(self._members.live())
@@ -195,9 +193,8 @@
         if now_ms >= self._next_shed_ms:
             self._next_shed_ms = now_ms + _SHED_MS
             self._fit_share()
-            self._follow_signs(now_ms)
             await self._shed()
-        self._warm(nursery, now_ms)
+        self._warm(nursery)
 
     async def _shed(self) -> None:
         known = {
@@ -213,9 +210,9 @@
             if link.is_unused:
                 del self._by_server[key]
 
-    def _warm(self, nursery: trio.Nursery, now_ms: float) -> None:
+    def _warm(self, nursery: trio.Nursery) -> None:
         for link in self._by_server.values():
-            if link.health.ejected or link.health.is_draining(now_ms):
+            if link.health.ejected or link.is_leaving:
                 continue
             if link.open_connections < self._query.warm_connections_per_server:
                 nursery.start_soon(link.warm, self._query.warm_connections_per_server)
@@ -242,13 +239,6 @@
             for link in self._by_server.values():
                 link.set_share(wanted)
 
-    def _follow_signs(self, now_ms: float) -> None:
-        if self._signs is None:
-            return
-        for link in self._by_server.values():
-            if self._signs.is_leaving(link.server):
-                link.health.note_draining(now_ms)
-
     def _is_probe_due(self, link: BackendLink, now_ms: float) -> bool:
         if link.health.ejected:
             return now_ms >= link.health.probe_at_ms
--- a/ibisfront/core/perform_sender.py
+++ b/ibisfront/core/perform_sender.py
@@ -3,21 +3,28 @@
 from __future__ import annotations
 
 import random
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import trio
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.coverage import MissingReason
+from ibisfront.core.errors import IbisfrontError
+from ibisfront.core.quarantine import fingerprint_of
 from ibisfront.core.query import SubRequest, SubRequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ibisfront.core.catalogue import Catalogue
     from ibisfront.core.claimed_run import ClaimedRun
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.core.link import BackendConnection, OpenConnection
+    from ibisfront.core.quarantine import Quarantine
     from ibisfront.core.query import SubReply
+    from ibisfront.core.server_signs import ServerSigns
     from ibisfront.core.service import BackendServer
 
 __all__ = ["PerformSender"]
@@ -58,6 +65,10 @@
         This instance's availability zone; its servers go first.
     maximum_connections : int
         How many connections this instance may hold to a server.
+    signs : ServerSigns, optional
+        Which servers leave, as any instance has heard.
+    quarantine : Quarantine, optional
+        Which requests crash the servers that run them.
     """
 
     __slots__ = (
@@ -66,7 +77,9 @@
         "_counters",
         "_maximum_connections",
         "_open_connection",
+        "_quarantine",
         "_random",
+        "_signs",
         "_uses",
         "_zone",
     )
@@ -80,6 +93,8 @@
         counters: Counters,
         zone: str,
         maximum_connections: int,
+        signs: ServerSigns | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self._catalogue = catalogue
         self._open_connection = open_connection
@@ -89,6 +104,8 @@
         self._maximum_connections = maximum_connections
         self._uses: dict[str, _ServerUse] = {}
         self._random = random.Random(zone)
+        self._signs = signs
+        self._quarantine = quarantine
 
     async def send(self, run: ClaimedRun) -> SubReply:
         """Send a claimed request to one backend server; see ``RunOnce``."""
@@ -97,14 +114,63 @@
         async with self._use(server).places:
             connection = await self._connect(server)
             try:
-                sub_request = _sub_request(run)
-                run.start_send()
-                self._counters.add(CounterKind.SUB_REQUESTS, "perform")
-                return await connection.exchange("perform", sub_request)
+                with self._out_of_quarantine(run):
+                    return await self._exchange(connection, server, run)
             finally:
                 with trio.CancelScope(shield=True):
                     await connection.aclose()
 
+    async def _exchange(
+        self, connection: BackendConnection, server: BackendServer, run: ClaimedRun
+    ) -> SubReply:
+        sub_request = _sub_request(run)
+        run.start_send()
+        self._counters.add(CounterKind.SUB_REQUESTS, "perform")
+        try:
+            reply = await connection.exchange("perform", sub_request)
+        except SubRequestError as error:
+            self._note_error(error, server, run)
+            raise
+        if self._quarantine is not None:
+            self._quarantine.note_answered(_fingerprint(run), run.purpose.service or "")
+        return reply
+
+    @contextmanager
+    def _out_of_quarantine(self, run: ClaimedRun) -> Iterator[None]:
+        """Refuse a request that crashes servers; one copy at a time may try.
+
+        A key is sent once only, but its caller may send the same body again
+        under a new key, and each of them could take down one more server.
+
+        Raises
+        ------
+        SubRequestError
+            Not run: the request is quarantined.
+        """
+        if self._quarantine is None:
+            yield
+            return
+        fingerprint = _fingerprint(run)
+        try:
+            trial_service = self._quarantine.trial_service(fingerprint)
+        except IbisfrontError as error:
+            raise SubRequestError(MissingReason.QUARANTINED, not_run=True) from error
+        try:
+            yield
+        finally:
+            if trial_service is not None:
+                self._quarantine.end_trial(fingerprint)
+
+    def _note_error(
+        self, error: SubRequestError, server: BackendServer, run: ClaimedRun
+    ) -> None:
+        if error.reason is MissingReason.DRAINING and self._signs is not None:
+            self._signs.note_draining(server)
+        lost = error.reason is MissingReason.CONNECTION_LOST and not error.not_run
+        if lost and self._quarantine is not None:
+            service = run.purpose.service or ""
+            self._quarantine.note_lost(_fingerprint(run), service, server.name)
+
     async def _connect(self, server: BackendServer) -> BackendConnection:
         try:
             with self._clock.timeout_ms(_CONNECT_TIMEOUT_MS):
@@ -125,12 +191,19 @@
         left = [
             server
             for server in servers
-            if server.state == "live" and server.name not in run.tried
+            if server.name not in run.tried and self._takes_work(server)
         ]
         if not left:
             raise SubRequestError(MissingReason.NO_SERVER, not_run=True)
         return min(left, key=self._rank)
 
+    def _takes_work(self, server: BackendServer) -> bool:
+        # A server that told another instance that it drains still stands as
+        # live in the register, which lags and may be out of reach.
+        if self._signs is not None and self._signs.is_leaving(server):
+            return False
+        return server.state == "live"
+
     def _rank(self, server: BackendServer) -> tuple[bool, int, bool, float]:
         use = self._use(server)
         return (
@@ -147,6 +220,10 @@
         return use
 
 
+def _fingerprint(run: ClaimedRun) -> str:
+    return fingerprint_of(run.purpose.name, run.request.body_json)
+
+
 def _sub_request(run: ClaimedRun) -> SubRequest:
     attempt_id = run.attempt.attempt_id
     number = f"{attempt_id.process}-{attempt_id.number}-{len(run.tried)}"
--- a/ibisfront/core/search_run.py
+++ b/ibisfront/core/search_run.py
@@ -253,16 +253,16 @@
         links = self._links.of_service(part.service)
         link = self._policy.choose(links, choice)
         if link is None:
-            raise SubRequestError(self._why_none(links, now_ms), not_run=True)
+            raise SubRequestError(self._why_none(links), not_run=True)
         wait_ms = link.health.not_before_ms - now_ms
         if self._policy.sheds_load and wait_ms > 0.0:
             await self._back_off(part, wait_ms)
         return link
 
-    def _why_none(self, links: tuple[BackendLink, ...], now_ms: float) -> MissingReason:
+    def _why_none(self, links: tuple[BackendLink, ...]) -> MissingReason:
         if not links:
             return MissingReason.NO_SERVER
-        if all(link.health.is_draining(now_ms) for link in links):
+        if all(link.is_leaving for link in links):
             return MissingReason.DRAINING
         return MissingReason.SNAPSHOT_GONE
 
@@ -330,7 +330,7 @@
         now_ms = self._clock.now_ms()
         return any(
             link.health.may_hold(self._task.snapshot.name, now_ms)
-            and not link.health.is_draining(now_ms)
+            and not link.is_leaving
             for link in self._links.of_service(part.service)
         )
 
@@ -431,7 +431,7 @@
         return any(
             link not in part.tried
             and not link.health.ejected
-            and not link.health.is_draining(now_ms)
+            and not link.is_leaving
             and link.health.not_before_ms <= now_ms
             and link.health.may_hold(self._task.snapshot.name, now_ms)
             for link in self._links.of_service(part.service)
--- a/ibisfront/core/server_choice.py
+++ b/ibisfront/core/server_choice.py
@@ -101,10 +101,9 @@
 
 
 def _is_usable(link: BackendLink, choice: Choice) -> bool:
-    health = link.health
-    return not health.is_draining(choice.now_ms) and health.may_hold(
-        choice.snapshot, choice.now_ms
-    )
+    if link.is_leaving:
+        return False
+    return link.health.may_hold(choice.snapshot, choice.now_ms)
 
 
 def _preferred(usable: list[BackendLink], choice: Choice) -> list[BackendLink]:
--- a/ibisfront/core/server_health.py
+++ b/ibisfront/core/server_health.py
@@ -183,8 +183,8 @@
     def note_draining(self, now_ms: float) -> None:
         """Give the server no new work for a while: it leaves.
 
-        The word is renewed by each reply that says so and, from every
-        instance that heard it, by ``ServerSigns``.
+        The word is renewed by each reply that says so; what other instances
+        heard is kept by ``ServerSigns``.
         """
         self.draining_until_ms = now_ms + _DRAINING_MS
 
--- a/ibisfront/instance.py
+++ b/ibisfront/instance.py
@@ -121,6 +121,8 @@
             counters=self.counters,
             zone=settings.instance.zone,
             maximum_connections=_PERFORM_CONNECTIONS,
+            signs=self.shared.signs,
+            quarantine=self.quarantine,
         )
         self.ledger = Ledger(
             instance=settings.instance.name,
