Run mock-time tests in a repeatable task order; restore the bounds of use

Cause: trio shuffles tasks that are ready together, so that tests of figures in mock time differed from run to run. The lower bounds of the limit's use had been lowered for that (0.8 to 0.68, in a cut 0.7 to 0.6): a weaker check. Ruled out: wider bounds (they hide a loss of use), more samples (slower). After: the order is seeded, with IBISFRONT_TEST_SEED for another one; the former bounds stand again.

--- a/ibisfront/tests/__init__.py
+++ b/ibisfront/tests/__init__.py
@@ -4,11 +4,27 @@
 
 import functools
 import inspect
+import os
 
 import trio
 import trio.testing
 
-__all__ = ["trio_test"]
+__all__ = ["fix_task_order", "trio_test", "trio_test_real_clock"]
+
+_SEED = int(os.environ.get("IBISFRONT_TEST_SEED", "0"))
+
+
+def fix_task_order():
+    """Let trio run tasks that are ready together in a repeatable order.
+
+    trio shuffles them otherwise, so that a test of figures in mock time could
+    pass in one run and fail in the next. ``IBISFRONT_TEST_SEED`` chooses
+    another order, to see that a test does not hang on one. trio has this
+    switch for hypothesis, and no public name for it.
+    """
+    scheduler = trio._core._run
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(_SEED)
 
 
 def trio_test(test):
@@ -22,6 +38,7 @@
     @functools.wraps(test)
     def run(self):
         clock = trio.testing.MockClock(autojump_threshold=0.0)
+        fix_task_order()
         trio.run(test, self, clock=clock)
 
     assert inspect.iscoroutinefunction(test), "trio_test wraps async functions only"
--- a/ibisfront/tests/test_shares.py
+++ b/ibisfront/tests/test_shares.py
@@ -139,7 +139,7 @@
                 await tier.clock.sleep_ms(700)
             await tier.clock.sleep_ms(4_000)
             self.assert_limits_held(tier)
-            self.assert_not_stranded(tier, part=0.68)
+            self.assert_not_stranded(tier, part=0.8)
 
     @trio_test
     async def test_a_dead_owner_neither_doubles_nor_strands_the_limit(self):
@@ -156,7 +156,7 @@
             await tier.clock.sleep_ms(4_000)
             self.assert_limits_held(tier)
             # The dead one may only be cut off; its ninth stays its own.
-            self.assert_not_stranded(tier, part=0.68 * 8 / 9)
+            self.assert_not_stranded(tier, part=0.8 * 8 / 9)
 
     @trio_test
     async def test_a_leaving_owner_hands_its_part_back(self):
@@ -164,7 +164,7 @@
             await tier.leave(owner_of(tier))
             await tier.clock.sleep_ms(6_000)
             self.assert_limits_held(tier)
-            self.assert_not_stranded(tier, part=0.68)
+            self.assert_not_stranded(tier, part=0.8)
 
     @trio_test
     async def test_both_sides_of_a_cut_keep_to_the_limit_together(self):
@@ -177,7 +177,7 @@
         async with cluster() as tier:
             tier.cut({"i1", "i2", "i9"})
             await tier.clock.sleep_ms(6_000)
-            self.assert_not_stranded(tier, part=0.6)
+            self.assert_not_stranded(tier, part=0.7)
             tier.mend()
             await tier.clock.sleep_ms(4_000)
             self.assert_limits_held(tier)
@@ -213,7 +213,7 @@
             self.assertLessEqual(after.rate_per_s, 10.0)
             await tier.clock.sleep_ms(3_000)
             self.assert_limits_held(tier)
-            self.assert_not_stranded(tier, part=0.68)
+            self.assert_not_stranded(tier, part=0.8)
 
 
 class IdleRowTest(ShareCase):
