Carry a deployment's paths by four relay processes; drop dead sources

The one relay process took 5.05 s of processor time in 7.7 s. What waited in it for more than 300 ms looked like silence; the probes and fresh connections then went through it too.

Observations carry the zone asked, so that a cut zone can be told from others.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -166,7 +166,13 @@
             reply = HttpReply(0, b"", {"error": type(error).__name__})
         latency_ms = (trio.current_time() - self._start - due_s) * 1000
         sent = Observation(
-            load_class.name, due_s * 1000, latency_ms, 0, key=key, name=text
+            load_class.name,
+            due_s * 1000,
+            latency_ms,
+            0,
+            key=key,
+            name=text,
+            zone=target.zone,
         )
         self._observations.append(_observed(sent, load_class, reply))
 
--- a/benchmarks/plan.py
+++ b/benchmarks/plan.py
@@ -86,6 +86,8 @@
         The idempotency key, if any.
     name : str
         The request's own name, the marker in its body.
+    zone : str
+        The zone of the entry instance that it was sent to.
     """
 
     load_class: str
@@ -99,6 +101,7 @@
     ran: str = ""
     key: str = ""
     name: str = ""
+    zone: str = ""
 
 
 class LoadResult(msgspec.Struct, frozen=True):
--- a/ibisfront/testing/deployment.py
+++ b/ibisfront/testing/deployment.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import tempfile
 from contextlib import AsyncExitStack, closing
@@ -32,6 +33,7 @@
 from ibisfront.testing.relay import Cut, Cuts, RelayAddress, RelayTarget
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from types import TracebackType
 
 __all__ = [
@@ -48,6 +50,7 @@
 """The platform's side of a cut."""
 
 ADMIN_TOKEN = "token-of-the-test-deployment"
+_RELAY_PROCESSES = 4
 _READY_TIMEOUT_S = 20.0
 _READY_POLL_S = 0.05
 
@@ -152,7 +155,8 @@
         self.platform_address = ""
         self.platform_control = ""
         self._platform_seen = ""
-        self.relay_control = ""
+        self.relay_controls: list[str] = []
+        self._next_relay: Iterator[str] = iter(())
         self.folder = Path()
         self._stack = AsyncExitStack()
 
@@ -162,7 +166,7 @@
             stack.push_async_callback(self.client.aclose)
             self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
             self._stack = stack
-            await self._start_relay()
+            await self._start_relays()
             await self._start_platform()
             async with trio.open_nursery() as nursery:
                 for service in self.shape.services:
@@ -335,7 +339,10 @@
         await self._set_cuts(Cuts())
 
     async def _set_cuts(self, cuts: Cuts) -> None:
-        await self._post(f"http://{self.relay_control}/control/cuts", cuts)
+        async with trio.open_nursery() as nursery:
+            for control in self.relay_controls:
+                url = f"http://{control}/control/cuts"
+                nursery.start_soon(self._post, url, cuts)
 
     async def announce_instances(self) -> None:
         """Tell the platform stand-in which instances run."""
@@ -423,18 +430,26 @@
             zone=zone,
         )
 
-    async def _start_relay(self) -> None:
+    async def _start_relays(self) -> None:
+        """Start the relay processes; the targets are spread over them.
+
+        One process alone is busy for most of a benchmark's time. It then
+        holds bytes back for hundreds of milliseconds and longer, which shows
+        at the instances as silent connections and servers that time out.
+        """
         if not self.shape.relayed:
             return
-        process = await self._stack.enter_async_context(
-            RunningProcess(["-m", "ibisfront.testing.relay"])
-        )
-        self.relay_control = await process.printed(CONTROL)
+        for _ in range(_RELAY_PROCESSES):
+            process = await self._stack.enter_async_context(
+                RunningProcess(["-m", "ibisfront.testing.relay"])
+            )
+            self.relay_controls.append(await process.printed(CONTROL))
+        self._next_relay = itertools.cycle(self.relay_controls)
 
     async def _relayed(self, address: str, place: str) -> str:
         if not self.shape.relayed:
             return address
-        url = f"http://{self.relay_control}/control/relays"
+        url = f"http://{next(self._next_relay)}/control/relays"
         target = RelayTarget(address, place)
         reply = await self.client.send("POST", url, body=target)
         return reply.decode(RelayAddress).address
--- a/ibisfront/testing/relay.py
+++ b/ibisfront/testing/relay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import socket
 from contextlib import suppress
 from http import HTTPMethod, HTTPStatus
 
@@ -23,6 +24,7 @@
 
 LOOPBACK = "127.0.0.1"
 _CHUNK_BYTES = 65_536
+_TCP_ESTABLISHED = 1
 
 
 class RelayTarget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -100,6 +102,11 @@
         host, _, port = target.address.rpartition(":")
         async with source:
             await self._passable(place, target.place)
+            # A source that gave up during a cut would not have got through
+            # at all. Connecting for it now would use up the target's
+            # connection limit with dead connections when the cut ends.
+            if not _is_established(source):
+                return
             with suppress(OSError):
                 async with await trio.open_tcp_stream(host, int(port)) as onward:
                     await self._pump_both(source, onward, place, target.place)
@@ -128,6 +135,15 @@
             await self._changed.wait()
 
 
+def _is_established(stream: trio.SocketStream) -> bool:
+    """Return whether neither end has closed a connection, by the kernel's word.
+
+    Bytes that still wait to be read hide the end of the stream from a read.
+    """
+    info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return info[0] == _TCP_ESTABLISHED
+
+
 async def _serve(control_port: int) -> None:
     async with trio.open_nursery() as nursery:
         relay = Relay(nursery)
--- a/ibisfront/tests/test_testing_relay.py
+++ b/ibisfront/tests/test_testing_relay.py
@@ -48,3 +48,39 @@
             relay.set_cuts(Cuts())
             await received.wait()
             nursery.cancel_scope.cancel()
+
+    @trio_test_real_clock
+    async def test_a_source_that_gave_up_during_a_cut_never_gets_through(self) -> None:
+        """Healthy servers refuse connections when a cut ends.
+
+        Instances connected, sent and gave up while the cut lasted. When it
+        ended, the relay opened all of these dead connections at the target
+        at once, beyond its connection limit.
+        """
+        async with trio.open_nursery() as nursery:
+            accepted: list[bytes] = []
+            arrived = trio.Event()
+
+            async def note(stream: trio.SocketStream) -> None:
+                accepted.append(bytes(await stream.receive_some()))
+                arrived.set()
+
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, note, [listener])
+            port = listener.socket.getsockname()[1]
+            relay = Relay(nursery)
+            address = await relay.open(RelayTarget(f"127.0.0.1:{port}", PLACE))
+            host, _, relay_port = address.address.rpartition(":")
+            relay.set_cuts(Cuts((Cut("127.0.0.1", PLACE),)))
+            given_up = await trio.open_tcp_stream(host, int(relay_port))
+            await given_up.send_all(b"given up")
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            await given_up.aclose()
+            patient = await trio.open_tcp_stream(host, int(relay_port))
+            await patient.send_all(b"patient")
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            relay.set_cuts(Cuts())
+            await arrived.wait()
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            self.assertEqual(accepted, [b"patient"])
+            nursery.cancel_scope.cancel()
