Wait neither for a cut-off service's deadline nor for a silent server's probe

A service whose servers are all ejected is now reported as missing once it got no byte for the bound of silence and no server of it answered anything meanwhile. It is still asked, so that the first search after the cut is whole. Leaving such services out at once was ruled out: coverage would come back only with the next probe, which is up to 10 s away.

Whatever a probe finds, what waits is asked again after it; so it is asked again at the bound already, and a server under suspicion gets no new work while there is another.

The wait at z3 until its servers are ejected, about 1 s, is still up to the deadline.

--- a/ibisfront/core/link.py
+++ b/ibisfront/core/link.py
@@ -25,6 +25,7 @@
 
 __all__ = ["BackendConnection", "BackendLink", "OpenConnection", "Work"]
 
+_SILENCE_FACTOR = 10.0
 _LONE_SILENCE_FACTOR = 3.0
 
 Work: TypeAlias = Literal["search", "perform"]
@@ -102,6 +103,8 @@
         How many connections this instance may hold.
     retired_before_ms : float
         Connections opened before are not used again.
+    suspected : bool
+        Whether a probe is under way because searches here got no byte.
     """
 
     __slots__ = (
@@ -117,6 +120,7 @@
         "retired_before_ms",
         "server",
         "share",
+        "suspected",
     )
 
     def __init__(
@@ -142,6 +146,7 @@
         self._idle: list[_HeldConnection] = []
         self._busy: set[_HeldConnection] = set()
         self.retired_before_ms = -math.inf
+        self.suspected = False
         self._fit_places()
 
     @property
@@ -170,6 +175,28 @@
             return True
         return self._signs is not None and self._signs.is_leaving(self.server)
 
+    @property
+    def silence_bound_ms(self) -> float:
+        """How long a search may be without a byte before that is a sign."""
+        usual_ms = self.health.latency_ms
+        return max(self._settings.silence_bound_ms, _SILENCE_FACTOR * usual_ms)
+
+    def is_given_up(self, sent_at_ms: float) -> bool:
+        """Return whether what was sent here may be asked for elsewhere.
+
+        That is so once its server was ejected or its connection retired. A
+        suspicion comes to one or the other whatever the probe finds, so a
+        search that has waited for the bound need not wait for the probe too.
+        """
+        if self.health.ejected or self.retired_before_ms > sent_at_ms:
+            return True
+        waited_ms = self._clock.now_ms() - sent_at_ms
+        return self.suspected and waited_ms >= self.silence_bound_ms
+
+    def is_silent_since(self, since_ms: float) -> bool:
+        """Return whether the server was ejected and answered nothing since."""
+        return self.health.ejected and self.health.last_answer_at_ms < since_ms
+
     async def call(self, sub_request: SubRequest) -> SubReply:
         """Run one search on a connection of this link.
 
--- a/ibisfront/core/links.py
+++ b/ibisfront/core/links.py
@@ -26,7 +26,6 @@
 _LOG = part_logger(LogPart.BACKEND)
 _UPKEEP_MS = 100.0
 _SHED_MS = 1_000.0
-_SILENCE_FACTOR = 10.0
 _SHARE_RISE_MS = 5_000.0
 
 
@@ -242,11 +241,7 @@
     def _is_probe_due(self, link: BackendLink, now_ms: float) -> bool:
         if link.health.ejected:
             return now_ms >= link.health.probe_at_ms
-        bound_ms = max(
-            self._query.silence_bound_ms,
-            _SILENCE_FACTOR * link.health.latency_ms,
-        )
-        return link.is_suspect(bound_ms)
+        return link.is_suspect(link.silence_bound_ms)
 
     async def _probe(self, link: BackendLink) -> None:
         """Find out whether a server, or only its open connections, is gone.
@@ -259,6 +254,7 @@
         try:
             health = link.health
             was_ejected = health.ejected
+            link.suspected = not was_ejected
             suspected_at_ms = self._clock.now_ms()
             answered = await link.probe()
             answered = answered or health.last_answer_at_ms > suspected_at_ms
@@ -279,4 +275,5 @@
                 if was_ejected:
                     health.readmit(now_ms)
         finally:
+            link.suspected = False
             self._probing.discard(link)
--- a/ibisfront/core/search_part.py
+++ b/ibisfront/core/search_part.py
@@ -84,10 +84,19 @@
     def is_stranded(self) -> bool:
         """Whether every try waits at a server or connection that was given up."""
         return bool(self.attempts) and all(
+            attempt.link is not None and attempt.link.is_given_up(attempt.sent_at_ms)
+            for attempt in self.attempts
+        )
+
+    def is_unreachable(self, now_ms: float) -> bool:
+        """Return whether every try has waited long enough at a silent server."""
+        if not self.attempts:
+            return False
+        first_sent_at_ms = min(attempt.sent_at_ms for attempt in self.attempts)
+        waited_ms = now_ms - first_sent_at_ms
+        return all(
             attempt.link is not None
-            and (
-                attempt.link.health.ejected
-                or attempt.link.retired_before_ms > attempt.sent_at_ms
-            )
+            and attempt.link.is_silent_since(attempt.sent_at_ms)
+            and waited_ms >= attempt.link.silence_bound_ms
             for attempt in self.attempts
         )
--- a/ibisfront/core/search_run.py
+++ b/ibisfront/core/search_run.py
@@ -390,7 +390,9 @@
             if waits and waits[-1].part.is_settled:
                 waits.pop()
                 continue
-            self._free_stranded()
+            if self._policy.sheds_load:
+                self._give_up_unreachable(now_ms)
+                self._free_stranded()
             wake_at_ms = min(now_ms + _WATCH_MS, self._straggler_at_ms)
             if waits:
                 wake_at_ms = min(wake_at_ms, waits[-1].at_ms)
@@ -437,6 +439,32 @@
             for link in self._links.of_service(part.service)
         )
 
+    def _give_up_unreachable(self, now_ms: float) -> None:
+        """Report services as missing none of whose servers answers.
+
+        When a zone is cut off, or all replicas freeze, every search of the
+        service would wait for its deadline, and the rest of its answer with
+        it. Ejected servers are still asked when there is no other, so that
+        the first search after the fault is answered, but no longer than it
+        takes to suspect a silence. A server that answers anything meanwhile
+        is slow and not gone, and is waited for.
+        """
+        for part in self.parts:
+            if part.is_settled or not part.is_unreachable(now_ms):
+                continue
+            if self._has_server_in_use(part):
+                continue
+            self._counters.add(CounterKind.CANCELLATIONS, "unreachable")
+            for attempt in part.attempts:
+                attempt.scope.cancel()
+            self._settle_missing(part, MissingReason.TIMED_OUT)
+
+    def _has_server_in_use(self, part: SearchPart) -> bool:
+        return any(
+            not link.health.ejected and not link.is_leaving
+            for link in self._links.of_service(part.service)
+        )
+
     def _free_stranded(self) -> None:
         """Ask again for parts whose server or connection was given up.
 
@@ -444,8 +472,6 @@
         an answer nor an error; what waits there would wait for its deadline.
         The first try goes on beside, in case its answer still comes.
         """
-        if not self._policy.sheds_load:
-            return
         for part in self.parts:
             if part.is_settled or part.freed or not part.is_stranded:
                 continue
--- a/ibisfront/core/server_choice.py
+++ b/ibisfront/core/server_choice.py
@@ -109,13 +109,14 @@
 def _preferred(usable: list[BackendLink], choice: Choice) -> list[BackendLink]:
     """Return the links to choose from, leaving out what others can spare.
 
-    Ejected servers, servers already tried and servers that asked to be left
-    alone are left out only while some other is there: when a fault hits all
-    replicas alike, leaving all of them out would turn a slow service into a
-    missing one.
+    Ejected servers, servers suspected of silence, servers already tried and
+    servers that asked to be left alone are left out only while some other is
+    there: when a fault hits all replicas alike, leaving all of them out would
+    turn a slow service into a missing one.
     """
     healthy = [link for link in usable if not link.health.ejected] or usable
-    untried = [link for link in healthy if link not in choice.tried] or healthy
+    trusted = [link for link in healthy if not link.suspected] or healthy
+    untried = [link for link in trusted if link not in choice.tried] or trusted
     now_ms = choice.now_ms
     return [link for link in untried if link.health.not_before_ms <= now_ms] or untried
 
--- a/ibisfront/tests/test_links.py
+++ b/ibisfront/tests/test_links.py
@@ -10,6 +10,7 @@
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.links import connection_share
 from ibisfront.core.members import Member, MemberState
+from ibisfront.core.query_settings import QuerySettings
 from ibisfront.core.server_signs import ServerSigns
 from ibisfront.core.service import BackendServer
 from ibisfront.testing.backend_types import BackendSettings as StandInSettings
@@ -97,6 +98,83 @@
             self.assertLess(fixture.clock.now_ms() - started_ms, 810.0)
             self.assertLessEqual(fixture.extra_sent(21), 1)
 
+    @trio_test
+    async def test_slow_servers_are_not_retired_or_ejected_in_a_loop(self):
+        """Every answer comes late, and the tier makes it worse.
+
+        All servers of a healthy service become 40 times slower, so that each
+        search takes longer than a silence is waited for. Were every round of
+        slow answers taken for silence, the connections would be closed and
+        opened again and again and the servers ejected, which adds load to
+        what is slow already.
+        """
+        fixture = SearchFixture()
+        async with fixture.upkeep():
+            await search_steadily(fixture, searches=50)
+            for number in range(2):
+                fixture.set_faults(
+                    "s1", number, straggle_fraction=1.0, straggle_factor=40.0
+                )
+            answered = await search_steadily(
+                fixture, searches=50, every_ms=400.0, deadline_ms=2_000.0
+            )
+            self.assertEqual(set(answered), {2})
+            self.assertLessEqual(fixture.count(CounterKind.CONNECTIONS, "silent"), 2)
+            self.assertEqual(fixture.count(CounterKind.EJECTIONS, "no_answer"), 0)
+
+    @trio_test
+    async def test_search_does_not_wait_for_a_service_that_is_cut_off(self):
+        """Every lookup in a zone that is cut off takes until its deadline.
+
+        The other zones' servers neither answer nor refuse. The servers of
+        this zone answer at once, yet their rows were held until the deadline
+        for the sake of a service that has no server here. When the cut ends,
+        the next search has to be whole again.
+        """
+        fixture = SearchFixture()
+        async with fixture.upkeep():
+            await search_steadily(fixture, searches=30)
+            for number in range(2):
+                fixture.set_faults("s1", number, frozen=True)
+            await search_steadily(fixture, searches=100)
+            started_ms = fixture.clock.now_ms()
+            answer = await fixture.search(deadline_ms=5_000.0)
+            waited_ms = fixture.clock.now_ms() - started_ms
+            missing = [item.service for item in answer.coverage.missing]
+            self.assertEqual(missing, ["s1"])
+            self.assertEqual(answer.coverage.answered, 1)
+            self.assertLessEqual(waited_ms, 400.0)
+            for number in range(2):
+                fixture.set_faults("s1", number)
+            self.assertEqual(set(await search_steadily(fixture, searches=20)), {2})
+
+    @trio_test
+    async def test_search_does_not_wait_for_the_probe_of_a_silent_server(self):
+        """Lookups take most of a second when another zone is cut off.
+
+        Many servers fall silent at once and use up the hedged requests. What
+        waits there had to wait until the probe of its server had timed out,
+        and new searches were sent there too, although another replica is well.
+        """
+        fixture = SearchFixture(services=8, query=QuerySettings(hedge_fraction=0.0))
+        durations_ms = []
+
+        async def search_once():
+            started_ms = fixture.clock.now_ms()
+            answer = await fixture.search()
+            self.assertEqual(answer.coverage.answered, 8)
+            durations_ms.append(fixture.clock.now_ms() - started_ms)
+
+        async with fixture.upkeep():
+            await search_steadily(fixture, searches=30)
+            for service in fixture.services:
+                fixture.set_faults(service, 0, frozen=True)
+            async with trio.open_nursery() as nursery:
+                for _ in range(60):
+                    nursery.start_soon(search_once)
+                    await fixture.clock.sleep_ms(20.0)
+        self.assertLessEqual(max(durations_ms), 500.0)
+
 
 class ConnectionTest(unittest.TestCase):
     """Connections are scarce and shared."""
