--- a/ibisfront/core/ledger.py
+++ b/ibisfront/core/ledger.py
@@ -170,7 +170,8 @@
         ------
         IbisfrontError
             With what is known. An unknown key is "maybe", since a copy of it
-            may be on its way; only a revoked key is "no".
+            may be on its way. No call revokes a key yet; "no" is kept for
+            that state.
         """
         parsed = parse_key(key)
         record = await self._find_record(parsed)
