Hedge the parts asked from here of a failed or silent instance a second time

The parts that an instance of the cut zone was asked for are asked from here when it is silent, but the one hedge of the query had been spent long before, so a part whose first choice was a silent server of that zone never reached the second server.

Ruled out: budget (no refusal logged) and reach (servers of other zones shown alive in the same lines).

The hedge is now a moment that is set again when parts are asked for from here. The test fails on the code before with 504 too_few_parts_in_time.

--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/gathering.py
@@ -71,6 +71,7 @@
         "_fallback_parts",
         "_gathering",
         "_has_lost_parts",
+        "_hedge_at_ms",
         "_is_falling_back",
         "_may_ask_twice",
         "_needed",
@@ -133,6 +134,7 @@
         self._start_remote = start_remote
         self._remote_started_ms = self._started_ms
         self._wake_at_ms = math.inf
+        self._hedge_at_ms = plan.hedge_at_ms
 
     @property
     def total(self) -> int:
@@ -196,7 +198,6 @@
         if self._remote_plan is not None:
             self._ask_remote(self._remote_plan)
         self._start(self.calls)
-        is_hedged = False
         while not self._is_over():
             now_ms = self._context.clock.now_ms()
             if now_ms > self._wake_at_ms + _OVERSLEPT_MS:
@@ -208,14 +209,14 @@
             self._check_remote(now_ms)
             if self._failed:
                 self._retry_failed()
-            if not is_hedged and now_ms >= self._plan.hedge_at_ms:
-                is_hedged = True
+            if now_ms >= self._hedge_at_ms:
+                self._hedge_at_ms = math.inf
                 self._hedge(now_ms)
             if self._is_silent(now_ms):
                 self.found_silence = True
                 return
             if not self._is_over():
-                await self._wait(now_ms, is_hedged=is_hedged)
+                await self._wait(now_ms)
 
     def end(self, *, at_once: bool) -> None:
         """Wait for no more parts."""
@@ -253,13 +254,11 @@
             return False
         return not self.is_open or self.answered == self.total
 
-    async def _wait(self, now_ms: float, *, is_hedged: bool) -> None:
+    async def _wait(self, now_ms: float) -> None:
         plan = self._plan
-        moments_ms = [plan.give_up_at_ms]
+        moments_ms = [plan.give_up_at_ms, self._hedge_at_ms]
         if now_ms < plan.end_at_ms:
             moments_ms.append(plan.end_at_ms)
-        if not is_hedged:
-            moments_ms.append(plan.hedge_at_ms)
         moments_ms += [
             at_ms
             for at_ms in (plan.silent_at_ms, plan.remote_silent_at_ms)
@@ -355,6 +354,9 @@
             # them from those that gather, and could reach more servers of a
             # service than the route allows.
             return
+        # The first choice may be a server that has fallen silent together with
+        # the instance; these parts are hedged in their turn.
+        self._hedge_at_ms = now_ms + self._context.usual.late_ms
         self._remote_calls = [
             ServiceCall(name, self._context, self._changed) for name in remote.services
         ]
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -173,6 +173,15 @@
             if server.entry.service == service:
                 server.latency_ms = math.inf
 
+    def set_latency(
+        self, zone: str, latency_ms: float, *, copy: int | None = None
+    ) -> None:
+        """Let the servers of a zone, or one of each service, take so long."""
+        for name, server in self._servers.items():
+            is_meant = copy is None or name.endswith(f".{copy}")
+            if server.entry.zone == zone and is_meant:
+                server.latency_ms = latency_ms
+
     def running_requests(self) -> int:
         """Return how many requests the servers work on now."""
         return sum(server.running for server in self._servers.values())
--- a/ibisfront/tests/test_gateway_delegation.py
+++ b/ibisfront/tests/test_gateway_delegation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import msgspec
@@ -101,6 +102,26 @@
             reads = zones.clock_reads - before
         self.assertLess(reads, 400)
 
+    @trio_test
+    async def test_parts_asked_from_here_are_hedged_too(self):
+        """Searches fail in all zones for the first second of a cut.
+
+        A zone falls silent with its instances and its servers. The parts that
+        an instance there was asked for are asked for from here; where the
+        first choice is one of the silent servers, the other one must be asked
+        while there is time, although the parts asked from here at once were
+        hedged long before.
+        """
+        zones = TwoZones(route(minimum=1.0))
+        zones.set_latency("z1", 30.0)
+        async with zones.running():
+            for _ in range(40):
+                await zones.ask("z0")
+            zones.frozen = True
+            zones.set_latency("z1", math.inf, copy=0)
+            reply = await zones.ask("z0")
+        self.assertEqual((reply.status, reply.reason), (200, "whole"))
+
     @trio_test
     async def test_query_that_was_replaced_unsent_is_never_sent(self):
         """A part runs on three servers although the route allows two.
