Gather a delegated whole query until it has enough parts

An instance that gathers a whole query for another one treated it like a few far parts: no least coverage, so that it ended at the objective with whatever was in, and the asker could only fail.

Ruled out: lost gatherers (their lines say delegated_parts) and versions (refused separately, as other_version).

The gatherer now keeps the route's least coverage for whole queries. Its asker waits one objective longer before its silence counts. The test fails on the code before with 502.

--- a/ibisfront/gateway/gather_plan.py
+++ b/ibisfront/gateway/gather_plan.py
@@ -35,6 +35,11 @@
 """Share of the objective for which an instance's answer may be overdue: one
 that is just late brings all of its parts."""
 
+_WHOLE_GRACE_SHARE = 1.0
+"""The same for an instance that gathers the whole query: it answers only when
+it has enough parts, which may be late; a trial value that leaves the caller
+time for another attempt."""
+
 
 class GatherPlan(msgspec.Struct, frozen=True):
     """When a query acts.
@@ -67,8 +72,10 @@
     give_up_at_ms: float,
     usual: UsualLatency,
     objective_ms: float,
+    is_gathered_elsewhere: bool = False,
 ) -> GatherPlan:
     """Return when a query acts that ends at a given time."""
+    grace_share = _WHOLE_GRACE_SHARE if is_gathered_elsewhere else _REMOTE_GRACE_SHARE
     hedge_ms = min(usual.late_ms, _LATEST_HEDGE_SHARE * (end_at_ms - now_ms))
     hedge_ms = max(hedge_ms, _EARLIEST_HEDGE_FACTOR * usual.median_ms)
     return GatherPlan(
@@ -81,5 +88,5 @@
             _SILENCE_SHARE * objective_ms,
             _SILENCE_LEAST_MS,
         ),
-        remote_silent_at_ms=end_at_ms + _REMOTE_GRACE_SHARE * objective_ms,
+        remote_silent_at_ms=end_at_ms + grace_share * objective_ms,
     )
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -78,11 +78,7 @@
         route = table.find(request.host, request.path)
         if route is None or route.gathering is None:
             return answering.refuse(request, answering.not_run("no_gathering_route"))
-        gathering = msgspec.structs.replace(
-            route.gathering,
-            services=query.chosen(route.gathering.services),
-            minimum_coverage=0.0,
-        )
+        gathering = _delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_left_ms
         context = answering.context(request, route)
         remote_plan = None
@@ -137,14 +133,15 @@
         remote_plan: RemotePlan | None,
     ) -> GatherRun:
         until_ms = give_up_at_ms(request, route)
+        is_whole = remote_plan is not None and remote_plan.may_delegate
         plan = gather_plan(
             self._answering.clock.now_ms(),
             end_at_ms=min(end_at_ms, until_ms),
             give_up_at_ms=until_ms,
             usual=context.usual,
             objective_ms=route.objective_ms,
+            is_gathered_elsewhere=is_whole,
         )
-        is_whole = remote_plan is not None and remote_plan.may_delegate
         run = GatherRun(
             gathering,
             context,
@@ -243,6 +240,21 @@
         return CallerReply(BAD_GATEWAY, [], b"", "too_few_parts")
 
 
+def _delegated_gathering(query: DelegatedQuery, whole: Gathering) -> Gathering:
+    """Return what to gather for another instance.
+
+    Some parts of a query are of use there whatever their number, since the
+    others stand elsewhere. A whole query that ended at its objective with too
+    few parts would fail there, although the missing ones were about to come
+    and a late answer has a worth: it is gathered until there are enough.
+    """
+    return msgspec.structs.replace(
+        whole,
+        services=query.chosen(whole.services),
+        minimum_coverage=whole.minimum_coverage if query.may_delegate else 0.0,
+    )
+
+
 def _parts_text(run: GatherRun) -> str:
     missing = run.missing[:_SHOWN_SERVICES]
     names = ", ".join(f"{call.service} ({call.last_error})" for call in missing)
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -51,6 +51,9 @@
 
 __all__ = ["TwoZones"]
 
+_FEW_CONNECTIONS = 4
+"""Connections that a server accepts where not every instance can gather."""
+
 _MOST_READS = 1_000_000
 """Far beyond the reads of any test: forty queries take some ten thousand."""
 
@@ -87,6 +90,8 @@
         A route whose services exist too.
     latency_ms : float
         How long a server's reply takes.
+    follows : bool
+        Whether the instance in ``z0`` has its queries gathered by the other.
 
     Attributes
     ----------
@@ -99,8 +104,14 @@
     """
 
     def __init__(
-        self, route: Route, *, also: Route | None = None, latency_ms: float = 10.0
+        self,
+        route: Route,
+        *,
+        also: Route | None = None,
+        latency_ms: float = 10.0,
+        follows: bool = False,
     ) -> None:
+        self._follows = follows
         self.clock = _CountingClock()
         self.delegated = 0
         self.frozen = False
@@ -148,6 +159,25 @@
             arrived_at_ms=self.clock.now_ms(),
         )
 
+    def _gatherers(self, zone: str) -> Gatherers:
+        """Return which instances gather, as an instance sees it."""
+        own = InstanceEntry(f"instance-{zone}", zone, zone)
+        gatherers = Gatherers(own)
+        if self._follows:
+            # The strongest of each zone gather; that of z0 is out of reach.
+            listed = [
+                InstanceEntry("instance-z0", "z0", "z0"),
+                InstanceEntry("instance-z1", "z1", "z1"),
+                InstanceEntry("away", "z0", "away", 2.0),
+            ]
+            names = self._route.service_names
+            services = {name: RoutedService(name, _FEW_CONNECTIONS) for name in names}
+            table = RouteTable(
+                Configuration(0, (self._route,), services, CallerLimits())
+            )
+            gatherers.update(listed, table)
+        return gatherers
+
     async def ask(self, zone: str) -> CallerReply:
         """Ask the instance of a zone as a caller would."""
         return await self.gateways[zone].answer(self.request("/search/a"))
@@ -207,7 +237,7 @@
                 book=book,
                 peers=peers,
                 zone=zone,
-                gatherers=Gatherers(InstanceEntry(f"instance-{zone}", zone, zone)),
+                gatherers=self._gatherers(zone),
                 clock=self.clock,
             ),
         )
--- a/ibisfront/tests/test_gateway_delegation.py
+++ b/ibisfront/tests/test_gateway_delegation.py
@@ -122,6 +122,21 @@
             reply = await zones.ask("z0")
         self.assertEqual((reply.status, reply.reason), (200, "whole"))
 
+    @trio_test
+    async def test_whole_query_is_gathered_until_there_is_enough(self):
+        """Searches fail at once whenever a few servers pause.
+
+        An instance has its whole query gathered by another one. Some servers
+        reply just after the objective. Ended there with the parts that were
+        in, the query would fail for too few parts, long before the caller's
+        time was up; a late answer is wanted instead.
+        """
+        zones = TwoZones(route(minimum=0.9), follows=True)
+        zones.set_latency("z0", 130.0)
+        async with zones.running():
+            reply = await zones.ask("z0")
+        self.assertEqual((reply.status, zones.delegated), (200, 1))
+
     @trio_test
     async def test_query_that_was_replaced_unsent_is_never_sent(self):
         """A part runs on three servers although the route allows two.
