Let one instance of each zone watch the store, and start from the others

Each of twelve gatherers watched two kinds, and all 68 processes listed and watched both for a second or more at each start, before they knew whom to follow; each read the list of instances every five seconds.

Who watches no longer depends on who gathers. Beyond twelve instances the first of each zone watches, two more stand in for it, and a process that starts reads the list of instances first and follows at once. The list of instances travels with the state. A restart that finds its entry does not write it again. Only one that hears the store itself is followed, as two that follow each other would both seem up to date for ever.

Ruled out as the main part: watches alone (a fifth of the calls).

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -16,7 +16,6 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.errors import IbisfrontError
 from ibisfront.core.logs import LOGGER_NAME, LogPart, part_logger
-from ibisfront.front.feeding import keep_fed
 from ibisfront.front.process import FrontProcess
 from ibisfront.front.stopping import stop_in_order
 from ibisfront.gateway.instances import keep_instances
@@ -82,7 +81,9 @@
         if settings.peers_address is not None:
             listen(settings.peers_address, process.answer_peer, process.peer_limits)
             _join(settings, process, nursery, stack, clock)
-        nursery.start_soon(partial(keep_fed, process, clock=clock))
+        else:
+            process.feed.note_listed()
+        nursery.start_soon(process.feed.run)
         nursery.start_soon(process.keep_up)
         nursery.start_soon(handler.run)
         nursery.start_soon(_watch_settings, process, path, clock)
@@ -125,9 +126,10 @@
             keep_instances,
             directory,
             process.own,
-            peers=process.peers,
-            budgets=process.budgets,
             on_list=process.take_instances,
+            on_first_try=process.feed.note_listed,
+            is_needed=lambda: process.feed.watches_store,
+            is_first_start=settings.is_first_start,
             clock=clock,
         )
     )
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,18 +11,25 @@
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.metrics_text import CONTENT_TYPE, Gauge, metrics_text
 from ibisfront.front.connections import Connections
+from ibisfront.front.feeding import watch_store
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import CallerLimits, RouteTable
 from ibisfront.gateway.delegated_query import delegated_from
 from ibisfront.gateway.delegation import Delegation
 from ibisfront.gateway.gateway import Gateway
 from ibisfront.gateway.gatherers import Gatherers
-from ibisfront.gateway.instances import ASSUMED_INSTANCES, InstanceEntry
+from ibisfront.gateway.instances import (
+    ASSUMED_INSTANCES,
+    InstanceEntry,
+    peer_entry,
+)
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observing import Observer
+from ibisfront.gateway.relays import Relays
 from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.state_relay import RelayedState, StateSource
-from ibisfront.http1.state_client import asked_revision
+from ibisfront.gateway.state_feed import StateFeed
+from ibisfront.gateway.state_relay import KnownState, RelayedState, StateSource
+from ibisfront.http1.state_client import HttpStateClient, asked_revision
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
@@ -32,7 +40,6 @@
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.configuration import Configuration
     from ibisfront.gateway.messages import InboundRequest
-    from ibisfront.gateway.server import ServerEntry
     from ibisfront.gateway.settings import GatewaySettings
 
 __all__ = ["FrontProcess"]
@@ -78,8 +85,10 @@
         Which instances gather for the others.
     source : StateSource
         Passes the store's state on to other instances.
-    feeds_away : set of str
-        The kinds for which the store does not answer, and those not read yet.
+    relays : Relays
+        Which instances watch the store for the others.
+    feed : StateFeed
+        Keeps the store's state up to date.
     is_stopping : bool
         Whether a planned stop has begun.
     """
@@ -89,13 +98,14 @@
         "book",
         "budgets",
         "connections",
-        "feeds_away",
+        "feed",
         "gateway",
         "gatherers",
         "is_stopping",
         "observer",
         "own",
         "peers",
+        "relays",
         "settings",
         "source",
     )
@@ -129,10 +139,23 @@
         self.peers = ServerBook(
             clock=clock, make_pool=self.connections.peer_pool, zone=zone
         )
+        self.relays = Relays(own)
+        self.feed = StateFeed(
+            relays=self.relays,
+            connect=HttpStateClient,
+            watch=partial(watch_store, self, clock=clock),
+            take=self.take_state,
+            on_lost=self._note_peer_lost,
+            knows_state=lambda: self.gateway.table is not None,
+            seeds=settings.seeds,
+            clock=clock,
+        )
         self.source = StateSource(
-            state=self._state, is_fresh=lambda: not self.feeds_away, clock=clock
+            state=self._state,
+            is_fresh=lambda: self.feed.is_fresh,
+            may_become_fresh=lambda: self.feed.may_become_fresh,
+            clock=clock,
         )
-        self.feeds_away: set[str] = set()
         self.gateway = Gateway(
             book=self.book,
             budgets=self.budgets,
@@ -202,13 +225,20 @@
 
     def take_instances(self, listed: Sequence[InstanceEntry]) -> None:
         """Take in the list of instances."""
+        self.budgets.instances = max(len(listed), 1)
+        self.peers.replace(
+            [peer_entry(item) for item in listed if item.name != self.own.name],
+            after_outage=False,
+        )
+        self.relays.update(listed)
         before = (self.gatherers.is_gatherer, len(self.gatherers.instances))
         self.gatherers.update(listed, self.gateway.table)
         if (self.gatherers.is_gatherer, len(listed)) != before:
             self.connections.share(self.book)
             self.connections.warm_up(self.book)
+        self.source.note_change()
 
-    def note_peer_lost(self, name: str) -> None:
+    def _note_peer_lost(self, name: str) -> None:
         """Take in that another instance does not answer any more."""
         for peer in self.peers.servers():
             if peer.entry.server_id == name:
@@ -216,6 +246,8 @@
 
     def take_state(self, state: RelayedState) -> None:
         """Take in the store's state as another instance passed it on."""
+        if state.instances:
+            self.take_instances(state.instances)
         if state.configuration is not None:
             self.use_configuration(state.configuration)
         if state.is_whole:
@@ -228,10 +260,13 @@
         self.connections.warm_up(self.book)
         self.source.note_change()
 
-    def _state(self) -> tuple[Configuration | None, list[ServerEntry]]:
+    def _state(self) -> KnownState:
         table = self.gateway.table
-        configuration = None if table is None else table.configuration
-        return configuration, [server.entry for server in self.book.servers()]
+        return KnownState(
+            configuration=None if table is None else table.configuration,
+            servers=[server.entry for server in self.book.servers()],
+            instances=list(self.gatherers.instances) if self.relays.is_known else [],
+        )
 
     async def keep_up(self) -> None:
         """Drop lapsed servers and probe those out of reach, until cancelled."""
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -75,10 +75,10 @@
     change: Callable[[Sequence[ObjectChange]], None],
 ) -> FeedTarget:
     """Return a target that also tells the other instances of changes."""
-    process.feeds_away.add(name)
+    process.feed.away.add(name)
 
     def replace_and_tell(listing: Listing, after_outage: bool) -> None:
-        process.feeds_away.discard(name)
+        process.feed.away.discard(name)
         replace(listing, after_outage)
         process.source.note_change()
 
@@ -87,7 +87,7 @@
         process.source.note_change()
 
     def away() -> None:
-        process.feeds_away.add(name)
+        process.feed.away.add(name)
 
     return FeedTarget(name, replace_and_tell, change_and_tell, away)
 
--- a/ibisfront/gateway/gatherers.py
+++ b/ibisfront/gateway/gatherers.py
@@ -11,7 +11,7 @@
     from ibisfront.gateway.configuration import RouteTable
     from ibisfront.gateway.instances import InstanceEntry
 
-__all__ = ["CONNECTIONS_SHARE", "Gatherers"]
+__all__ = ["CONNECTIONS_SHARE", "Gatherers", "strongest_first"]
 
 _LEAST_CONNECTIONS = 2
 """Connections to each server that an instance needs to gather by itself: one
@@ -111,7 +111,8 @@
             zone: tuple(
                 item.name
                 for item in sorted(
-                    (item for item in instances if item.zone == zone), key=_order
+                    (item for item in instances if item.zone == zone),
+                    key=strongest_first,
                 )[:most]
             )
             for zone in zones
@@ -131,6 +132,6 @@
     )
 
 
-def _order(entry: InstanceEntry) -> tuple[float, bytes]:
+def strongest_first(entry: InstanceEntry) -> tuple[float, bytes]:
     """Order instances: the strongest first, equals by a hash of the name."""
     return -entry.capacity, hashlib.blake2b(entry.name.encode()).digest()
--- a/ibisfront/gateway/instances.py
+++ b/ibisfront/gateway/instances.py
@@ -17,10 +17,14 @@
     from collections.abc import Sequence
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.budget import ExtraBudgets
-    from ibisfront.gateway.server_book import ServerBook
 
-__all__ = ["ASSUMED_INSTANCES", "Directory", "InstanceEntry", "keep_instances"]
+__all__ = [
+    "ASSUMED_INSTANCES",
+    "Directory",
+    "InstanceEntry",
+    "keep_instances",
+    "peer_entry",
+]
 
 _LOG = part_logger(LogPart.MEMBERS)
 
@@ -37,6 +41,11 @@
 
 _RETRY_MS = 700.0
 """Pause, on average, before another try to register."""
+
+_SETTLE_MS = 700.0
+"""How long the first read waits where all instances start for the first time:
+they do so within 0.3 s of each other, and a start takes as long again."""
+
 ASSUMED_INSTANCES = 16
 """How many instances share allowances and connections until their list is
 known: about twice the entry instances of a deployment of today."""
@@ -77,9 +86,10 @@
     directory: Directory,
     own: InstanceEntry,
     *,
-    peers: ServerBook,
-    budgets: ExtraBudgets,
     on_list: Callable[[Sequence[InstanceEntry]], None],
+    on_first_try: Callable[[], None],
+    is_needed: Callable[[], bool],
+    is_first_start: bool,
     clock: Clock,
 ) -> None:
     """Register this instance and keep up with the others, until cancelled.
@@ -90,36 +100,53 @@
         The list in the store.
     own : InstanceEntry
         This instance.
-    peers : ServerBook
-        Where the others are kept, under their zone as the service.
-    budgets : ExtraBudgets
-        Told how many instances share the allowances. Entries of instances
-        that are gone make the shares smaller, never too large.
     on_list : callable
-        Told of all instances, this one included.
+        Told of all instances, this one included. Entries of instances that are
+        gone make shares smaller, never too large.
+    on_first_try : callable
+        Told once when the list was read for the first time, or could not be.
+    is_needed : callable
+        Returns whether the list must be read here: an instance that follows
+        another one gets it from there.
+    is_first_start : bool
+        Whether all instances start for the first time, so that the list is
+        not complete yet.
     clock : Clock
         The tier's clock.
     """
     random = Random()
-    await _until_done(lambda: directory.register(own), clock, random)
+    is_registered = False
+    if is_first_start:
+        await _until_done(lambda: directory.register(own), clock, random)
+        is_registered = True
+        await clock.sleep_ms(_SETTLE_MS)
     polls = 0
     while True:
-        try:
-            listed = await directory.instances()
-        except StoreError as error:
-            _LOG.debug("The list of instances cannot be read: %s.", error)
-        else:
-            budgets.instances = max(len(listed), 1)
-            peers.replace(
-                [_peer(item) for item in listed if item.name != own.name],
-                after_outage=False,
-            )
-            on_list(listed)
+        if polls == 0 or is_needed():
+            listed = await _read(directory)
+            if listed is not None:
+                # A restart finds its entry: writing it again has its price.
+                is_registered = is_registered or own in listed
+                on_list(listed)
+        if polls == 0:
+            on_first_try()
+        if not is_registered:
+            await _until_done(lambda: directory.register(own), clock, random)
+            is_registered = True
         polls += 1
         wait_ms = _FIRST_POLL_MS if polls < _POLLS_AT_START else _POLL_MS
         await clock.sleep_ms(wait_ms * random.uniform(0.8, 1.2))
 
 
+async def _read(directory: Directory) -> Sequence[InstanceEntry] | None:
+    """Return the list; None if it cannot be read now."""
+    try:
+        return await directory.instances()
+    except StoreError as error:
+        _LOG.warning("The list of instances cannot be read: %s.", error)
+        return None
+
+
 async def _until_done(
     call: Callable[[], Awaitable[None]], clock: Clock, random: Random
 ) -> None:
@@ -133,5 +160,6 @@
             return
 
 
-def _peer(entry: InstanceEntry) -> ServerEntry:
+def peer_entry(entry: InstanceEntry) -> ServerEntry:
+    """Return another instance as a server of the service of its zone."""
     return ServerEntry(entry.name, entry.zone, entry.address, entry.zone)
--- /dev/null
+++ b/ibisfront/gateway/relays.py
@@ -0,0 +1,71 @@
+"""Which instances watch the store for the others of their zone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ibisfront.gateway.gatherers import strongest_first
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ibisfront.gateway.instances import InstanceEntry
+
+__all__ = ["Relays"]
+
+_MOST_WATCHERS = 12
+"""Up to so many instances each watch the store: a change then takes one way
+less, and two watches of three seconds cost each of them 0.7 calls a second."""
+
+_SOURCES = 3
+"""How many instances of a zone may be followed, in this order: a third stands
+in while one is lost and another is turned away by the store."""
+
+
+class Relays:
+    """The instances that pass the store's state on to the others.
+
+    Each call of the store has a price, and its rates grow more slowly than the
+    number of instances. The first instance of each zone watches the store; the
+    next ones stand in for it, in turn. Each instance works the order out by
+    itself from the same list; a list that is some seconds old costs calls, and
+    breaks nothing, since only those that watch the store are followed.
+
+    Parameters
+    ----------
+    own : InstanceEntry
+        This instance.
+
+    Attributes
+    ----------
+    sources : sequence of InstanceEntry
+        The instances to follow, the first choice first; empty for one that
+        watches the store.
+    is_source : bool
+        Whether others may follow this instance.
+    is_known : bool
+        Whether the list of instances was read.
+    """
+
+    __slots__ = ("_own", "is_known", "is_source", "sources")
+
+    def __init__(self, own: InstanceEntry) -> None:
+        self._own = own
+        self.sources: Sequence[InstanceEntry] = ()
+        self.is_source = False
+        self.is_known = False
+
+    def update(self, instances: Sequence[InstanceEntry]) -> None:
+        """Work them out anew from all instances that are listed."""
+        self.is_known = True
+        self.sources = ()
+        self.is_source = False
+        if len(instances) <= _MOST_WATCHERS:
+            return
+        zone = [item for item in instances if item.zone == self._own.zone]
+        first = sorted(zone, key=strongest_first)[:_SOURCES]
+        names = [item.name for item in first]
+        self.is_source = self._own.name in names
+        self.sources = first
+        if self.is_source:
+            self.sources = first[: names.index(self._own.name)]
--- a/ibisfront/gateway/settings.py
+++ b/ibisfront/gateway/settings.py
@@ -12,6 +12,10 @@
 _RECONNECT_MS = 1_000.0
 """Set aside for noticing a silent connection, connecting and listing anew."""
 
+_FOLLOWERS_NOTICE_MS = 1_500.0
+"""Set aside for the others to notice that the instance that they follow has
+fallen silent, and to go elsewhere."""
+
 
 class Bounds(msgspec.Struct, frozen=True):
     """The bounds that the deployment sets.
@@ -48,6 +52,11 @@
         """
         return max(self.contact_ms - _RECONNECT_MS, _RECONNECT_MS)
 
+    @property
+    def source_watch_wait_ms(self) -> float:
+        """The same at an instance that others follow."""
+        return max(self.watch_wait_ms - _FOLLOWERS_NOTICE_MS, _RECONNECT_MS)
+
 
 class GatewaySettings(msgspec.Struct, frozen=True):
     """The settings of one process.
@@ -74,6 +83,8 @@
         The deployment's bounds.
     capacity : float
         How many cores the process has.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time.
     """
 
     instance: str
@@ -86,3 +97,4 @@
     seeds: tuple[Address, ...] = ()
     bounds: Bounds = Bounds()
     capacity: float = 1.0
+    is_first_start: bool = False
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state_relay.py
@@ -10,6 +10,7 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.configuration import Configuration
+from ibisfront.gateway.instances import InstanceEntry
 from ibisfront.gateway.server import ServerEntry
 
 if TYPE_CHECKING:
@@ -17,7 +18,7 @@
 
     from ibisfront.core.clock import Clock
 
-__all__ = ["RelayedState", "StateClient", "StateSource", "follow_state"]
+__all__ = ["KnownState", "RelayedState", "StateClient", "StateSource", "follow_state"]
 
 _LOG = part_logger(LogPart.PEERS)
 
@@ -35,6 +36,13 @@
 _SLACK_MS = 500.0
 """What the answer may take beyond that wait."""
 
+_FRESH_WAIT_MS = 700.0
+"""How long an asker is kept while this instance has not heard the store yet:
+listing two kinds takes some ten milliseconds, a start half a second."""
+
+_FRESH_CHECK_MS = 50.0
+"""Pause between two looks whether it has."""
+
 _COALESCE_MS = 15.0
 """Pause between a change and the answer, so that changes that come together
 are sent together."""
@@ -58,6 +66,8 @@
         Servers that are new to the asker or have changed.
     removed : list of str
         The ids of servers that are gone.
+    instances : list of InstanceEntry or None
+        All instances, if the list is new to the asker.
     """
 
     revision: int
@@ -66,6 +76,15 @@
     is_whole: bool = False
     servers: list[ServerEntry] = []
     removed: list[str] = []
+    instances: list[InstanceEntry] | None = None
+
+
+class KnownState(msgspec.Struct, frozen=True):
+    """What an instance knows now: the newest of each."""
+
+    configuration: Configuration | None
+    servers: list[ServerEntry]
+    instances: list[InstanceEntry]
 
 
 class StateSource:
@@ -78,9 +97,11 @@
     Parameters
     ----------
     state : callable
-        Returns the configuration in force and the servers.
+        Returns what this instance knows.
     is_fresh : callable
-        Returns whether the store answers.
+        Returns whether this instance watches the store, and it answers.
+    may_become_fresh : callable
+        Returns whether that may soon be so.
     clock : Clock
         The tier's clock.
     """
@@ -90,8 +111,11 @@
         "_clock",
         "_configuration_revision",
         "_first",
+        "_instances",
+        "_instances_revision",
         "_is_fresh",
         "_known",
+        "_may_become_fresh",
         "_removed",
         "_revision",
         "_revisions",
@@ -102,12 +126,15 @@
     def __init__(
         self,
         *,
-        state: Callable[[], tuple[Configuration | None, list[ServerEntry]]],
+        state: Callable[[], KnownState],
         is_fresh: Callable[[], bool],
+        may_become_fresh: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._state = state
         self._is_fresh = is_fresh
+        self._may_become_fresh = may_become_fresh
+        self._instances: list[InstanceEntry] = []
         self._clock = clock
         # Begins anywhere, so that a revision from before a restart is not
         # taken for one of this process; the time of day may go backwards.
@@ -118,17 +145,21 @@
         self._removed: dict[str, int] = {}
         self._version = 0
         self._configuration_revision = self._revision
+        self._instances_revision = self._revision
         self._first = self._revision
 
     def note_change(self) -> None:
         """Note that the configuration or a server may have changed."""
-        configuration, servers = self._state()
+        state = self._state()
         revision = self._revision + 1
-        version = 0 if configuration is None else configuration.version
+        version = 0 if state.configuration is None else state.configuration.version
         changed = version != self._version
         if changed:
             self._version, self._configuration_revision = version, revision
-        listed = {entry.server_id: entry for entry in servers}
+        if state.instances != self._instances:
+            self._instances, self._instances_revision = state.instances, revision
+            changed = True
+        listed = {entry.server_id: entry for entry in state.servers}
         for server_id, entry in listed.items():
             if self._known.get(server_id) != entry:
                 self._revisions[server_id] = revision
@@ -153,12 +184,20 @@
 
     async def answer(self, known_revision: int) -> bytes:
         """Return what has changed, at once or after a wait for a change."""
-        if known_revision == self._revision and self._is_fresh():
+        if not self._is_fresh():
+            await self._wait_until_fresh()
+        elif known_revision == self._revision:
             with self._clock.timeout_ms(_WAIT_MS):
                 await self._changed.wait()
                 await self._clock.sleep_ms(_COALESCE_MS)
         return msgspec.msgpack.encode(self._since(known_revision))
 
+    async def _wait_until_fresh(self) -> None:
+        """Wait a moment for the store; an asker would go to the store itself."""
+        until_ms = self._clock.now_ms() + _FRESH_WAIT_MS
+        while self._may_become_fresh() and self._clock.now_ms() < until_ms:
+            await self._clock.sleep_ms(_FRESH_CHECK_MS)
+
     def _since(self, known_revision: int) -> RelayedState:
         is_fresh = self._is_fresh()
         if known_revision == self._revision:
@@ -167,7 +206,10 @@
         since = 0 if is_whole else known_revision
         configuration = None
         if self._configuration_revision > since:
-            configuration, _ = self._state()
+            configuration = self._state().configuration
+        instances = None
+        if self._instances_revision > since:
+            instances = self._instances
         return RelayedState(
             revision=self._revision,
             is_fresh=is_fresh,
@@ -183,6 +225,7 @@
                 for server_id, revision in self._removed.items()
                 if revision > since and not is_whole
             ],
+            instances=instances,
         )
 
 
@@ -198,7 +241,7 @@
 
 async def follow_state(
     client: StateClient, *, name: str, take: Callable[[RelayedState], None]
-) -> None:
+) -> bool:
     """Take in another instance's state until it fails or is not fresh.
 
     Parameters
@@ -208,7 +251,13 @@
     name : str
         The instance, for the log.
     take : callable
-        Takes in a state that has changed.
+        Takes in a state that has changed, or the one of an instance that does
+        not hear the store, with which following ends.
+
+    Returns
+    -------
+    bool
+        Whether the instance still answers.
     """
     revision = 0
     try:
@@ -216,8 +265,9 @@
             data = await client.ask(revision, timeout_ms=_WAIT_MS + _SLACK_MS)
             state = msgspec.msgpack.decode(data, type=RelayedState)
             if not state.is_fresh:
+                take(state)
                 _LOG.info("%s does not hear the store.", name)
-                return
+                return True
             if state.revision != revision:
                 take(state)
                 if not revision:
@@ -225,5 +275,6 @@
             revision = state.revision
     except (OSError, msgspec.DecodeError) as error:
         _LOG.warning("%s does not pass on the state: %s.", name, error)
+        return False
     finally:
         client.close()
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -68,6 +68,8 @@
     # The table of the platform's store, not of the whole platform.
     platform: _Store
     seeds: tuple[str, ...] = ()
+    # True at the first start of all instances only, not of this one.
+    bootstrap: bool = False
 
 
 def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
@@ -112,6 +114,7 @@
         metrics_address=f"{file.ip}:{_METRICS_PORT}",
         capacity=file.limits.cpu_share * file.limits.cpus,
         seeds=file.seeds,
+        is_first_start=file.bootstrap,
         store_address=file.platform.addr,
         bounds=Bounds(
             stop_grace_ms=bounds.grace_s * _MILLISECONDS_PER_SECOND,
--- a/ibisfront/tests/test_gateway_gatherers.py
+++ b/ibisfront/tests/test_gateway_gatherers.py
@@ -17,7 +17,12 @@
 from ibisfront.gateway.gatherers import Gatherers
 from ibisfront.gateway.instances import InstanceEntry
 from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.state_relay import RelayedState, StateSource, follow_state
+from ibisfront.gateway.state_relay import (
+    KnownState,
+    RelayedState,
+    StateSource,
+    follow_state,
+)
 from ibisfront.testing.gateway_fixture import gather_route
 from ibisfront.tests import trio_test
 
@@ -96,8 +101,9 @@
 
     def source(self):
         source = StateSource(
-            state=lambda: (self.configuration, list(self.servers)),
+            state=lambda: KnownState(self.configuration, list(self.servers), []),
             is_fresh=lambda: self.is_fresh,
+            may_become_fresh=lambda: False,
             clock=Clock(),
         )
         source.note_change()
