Refuse and be not ready where the gatherers of a zone are cut off

The instances of the zone ask no servers themselves, so that each seemed ready; the ones that gather for them tried every query, although they knew the ways to be cut.

Gatherers now refuse a whole query as "not run" with the reason, as they do for callers of their own; the asker passes that on, closes the connection, and is not ready for a while. The test fails on the code before with 502.

--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -19,7 +19,10 @@
     from ibisfront.gateway.server_book import ServerBook
     from ibisfront.gateway.wire import Wire
 
-__all__ = ["BAD_GATEWAY", "GATEWAY_TIMEOUT", "Answering"]
+__all__ = ["BAD_GATEWAY", "GATEWAY_TIMEOUT", "OUT_OF_REACH", "Answering"]
+
+OUT_OF_REACH = "out_of_reach"
+"""The reason of a refusal while too few of a route's services can be reached."""
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
--- a/ibisfront/gateway/delegated_query.py
+++ b/ibisfront/gateway/delegated_query.py
@@ -16,6 +16,8 @@
     "DelegatedQuery",
     "delegated_from",
     "delegating_request",
+    "is_out_of_reach",
+    "out_of_reach_header",
     "service_bits",
     "signatures_header",
     "signatures_of",
@@ -26,6 +28,7 @@
 _OBJECTIVE = b"x-ibisfront-objective-ms"
 _MAY_DELEGATE = b"x-ibisfront-may-delegate"
 _SIGNATURES = b"x-ibisfront-signatures"
+_OUT_OF_REACH = b"x-ibisfront-out-of-reach"
 
 
 class DelegatedQuery(msgspec.Struct, frozen=True):
@@ -76,6 +79,16 @@
         return None
 
 
+def is_out_of_reach(reply: BackendReply) -> bool:
+    """Return whether an instance refused since it cannot reach the servers."""
+    return any(name.lower() == _OUT_OF_REACH for name, _ in reply.headers)
+
+
+def out_of_reach_header() -> Header:
+    """Return the header by which an instance says so."""
+    return (_OUT_OF_REACH, b"1")
+
+
 def signatures_header(signatures: Sequence[bytes]) -> Header:
     """Return the header of a delegated answer that names its parts."""
     return (_SIGNATURES, b",".join(signatures))
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -6,7 +6,12 @@
 
 import trio
 
-from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT, Answering
+from ibisfront.gateway.answering import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    OUT_OF_REACH,
+    Answering,
+)
 from ibisfront.gateway.forwarding import ForwardRun
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries import Queries
@@ -64,9 +69,9 @@
         self._answering = Answering(
             book=book, budgets=budgets, wire=wire, clock=clock, observer=observer
         )
-        self._queries = Queries(self._answering, delegation)
-        self._turns = WeightedTurns()
         self._reach = Reach(book=book, clock=clock)
+        self._queries = Queries(self._answering, delegation, self._reach)
+        self._turns = WeightedTurns()
 
     @property
     def table(self) -> RouteTable | None:
@@ -80,7 +85,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self.table is not None and not self._reach.is_isolated(self.table)
+        if self.table is None or self._queries.is_out_of_reach:
+            return False
+        return not self._reach.is_isolated(self.table)
 
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
@@ -91,7 +98,7 @@
         if route is None:
             return answering.refuse(request, CallerReply(404, [], b"", "no_route"))
         if not self._reach.can_serve(route):
-            reply = answering.not_run("out_of_reach")
+            reply = answering.not_run(OUT_OF_REACH)
             reply.closes = True
             return answering.refuse(request, reply)
         if route.gathering is not None:
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
-from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT
-from ibisfront.gateway.delegated_query import signatures_header
+from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT, OUT_OF_REACH
+from ibisfront.gateway.delegated_query import out_of_reach_header, signatures_header
 from ibisfront.gateway.gather_plan import gather_plan
 from ibisfront.gateway.gathering import GatherRun
 from ibisfront.gateway.messages import CallerReply
@@ -24,6 +25,7 @@
     from ibisfront.gateway.delegation import Delegation
     from ibisfront.gateway.gather_plan import GatherPlan
     from ibisfront.gateway.messages import InboundRequest
+    from ibisfront.gateway.reach import Reach
     from ibisfront.gateway.remote_call import RemotePlan
     from ibisfront.gateway.server import Server
     from ibisfront.gateway.service_call import CallContext
@@ -38,6 +40,11 @@
 _MOST_GATHERERS = 2
 """How many instances are asked in turn to gather one query."""
 
+_OUT_OF_REACH_MS = 700.0
+"""How long an instance stays not ready after one that gathers for it found the
+ways to the servers cut: longer than the balancer's pause between two questions,
+and a wrong finding is soon over."""
+
 _SHOWN_SERVICES = 4
 """Services without an answer that a log line names."""
 
@@ -51,13 +58,27 @@
         What answering takes.
     delegation : Delegation or None
         Asks other instances for the parts that stand near them.
+    reach : Reach
+        Which routes can be served.
     """
 
-    __slots__ = ("_answering", "_delegation")
+    __slots__ = ("_answering", "_delegation", "_out_of_reach_until_ms", "_reach")
 
-    def __init__(self, answering: Answering, delegation: Delegation | None) -> None:
+    def __init__(
+        self, answering: Answering, delegation: Delegation | None, reach: Reach
+    ) -> None:
         self._answering = answering
         self._delegation = delegation
+        self._reach = reach
+        self._out_of_reach_until_ms = -math.inf
+
+    @property
+    def is_out_of_reach(self) -> bool:
+        """Whether those that gather for this instance have found a cut way.
+
+        It asks no servers itself, and would not see that its zone is cut off.
+        """
+        return self._answering.clock.now_ms() < self._out_of_reach_until_ms
 
     async def answer(
         self, request: InboundRequest, route: Route, gathering: Gathering
@@ -78,6 +99,10 @@
             return answering.refuse(request, answering.not_run("no_gathering_route"))
         if route.gathering.digest != query.gathering:
             return answering.refuse(request, answering.not_run("other_gathering"))
+        if query.may_delegate and not self._reach.can_serve(route):
+            reply = answering.not_run(OUT_OF_REACH)
+            reply.headers.append(out_of_reach_header())
+            return answering.refuse(request, reply)
         gathering = _delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_left_ms
         context = answering.context(request, route)
@@ -105,6 +130,9 @@
         run = await self._run(
             request, route, gathering, end_at_ms, context, remote_plan
         )
+        if run.remote is not None and run.remote.is_out_of_reach:
+            now_ms = answering.clock.now_ms()
+            self._out_of_reach_until_ms = now_ms + _OUT_OF_REACH_MS
         reply = self._gathered(run, gathering)
         answering.note(request, route, reply, context, parts=_parts_text(run))
         return reply
@@ -228,10 +256,18 @@
         headers = [signatures_header(signatures)]
         return CallerReply(200, headers, records, "delegated_parts")
 
+    def _not_run(self, run: GatherRun) -> CallerReply:
+        """Return the refusal of a query that no server was asked for."""
+        if run.remote is not None and run.remote.is_out_of_reach:
+            reply = self._answering.not_run(OUT_OF_REACH)
+            reply.closes = True
+            return reply
+        reason = _NO_GATHERER if run.is_gathered_elsewhere else "no_server"
+        return self._answering.not_run(reason)
+
     def _no_answer(self, run: GatherRun) -> CallerReply:
         if not run.was_sent:
-            reason = _NO_GATHERER if run.is_gathered_elsewhere else "no_server"
-            return self._answering.not_run(reason)
+            return self._not_run(run)
         if run.found_silence:
             return CallerReply(BAD_GATEWAY, [], b"", "all_silent", closes=True)
         if run.is_open:
--- a/ibisfront/gateway/remote_call.py
+++ b/ibisfront/gateway/remote_call.py
@@ -11,6 +11,7 @@
 from ibisfront.gateway.delegated_query import (
     DelegatedQuery,
     delegating_request,
+    is_out_of_reach,
     service_bits,
     signatures_of,
 )
@@ -81,6 +82,8 @@
         The greatest records of these parts.
     is_refused : bool
         Whether the instance has not run it and will not.
+    is_out_of_reach : bool
+        Whether it refused since it cannot reach the servers.
     """
 
     __slots__ = (
@@ -88,6 +91,7 @@
         "_exchange",
         "_on_change",
         "_plan",
+        "is_out_of_reach",
         "is_refused",
         "records",
         "services",
@@ -105,6 +109,7 @@
         self.signatures: list[bytes] = []
         self.records = b""
         self.is_refused = False
+        self.is_out_of_reach = False
 
     @property
     def peer(self) -> Server:
@@ -227,6 +232,7 @@
 
     def _take(self, reply: BackendReply) -> None:
         self.is_refused = reply.status == _UNAVAILABLE
+        self.is_out_of_reach = self.is_refused and is_out_of_reach(reply)
         signatures = signatures_of(reply)
         if reply.status == _OK and signatures:
             self.signatures = signatures
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -212,6 +212,13 @@
             if server.entry.zone == zone and is_meant:
                 server.latency_ms = latency_ms
 
+    def cut(self, zone: str) -> None:
+        """Let the servers of a zone be out of reach of both instances."""
+        for server in self._servers.values():
+            if server.entry.zone == zone:
+                server.latency_ms = math.inf
+                server.accepts = False
+
     def running_requests(self) -> int:
         """Return how many requests the servers work on now."""
         return sum(server.running for server in self._servers.values())
@@ -255,6 +262,8 @@
 
     async def _open(self, address: Address) -> ServerConnection:
         await trio.sleep(CONNECT_MS / 1000.0)
+        if not self._servers[address].accepts:
+            raise TimeoutError("no connection")
         return connect_to(self._servers[address])
 
     async def _open_peer(self, address: Address) -> ServerConnection:
--- a/ibisfront/tests/test_gateway_delegation.py
+++ b/ibisfront/tests/test_gateway_delegation.py
@@ -151,6 +151,28 @@
             reply = await zones.ask("z0")
         self.assertEqual((reply.status, zones.delegated), (200, 1))
 
+    @trio_test
+    async def test_instance_that_others_gather_for_sees_that_its_zone_is_cut(self):
+        """A zone cut off from the servers keeps taking callers.
+
+        Its instances have their queries gathered by one of them and ask no
+        servers themselves, so that each seems ready to the balancer. Every
+        search there fails while the other zones could serve it.
+        """
+        zones = TwoZones(route(minimum=0.9), follows=True)
+        async with zones.running():
+            await zones.ask("z0")
+            zones.cut("z0")
+            for _ in range(8):
+                await zones.ask("z0")
+                await trio.sleep(0.1)
+            reply = await zones.ask("z0")
+            self.assertEqual((reply.status, reply.reason), (503, "out_of_reach"))
+            self.assertTrue(reply.closes)
+            self.assertFalse(zones.gateways["z0"].is_ready)
+            await trio.sleep(1.0)
+            self.assertTrue(zones.gateways["z0"].is_ready)
+
     @trio_test
     async def test_query_that_was_replaced_unsent_is_never_sent(self):
         """A part runs on three servers although the route allows two.
