--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -114,6 +114,13 @@
         self._observer.note_refused(request, reply, version=self.version)
         return reply
 
+    def note_left(
+        self, request: InboundRequest, route: Route, context: CallContext
+    ) -> None:
+        """Note a request whose asker left before its answer."""
+        now_ms = self.clock.now_ms()
+        self._observer.note_left(request, route, context.trace, now_ms)
+
     def note(
         self,
         request: InboundRequest,
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -123,6 +123,7 @@
             await run.run()
         except trio.Cancelled:
             run.end(at_once=True)
+            answering.note_left(request, route, context)
             raise
         run.end(at_once=not route.is_idempotent)
         reply = self._forwarded(run)
--- a/ibisfront/gateway/observing.py
+++ b/ibisfront/gateway/observing.py
@@ -147,6 +147,24 @@
         fields.update(trace.as_fields())
         _LOG.warning("Answered %d: %s.", reply.status, reply.reason, extra=fields)
 
+    def note_left(
+        self, request: InboundRequest, route: Route, trace: RequestTrace, now_ms: float
+    ) -> None:
+        """Take in a request whose asker left before its answer.
+
+        An instance that asked for parts leaves when it gives the query up.
+        """
+        self.counters.add(CounterKind.CANCELLATIONS, "asker_left")
+        fields: dict[str, Any] = {
+            "request_id": request.request_id,
+            "route": route.name,
+            "took_ms": round(now_ms - request.arrived_at_ms, 1),
+            "deadline_ms": request.deadline_ms,
+            "extras": trace.extras,
+            **trace.as_fields(),
+        }
+        _LOG.info("The asker left.", extra=fields)
+
     def note_refused(
         self, request: InboundRequest, reply: CallerReply, *, version: int | None
     ) -> None:
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -183,6 +183,7 @@
             await run.run()
         except trio.Cancelled:
             run.end(at_once=True)
+            self._answering.note_left(request, route, context)
             raise
         # Servers drop a request when its connection closes. Under load that
         # frees slots for requests that are waited for: with a zone cut off
--- a/ibisfront/tests/test_gateway_runs.py
+++ b/ibisfront/tests/test_gateway_runs.py
@@ -86,11 +86,13 @@
         """
         fixture = GatewayFixture(gather_route(5), latency_ms=100.0)
         async with fixture.running():
-            with trio.move_on_after(0.02):
-                await fixture.ask()
+            with self.assertLogs("ibisfront", "INFO") as logs:
+                with trio.move_on_after(0.02):
+                    await fixture.ask()
             await trio.sleep(0.01)
             running = sum(server.running for server in fixture.all_servers())
         self.assertEqual(running, 0)
+        self.assertIn("The asker left.", logs.output[-1])
 
     @trio_test
     async def test_slow_server_does_not_work_on_for_nobody(self):
