Let stopped work say that a server is slow

A wait that was given up now counts as at least that slow. The test fails without it by construction (the method is new).

--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -253,6 +253,21 @@
         self._failing = self.failing(now_ms) * (1.0 - _FAILURE_WEIGHT)
         self._failing_at_ms = now_ms
 
+    def note_cancelled(
+        self, now_ms: float, *, waited_ms: float, usual_ms: float
+    ) -> None:
+        """Take in a reply that was not waited for any longer.
+
+        It says that the server takes at least this long. Without it a slow
+        server whose work is always stopped would be measured no more, seem
+        healthy again within seconds, and get the next first choice.
+        """
+        ratio = min(waited_ms / usual_ms, _LARGEST_RATIO)
+        slowness = self.slowness(now_ms)
+        if ratio > slowness:
+            self._slowness = slowness + _SLOWNESS_WEIGHT * (ratio - slowness)
+            self._slowness_at_ms = now_ms
+
     def note_refused(self, now_ms: float, retry_after_ms: float | None) -> None:
         """Take in a reply that says that the request did not run."""
         self._note_life(now_ms)
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -338,5 +338,11 @@
         now_ms = self._context.clock.now_ms()
         if exchange.is_abandoned and not exchange.is_cancelled:
             exchange.server.note_silent(now_ms, exchange)
-        elif error.may_have_run and not exchange.is_cancelled:
+        elif exchange.is_cancelled:
+            exchange.server.note_cancelled(
+                now_ms,
+                waited_ms=now_ms - exchange.waits_since_ms,
+                usual_ms=self._context.usual.median_ms,
+            )
+        elif error.may_have_run:
             exchange.server.note_lost(now_ms)
--- a/ibisfront/tests/test_gateway_server_book.py
+++ b/ibisfront/tests/test_gateway_server_book.py
@@ -93,6 +93,18 @@
         self.assertGreater(slow, 3.0)
         self.assertLess(later, 1.1)
 
+    def test_server_whose_work_is_always_stopped_stays_slow(self):
+        """Searches are late every few seconds while a server is slow.
+
+        Another server answers for the slow one each time, and its work is
+        stopped. No reply of it is ever measured again; it must not seem
+        healthy because of that.
+        """
+        server = self.server()
+        for number in range(40):
+            server.note_cancelled(number * 500.0, waited_ms=40.0, usual_ms=10.0)
+        self.assertGreater(server.cost(20_000.0, 10.0), 1.7)
+
     def test_single_pause_does_not_make_a_server_slow(self):
         server = self.server()
         server.note_reply(10.0, took_ms=500.0, usual_ms=10.0)
