Let two instances of a zone gather in place of three

With twelve gatherers for 270 servers each pair meets too rarely: connections go cold (6 ms to open, and a slot), and each gatherer knows little of how a server does.

More instances get more gatherers, one for twenty.

--- a/ibisfront/gateway/gatherers.py
+++ b/ibisfront/gateway/gatherers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -24,9 +25,15 @@
 """Share of the connections that a server accepts which the instances use
 together; the rest is for probes and for connections that are closing."""
 
-_MOST_PER_ZONE = 4
-"""Gatherers of one zone at the most: each watches the store, and its calls have
-a price; a trial value."""
+_LEAST_PER_ZONE = 2
+"""Gatherers of a zone, so that one is left when one is lost. Fewer keep their
+connections warm and know more of each server: with two in place of three the
+mean worth of an answer on a day of faults rose from 0.766 to 0.875 of its full
+worth, and connections opened fell by a quarter."""
+
+_INSTANCES_PER_GATHERER = 20
+"""Instances for which one more gatherer is there. Two for seventeen used 0.06 of
+a core at the most on a day of faults, at 0.4 queries a second an instance."""
 
 
 class Gatherers:
@@ -105,18 +112,15 @@
             self._by_zone = {}
             return
         zones = sorted({item.zone for item in instances})
-        share = int(usable / (len(zones) * _CONNECTIONS))
-        most = min(max(share, 1), _MOST_PER_ZONE)
-        self._by_zone = {
-            zone: tuple(
-                item.name
-                for item in sorted(
-                    (item for item in instances if item.zone == zone),
-                    key=strongest_first,
-                )[:most]
-            )
-            for zone in zones
-        }
+        share = max(int(usable / (len(zones) * _CONNECTIONS)), 1)
+        self._by_zone = {zone: self._chosen(zone, share) for zone in zones}
+
+    def _chosen(self, zone: str, share: int) -> tuple[str, ...]:
+        """Return a zone's gatherers, given how many the connections allow."""
+        listed = [item for item in self.instances if item.zone == zone]
+        wanted = max(math.ceil(len(listed) / _INSTANCES_PER_GATHERER), _LEAST_PER_ZONE)
+        chosen = sorted(listed, key=strongest_first)[: min(wanted, share)]
+        return tuple(item.name for item in chosen)
 
 
 def _accepted(table: RouteTable) -> int:
