Tell followers of a cut again and again, and send their callers on at once

Each instance found out by a query of its own and was ready again 0.7 s later; a refused caller was told to come back after 150 ms, most of a fast route's time.

A source's answers now say whether it is cut off, also while nobody follows it, which is about once a second; not ready holds for 1.5 s. The refusal says 20 ms, as another instance can serve at once.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -145,6 +145,7 @@
             connect=HttpStateClient,
             watch=partial(watch_store, self, clock=clock),
             take=self.take_state,
+            on_cut_off=self._note_cut_off,
             on_lost=self._note_peer_lost,
             knows_state=lambda: self.gateway.table is not None,
             seeds=settings.seeds,
@@ -154,6 +155,7 @@
             state=self._state,
             is_fresh=lambda: self.feed.is_fresh,
             may_become_fresh=lambda: self.feed.may_become_fresh,
+            is_cut_off=lambda: self.gateway.is_cut_off,
             clock=clock,
         )
         self.gateway = Gateway(
@@ -238,6 +240,11 @@
             self.connections.warm_up(self.book)
         self.source.note_change()
 
+    def _note_cut_off(self) -> None:
+        """Take in that another instance of the zone cannot reach the servers."""
+        if not self.gatherers.is_gatherer:
+            self.gateway.note_cut_off()
+
     def _note_peer_lost(self, name: str) -> None:
         """Take in that another instance does not answer any more."""
         for peer in self.peers.servers():
--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -19,15 +19,16 @@
     from ibisfront.gateway.server_book import ServerBook
     from ibisfront.gateway.wire import Wire
 
-__all__ = ["BAD_GATEWAY", "GATEWAY_TIMEOUT", "OUT_OF_REACH", "Answering"]
-
-OUT_OF_REACH = "out_of_reach"
-"""The reason of a refusal while too few of a route's services can be reached."""
+__all__ = ["BAD_GATEWAY", "GATEWAY_TIMEOUT", "Answering"]
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 _UNAVAILABLE = 503
 
+_ELSEWHERE_RETRY_MS = 20.0
+"""When to come back, to another instance: a trial value, short beside the
+objective of fast routes."""
+
 _RETRY_AFTER_MS = 150.0
 """When to come back if no server may be asked: long enough for a failed server
 to be tried again, short beside a deadline."""
@@ -109,6 +110,15 @@
         wait_ms = _RETRY_AFTER_MS if retry_after_ms is None else retry_after_ms
         return CallerReply(_UNAVAILABLE, [self.wire.retry_after(wait_ms)], b"", reason)
 
+    def out_of_reach(self) -> CallerReply:
+        """Return the refusal where too few servers of a route can be reached.
+
+        An instance of another zone can serve the caller at once.
+        """
+        reply = self.not_run("out_of_reach", _ELSEWHERE_RETRY_MS)
+        reply.closes = True
+        return reply
+
     def refuse(self, request: InboundRequest, reply: CallerReply) -> CallerReply:
         """Note a request that is refused before any server is asked."""
         self._observer.note_refused(request, reply, version=self.version)
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -9,7 +9,6 @@
 from ibisfront.gateway.answering import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
-    OUT_OF_REACH,
     Answering,
 )
 from ibisfront.gateway.forwarding import ForwardRun
@@ -87,7 +86,16 @@
         """Whether the balancer should send callers here."""
         if self.table is None or self._queries.is_out_of_reach:
             return False
-        return not self._reach.is_isolated(self.table)
+        return not self.is_cut_off
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this instance itself has found the ways to the servers cut."""
+        return self.table is not None and self._reach.is_isolated(self.table)
+
+    def note_cut_off(self) -> None:
+        """Take in that an instance that gathers for this one is cut off."""
+        self._queries.note_out_of_reach()
 
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
@@ -98,9 +106,7 @@
         if route is None:
             return answering.refuse(request, CallerReply(404, [], b"", "no_route"))
         if not self._reach.can_serve(route):
-            reply = answering.not_run(OUT_OF_REACH)
-            reply.closes = True
-            return answering.refuse(request, reply)
+            return answering.refuse(request, answering.out_of_reach())
         if route.gathering is not None:
             return await self._queries.answer(request, route, route.gathering)
         return await self._forward(request, route)
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT, OUT_OF_REACH
+from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.delegated_query import out_of_reach_header, signatures_header
 from ibisfront.gateway.gather_plan import gather_plan
 from ibisfront.gateway.gathering import GatherRun
@@ -40,10 +40,10 @@
 _MOST_GATHERERS = 2
 """How many instances are asked in turn to gather one query."""
 
-_OUT_OF_REACH_MS = 700.0
+_OUT_OF_REACH_MS = 1_500.0
 """How long an instance stays not ready after one that gathers for it found the
-ways to the servers cut: longer than the balancer's pause between two questions,
-and a wrong finding is soon over."""
+ways to the servers cut: it hears of it again about once a second as long as
+that is so."""
 
 _SHOWN_SERVICES = 4
 """Services without an answer that a log line names."""
@@ -80,6 +80,11 @@
         """
         return self._answering.clock.now_ms() < self._out_of_reach_until_ms
 
+    def note_out_of_reach(self) -> None:
+        """Take in that those that gather cannot reach the servers."""
+        now_ms = self._answering.clock.now_ms()
+        self._out_of_reach_until_ms = now_ms + _OUT_OF_REACH_MS
+
     async def answer(
         self, request: InboundRequest, route: Route, gathering: Gathering
     ) -> CallerReply:
@@ -100,7 +105,7 @@
         if route.gathering.digest != query.gathering:
             return answering.refuse(request, answering.not_run("other_gathering"))
         if query.may_delegate and not self._reach.can_serve(route):
-            reply = answering.not_run(OUT_OF_REACH)
+            reply = answering.out_of_reach()
             reply.headers.append(out_of_reach_header())
             return answering.refuse(request, reply)
         gathering = _delegated_gathering(query, route.gathering)
@@ -131,8 +136,7 @@
             request, route, gathering, end_at_ms, context, remote_plan
         )
         if run.remote is not None and run.remote.is_out_of_reach:
-            now_ms = answering.clock.now_ms()
-            self._out_of_reach_until_ms = now_ms + _OUT_OF_REACH_MS
+            self.note_out_of_reach()
         reply = self._gathered(run, gathering)
         answering.note(request, route, reply, context, parts=_parts_text(run))
         return reply
@@ -260,9 +264,7 @@
     def _not_run(self, run: GatherRun) -> CallerReply:
         """Return the refusal of a query that no server was asked for."""
         if run.remote is not None and run.remote.is_out_of_reach:
-            reply = self._answering.not_run(OUT_OF_REACH)
-            reply.closes = True
-            return reply
+            return self._answering.out_of_reach()
         reason = _NO_GATHERER if run.is_gathered_elsewhere else "no_server"
         return self._answering.not_run(reason)
 
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -70,6 +70,8 @@
         Watches the store for as long as the nursery runs.
     take : callable
         Takes in a state that another instance passed on.
+    on_cut_off : callable
+        Told when another instance of the zone cannot reach the servers.
     on_lost : callable
         Told the name of an instance that does not answer any more.
     knows_state : callable
@@ -91,6 +93,7 @@
         "_knows_state",
         "_listed",
         "_mode",
+        "_on_cut_off",
         "_on_lost",
         "_relays",
         "_seeds",
@@ -107,6 +110,7 @@
         connect: Callable[[Address], StateClient],
         watch: Callable[[trio.Nursery], None],
         take: Callable[[RelayedState], None],
+        on_cut_off: Callable[[], None],
         on_lost: Callable[[str], None],
         knows_state: Callable[[], bool],
         seeds: Sequence[Address],
@@ -116,6 +120,7 @@
         self._connect = connect
         self._watch = watch
         self._take = take
+        self._on_cut_off = on_cut_off
         self._on_lost = on_lost
         self._knows_state = knows_state
         self._seeds = seeds
@@ -212,7 +217,13 @@
                 # Better than nothing while the store is away.
                 self._take(state)
 
-        answers = await follow_state(self._connect(address), name=name, take=take)
+        def look(state: RelayedState) -> None:
+            if state.is_cut_off:
+                self._on_cut_off()
+
+        answers = await follow_state(
+            self._connect(address), name=name, take=take, on_answer=look
+        )
         self._mode = _Mode.SEEKING
         if not answers:
             self._on_lost(name)
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state_relay.py
@@ -75,6 +75,9 @@
         The ids of servers that are gone.
     instances : list of InstanceEntry or None
         All instances, if the list is new to the asker.
+    is_cut_off : bool
+        Whether the instance cannot reach the servers, as those of its zone
+        that ask none themselves cannot either.
     """
 
     revision: int
@@ -84,6 +87,7 @@
     servers: list[ServerEntry] = []
     removed: list[str] = []
     instances: list[InstanceEntry] | None = None
+    is_cut_off: bool = False
 
 
 class KnownState(msgspec.Struct, frozen=True):
@@ -109,6 +113,8 @@
         Returns whether this instance watches the store, and it answers.
     may_become_fresh : callable
         Returns whether that may soon be so.
+    is_cut_off : callable
+        Returns whether this instance cannot reach the servers.
     clock : Clock
         The tier's clock.
     """
@@ -120,6 +126,7 @@
         "_first",
         "_instances",
         "_instances_revision",
+        "_is_cut_off",
         "_is_fresh",
         "_known",
         "_may_become_fresh",
@@ -136,11 +143,13 @@
         state: Callable[[], KnownState],
         is_fresh: Callable[[], bool],
         may_become_fresh: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._state = state
         self._is_fresh = is_fresh
         self._may_become_fresh = may_become_fresh
+        self._is_cut_off = is_cut_off
         self._instances: list[InstanceEntry] = []
         self._clock = clock
         # Begins anywhere, so that a revision from before a restart is not
@@ -222,8 +231,9 @@
 
     def _since(self, known_revision: int) -> RelayedState:
         is_fresh = self._is_fresh()
+        is_cut_off = self._is_cut_off()
         if known_revision == self._revision:
-            return RelayedState(self._revision, is_fresh)
+            return RelayedState(self._revision, is_fresh, is_cut_off=is_cut_off)
         is_whole = not self._first <= known_revision < self._revision
         since = 0 if is_whole else known_revision
         configuration = None
@@ -248,6 +258,7 @@
                 if revision > since and not is_whole
             ],
             instances=instances,
+            is_cut_off=is_cut_off,
         )
 
 
@@ -262,7 +273,11 @@
 
 
 async def follow_state(
-    client: StateClient, *, name: str, take: Callable[[RelayedState], None]
+    client: StateClient,
+    *,
+    name: str,
+    take: Callable[[RelayedState], None],
+    on_answer: Callable[[RelayedState], None],
 ) -> bool:
     """Take in another instance's state until it fails or is not fresh.
 
@@ -275,6 +290,8 @@
     take : callable
         Takes in a state that has changed, or the one of an instance that does
         not hear the store, with which following ends.
+    on_answer : callable
+        Told of each answer, also of one that brings nothing new.
 
     Returns
     -------
@@ -286,6 +303,7 @@
         while True:
             data = await client.ask(revision, timeout_ms=_WAIT_MS + _SLACK_MS)
             state = msgspec.msgpack.decode(data, type=RelayedState)
+            on_answer(state)
             if not state.is_fresh:
                 take(state)
                 _LOG.info("%s does not hear the store.", name)
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -34,11 +34,13 @@
         self.calls = 0
         self.is_turned_away = False
         self.is_down = False
+        self.cut_off_at_s = -1e9
         self.feed = StateFeed(
             relays=self.relays,
             connect=self.zone.client,
             watch=self.watch,
             take=self.take,
+            on_cut_off=self.note_cut_off,
             on_lost=lambda name: None,
             knows_state=lambda: self.version > 0,
             seeds=("i1",),
@@ -48,6 +50,7 @@
             state=self.state,
             is_fresh=lambda: self.feed.is_fresh,
             may_become_fresh=lambda: self.feed.may_become_fresh,
+            is_cut_off=lambda: self.is_turned_away,
             clock=zone.clock,
         )
 
@@ -59,6 +62,9 @@
         if state.configuration is not None:
             self.version = max(self.version, state.configuration.version)
 
+    def note_cut_off(self):
+        self.cut_off_at_s = trio.current_time()
+
     def watch(self, nursery):
         self.feed.away |= KINDS
         nursery.start_soon(self._watch)
@@ -209,6 +215,24 @@
         versions = [item.version for item in zone.instances[3:]]
         self.assertEqual(set(versions), {2})
 
+    @in_zone
+    async def test_cut_is_told_to_those_that_ask_no_servers(self, zone, nursery):
+        """Callers go on to be sent to instances of a zone that is cut off.
+
+        Only those that ask servers see the cut. The store is behind it too, so
+        that nobody is followed meanwhile; the others must still hear of it
+        again and again.
+        """
+        zone.start(nursery)
+        await trio.sleep(8.0)
+        for instance in zone.instances:
+            instance.is_turned_away = True
+        await trio.sleep(4.0)
+        for _ in range(20):
+            await trio.sleep(0.3)
+            heard_s = [item.cut_off_at_s for item in zone.instances[3:]]
+            self.assertLess(trio.current_time() - min(heard_s), 1.5)
+
     @in_zone
     async def test_outage_of_the_store_is_not_met_by_all_at_once(self, zone, nursery):
         """An outage costs more calls than a day without one.
