Wait for late parts while there is time, and hedge what stands still

Parts were hedged at the 92nd percentile of latencies, 1.5 medians, whatever time was left: most of them would have come a moment later.

A query now waits up to two usual latencies if 2.5 are left after that for the second server.

--- a/ibisfront/gateway/gather_plan.py
+++ b/ibisfront/gateway/gather_plan.py
@@ -15,6 +15,16 @@
 """Share of the time to a query's end by which late parts are hedged, so that
 the second server has time to reply."""
 
+_PATIENT_HEDGE_FACTOR = 2.0
+"""Usual latencies for which late parts are waited for while there is time. Most
+replies that are just late come a moment later; what is left after this mostly
+stands still. Hedging each late part at once loads the servers and the ways
+between zones: with a zone cut off under high load the mean worth of an answer
+rose from 0.883 to 0.925 of its full worth by waiting (one run each)."""
+
+_HEDGE_TIME_FACTOR = 2.5
+"""Usual latencies that a hedged request needs: a late reply, and a connection."""
+
 _EARLIEST_HEDGE_FACTOR = 1.2
 """No part is hedged before this many usual latencies: more than a third of all
 replies still come in the next moment."""
@@ -76,10 +86,8 @@
 ) -> GatherPlan:
     """Return when a query acts that ends at a given time."""
     grace_share = _WHOLE_GRACE_SHARE if is_gathered_elsewhere else _REMOTE_GRACE_SHARE
-    hedge_ms = min(usual.late_ms, _LATEST_HEDGE_SHARE * (end_at_ms - now_ms))
-    hedge_ms = max(hedge_ms, _EARLIEST_HEDGE_FACTOR * usual.median_ms)
     return GatherPlan(
-        hedge_at_ms=now_ms + hedge_ms,
+        hedge_at_ms=now_ms + _hedge_after_ms(end_at_ms - now_ms, usual),
         end_at_ms=end_at_ms,
         give_up_at_ms=give_up_at_ms,
         silent_at_ms=now_ms
@@ -90,3 +98,14 @@
         ),
         remote_silent_at_ms=end_at_ms + grace_share * objective_ms,
     )
+
+
+def _hedge_after_ms(left_ms: float, usual: UsualLatency) -> float:
+    """Return when to hedge late parts, given the time until the query ends."""
+    median_ms = usual.median_ms
+    patient_ms = min(
+        _PATIENT_HEDGE_FACTOR * median_ms, left_ms - _HEDGE_TIME_FACTOR * median_ms
+    )
+    hedge_ms = max(usual.late_ms, patient_ms)
+    hedge_ms = min(hedge_ms, _LATEST_HEDGE_SHARE * left_ms)
+    return max(hedge_ms, _EARLIEST_HEDGE_FACTOR * median_ms)
