--- a/benchmarks/gather_cost.py
+++ b/benchmarks/gather_cost.py
@@ -2,19 +2,24 @@
 
 Run ``python -m benchmarks.gather_cost``. The whole path runs in this process:
 choice, budget, health, connections, codec, merging. The servers are another
-process, which is not counted; every part has 400 bytes.
+process, which is not counted; every part has 400 bytes. The last line compares
+a query with and without its log line.
 """
 
 from __future__ import annotations
 
 import argparse
 import itertools
+import logging
+import os
 import sys
 import time
 
 import trio
 
+from ibisfront.core.bounded_log import BoundedLogHandler
 from ibisfront.core.clock import Clock
+from ibisfront.core.logs import LOGGER_NAME
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import (
     CallerLimits,
@@ -36,10 +41,11 @@
 from ibisfront.platform.headers import WIRE
 from ibisfront.testing.processes import LISTENING, RunningProcess
 
-__all__ = ["main", "measure"]
+__all__ = ["main", "measure", "measure_log"]
 
 FANOUTS = (20, 90, 180)
 QUERIES = 300
+LOG_RUNS = 5
 WARM_UP_QUERIES = 50
 PART_BYTES = 400
 READ_BYTES = 65_536
@@ -145,6 +151,36 @@
     return spent_s / (QUERIES * fanout) * MICROSECONDS_PER_SECOND
 
 
+async def measure_log(address: str, fanout: int) -> tuple[float, float]:
+    """Return the processor time of a query in microseconds, without and with logs.
+
+    The least of several runs each, taken in turn: other work on the machine
+    only ever adds.
+    """
+    spent_us: dict[bool, list[float]] = {False: [], True: []}
+    for _ in range(LOG_RUNS):
+        for is_logged, found in spent_us.items():
+            found.append(fanout * await _measure_with(address, fanout, is_logged))
+    return min(spent_us[False]), min(spent_us[True])
+
+
+async def _measure_with(address: str, fanout: int, is_logged: bool) -> float:
+    log = logging.getLogger(LOGGER_NAME)
+    sink = os.open(os.devnull, os.O_WRONLY)
+    handler = BoundedLogHandler(sink, instance="i1", clock=Clock())
+    log.setLevel(logging.INFO if is_logged else logging.CRITICAL)
+    log.addHandler(handler)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(handler.run)
+            spent_us = await measure(address, fanout)
+            nursery.cancel_scope.cancel()
+    finally:
+        log.removeHandler(handler)
+        os.close(sink)
+    return spent_us
+
+
 async def _run() -> None:
     command = ["-m", "benchmarks.gather_cost", "--serve"]
     async with RunningProcess(command) as servers:
@@ -152,6 +188,11 @@
         for fanout in FANOUTS:
             spent_us = await measure(address, fanout)
             sys.stdout.write(f"fan-out {fanout}: {spent_us:.0f} us a sub-request\n")
+        without_us, with_us = await measure_log(address, FANOUTS[0])
+        sys.stdout.write(
+            f"a query over {FANOUTS[0]}: {without_us:.0f} us without logs,"
+            f" {with_us:.0f} us with them\n"
+        )
 
 
 def main() -> None:
