Do not hold up an instance's start while the store turns it away

Found by reading the new start: at the first start of a deployment an instance wrote its entry before anything else, and tried until it could. Turned away by the store, as a third of the machines may be, it asked neither the store nor the others for the configuration meanwhile.

Registering is now tried once before the first read and again later; the list is read, or not, and the instance goes on.

--- a/ibisfront/gateway/instances.py
+++ b/ibisfront/gateway/instances.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
@@ -117,8 +117,7 @@
     random = Random()
     is_registered = False
     if is_first_start:
-        await _until_done(lambda: directory.register(own), clock, random)
-        is_registered = True
+        is_registered = await _register(directory, own)
         await clock.sleep_ms(_SETTLE_MS)
     polls = 0
     while True:
@@ -130,14 +129,24 @@
                 on_list(listed)
         if polls == 0:
             on_first_try()
-        if not is_registered:
-            await _until_done(lambda: directory.register(own), clock, random)
-            is_registered = True
+        is_registered = is_registered or await _register(directory, own)
         polls += 1
         wait_ms = _FIRST_POLL_MS if polls < _POLLS_AT_START else _POLL_MS
+        if not is_registered:
+            wait_ms = _RETRY_MS
         await clock.sleep_ms(wait_ms * random.uniform(0.8, 1.2))
 
 
+async def _register(directory: Directory, own: InstanceEntry) -> bool:
+    """Write this instance's entry; return whether it is written."""
+    try:
+        await directory.register(own)
+    except StoreError as error:
+        _LOG.warning("This instance cannot be registered yet: %s.", error)
+        return False
+    return True
+
+
 async def _read(directory: Directory) -> Sequence[InstanceEntry] | None:
     """Return the list; None if it cannot be read now."""
     try:
@@ -147,19 +156,6 @@
         return None
 
 
-async def _until_done(
-    call: Callable[[], Awaitable[None]], clock: Clock, random: Random
-) -> None:
-    while True:
-        try:
-            await call()
-        except StoreError as error:
-            _LOG.warning("This instance cannot be registered yet: %s.", error)
-            await clock.sleep_ms(_RETRY_MS * random.uniform(0.5, 1.5))
-        else:
-            return
-
-
 def peer_entry(entry: InstanceEntry) -> ServerEntry:
     """Return another instance as a server of the service of its zone."""
     return ServerEntry(entry.name, entry.zone, entry.address, entry.zone)
