Log when an instance begins to watch the store itself

Found on reading the diff: leaving a source had a line, what came of it had none. Once for each change of the source, so that the volume stays as it is.

--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -234,6 +234,7 @@
             self._mode = _Mode.WATCHING
             is_source = self._relays.is_source
             self._watch_started_ms = self._clock.now_ms()
+            _LOG.info("The store is watched from here from now on.")
             self._watch(nursery)
             while not self._is_enough():
                 await self._clock.sleep_ms(_CHECK_MS)
