Begin a fault soak of real front processes

Fronts run under stand-ins of the store and of servers, each path through a loopback proxy; faults are drawn from a seed and overlap; what callers and servers saw is checked: own and whole answers, true parts of one version, at most once, true "not run", versions that never fall, nothing at drained servers, the budget of extra work, recovery.

Not checked yet: work that ends when a caller leaves, planned stops that cut nothing. Connections between fronts have no proxy yet.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON3 ?= python3
 export PYTHONHASHSEED := 0
 
-.PHONY: test lint format demo bench pages clean
+.PHONY: test lint format demo soak bench pages clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON3) -m venv $(VENV)
@@ -28,6 +28,9 @@
 demo: $(VENV)/.ready  ## the whole tier on this machine, with a printed report
 	$(PYTHON) -m ibisfront.testing.demo
 
+soak: $(VENV)/.ready  ## fifty seeds of real processes under faults
+	$(PYTHON) -m ibisfront.testing.soak --seeds 1-50
+
 bench: $(VENV)/.ready  ## measure the tier and check the regression bounds
 	$(PYTHON) -m benchmarks
 
--- a/ibisfront/testing/processes.py
+++ b/ibisfront/testing/processes.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import socket
 import subprocess
 import sys
-from contextlib import closing
+from contextlib import ExitStack, closing
 from typing import TYPE_CHECKING
 
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
     from types import TracebackType
 
 __all__ = [
@@ -71,11 +72,22 @@
         What follows the Python interpreter.
     log_path : str, optional
         Where its standard error goes; dropped if left out.
+    output_path : str, optional
+        Where its standard output goes; read by ``printed`` if left out.
+    environment : mapping, optional
+        Variables that are added to those of this process.
     """
 
     def __init__(
-        self, arguments: Sequence[str], *, log_path: str | None = None
+        self,
+        arguments: Sequence[str],
+        *,
+        log_path: str | None = None,
+        output_path: str | None = None,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
+        self._output_path = output_path
+        self._environment = {**os.environ, **(environment or {})}
         self._arguments = [sys.executable, *arguments]
         self._log_path = log_path
         self._process: subprocess.Popen[bytes] | None = None
@@ -155,12 +167,17 @@
             process.stdout.close()
 
     def _start(self, error_target: int) -> subprocess.Popen[bytes]:
-        return subprocess.Popen(
-            self._arguments,
-            stdin=subprocess.DEVNULL,
-            stdout=subprocess.PIPE,
-            stderr=error_target,
-        )
+        with ExitStack() as stack:
+            output = subprocess.PIPE
+            if self._output_path is not None:
+                output = stack.enter_context(open(self._output_path, "ab")).fileno()
+            return subprocess.Popen(
+                self._arguments,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=error_target,
+                env=self._environment,
+            )
 
     def _started(self) -> subprocess.Popen[bytes]:
         if self._process is None:
--- /dev/null
+++ b/ibisfront/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the front daemon: real processes, faults from outside."""
--- /dev/null
+++ b/ibisfront/testing/soak/world.py
@@ -0,0 +1,370 @@
+"""One run of the soak: a deployment on this machine, its faults and its checks."""
+
+from __future__ import annotations
+
+import signal
+from collections import Counter
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.testing.object_store import StandInStore
+from ibisfront.testing.soak.callers import Outcome, RequestPath, SoakCaller
+from ibisfront.testing.soak.checks import (
+    Failure,
+    Shape,
+    check_answers,
+    check_budget,
+    check_drained,
+    check_orders,
+    check_versions,
+)
+from ibisfront.testing.soak.documents import configuration_document
+from ibisfront.testing.soak.faults import Fault, FaultKind, draw_faults
+from ibisfront.testing.soak.fronts import (
+    EXTRA_ALLOWANCE,
+    EXTRA_RATIO,
+    EXTRA_WINDOW_MS,
+    SoakFront,
+)
+from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
+from ibisfront.testing.soak.report import SoakReport, timeline_of
+from ibisfront.testing.soak.servers import Ran, SoakServer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Sequence
+    from pathlib import Path
+
+__all__ = ["SoakWorld", "require_own_ids"]
+
+_GENERATIONS = 3
+_SHARDS = 6
+_COPIES = 2
+_SLOW_MS = 400.0
+_CALLER_PAUSE_S = 0.02
+_SETTLE_S = 9.0
+"""After all faults: the contact bound, the bound for draining, and two more."""
+
+_SERVED_WITHIN_S = 30.0
+"""Until when every front must serve again; far beyond its bound, so that a busy
+machine gives the same verdict."""
+
+
+class _Backend(msgspec.Struct):
+    """A server, the proxy before it, and what ends it."""
+
+    server: SoakServer
+    proxy: FaultyProxy
+    scope: trio.CancelScope
+    zone: str
+
+
+class SoakWorld:
+    """A deployment under faults.
+
+    Parameters
+    ----------
+    seed : int
+        Draws the faults.
+    folder : Path
+        Where settings and logs go.
+    fronts, callers : int
+        How many processes, and how many callers at once.
+    length_s : float
+        How long there are faults.
+
+    Attributes
+    ----------
+    fronts : list of SoakFront
+        The processes.
+    """
+
+    def __init__(
+        self, seed: int, folder: Path, *, fronts: int, callers: int, length_s: float
+    ) -> None:
+        self._seed = seed
+        self._length_s = length_s
+        self._clock = Clock()
+        self._store = StandInStore()
+        self.fronts = [SoakFront(number, folder) for number in range(fronts)]
+        self._callers = [
+            SoakCaller(f"s{seed}c{number}", clock=self._clock)
+            for number in range(callers)
+        ]
+        self._backends: dict[str, _Backend] = {}
+        self._ran: list[Ran] = []
+        self._outcomes: list[Outcome] = []
+        self._drained: list[str] = []
+        self._incarnations = 0
+        self._version = 0
+        self._generation = 0
+        self._timeout_ms = 1_200
+        self._faults: Counter[str] = Counter()
+        names = tuple(
+            tuple(f"g{generation}-part-{shard}" for shard in range(_SHARDS))
+            for generation in range(_GENERATIONS)
+        )
+        self._shape = Shape(names)
+
+    async def run(self) -> SoakReport:
+        """Play the run and check it."""
+        async with self._running() as nursery:
+            self._outcomes += await self._until_served("first")
+            async with trio.open_nursery() as load:
+                for caller in self._callers:
+                    load.start_soon(self._call, caller)
+                await self._play(nursery)
+                load.cancel_scope.cancel()
+            await trio.sleep(_SETTLE_S)
+            last = await self._until_served("last")
+        return self._report(last)
+
+    @asynccontextmanager
+    async def _running(self) -> AsyncIterator[trio.Nursery]:
+        async with trio.open_nursery() as nursery, self._store.running():
+            services = [name for names in self._shape.generations for name in names]
+            for service in (*services, self._shape.fetch, self._shape.order):
+                for copy in range(_COPIES):
+                    await self._add_server(nursery, service, f"z{copy}")
+            self._put_configuration()
+            seeds = [front.control_address for front in self.fronts[:3]]
+            for front in self.fronts:
+                front.store_proxy.target = self._store.address
+                await nursery.start(front.store_proxy.run)
+                await nursery.start(front.callers_proxy.run)
+                front.write_settings(seeds)
+                await front.start()
+            try:
+                yield nursery
+            finally:
+                with trio.CancelScope(shield=True):
+                    for front in self.fronts:
+                        await front.close()
+                nursery.cancel_scope.cancel()
+
+    async def _add_server(self, nursery: trio.Nursery, service: str, zone: str) -> None:
+        self._incarnations += 1
+        server_id = f"i{self._incarnations}"
+        server = SoakServer(server_id, service, ran=self._ran, clock=self._clock)
+        proxy = FaultyProxy(server.address)
+        scope = trio.CancelScope()
+        await nursery.start(self._serve, server, proxy, scope)
+        self._backends[server_id] = _Backend(server, proxy, scope, zone)
+        self._put_server(server_id)
+
+    async def _serve(
+        self,
+        server: SoakServer,
+        proxy: FaultyProxy,
+        scope: trio.CancelScope,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run)
+                await nursery.start(proxy.run)
+                task_status.started()
+
+    def _put_server(self, server_id: str, *, state: str = "ready") -> None:
+        backend = self._backends[server_id]
+        entry = {
+            "service": backend.server.service,
+            "addr": backend.proxy.address,
+            "zone": backend.zone,
+            "slots": 4,
+            "state": state,
+        }
+        self._store.put("servers", server_id, entry)
+
+    def _put_configuration(self) -> None:
+        self._version += 3
+        document = configuration_document(
+            self._shape,
+            version=self._version,
+            generation=self._generation,
+            timeout_ms=self._timeout_ms,
+        )
+        self._store.put("config", "main", document)
+
+    async def _call(self, caller: SoakCaller) -> None:
+        """Send requests until cancelled; callers keep to running processes."""
+        paths = [RequestPath.SEARCH, RequestPath.FETCH, RequestPath.ORDER]
+        turn = 0
+        while True:
+            turn += 1
+            front = self.fronts[turn // 8 % len(self.fronts)]
+            outcome = await caller.ask(
+                paths[turn % len(paths)], front.label, front.callers_proxy
+            )
+            self._outcomes.append(outcome)
+            await trio.sleep(_CALLER_PAUSE_S)
+
+    async def _until_served(self, phase: str) -> list[Outcome]:
+        """Wait until each front serves a search; return these requests."""
+        asked: list[Outcome] = []
+        with trio.move_on_after(_SERVED_WITHIN_S):
+            for front in self.fronts:
+                caller = SoakCaller(
+                    f"{phase}{self._seed}{front.label}", clock=self._clock
+                )
+                while (
+                    not asked
+                    or asked[-1].status != 200
+                    or (asked[-1].front != front.label)
+                ):
+                    asked.append(
+                        await caller.ask(
+                            RequestPath.SEARCH, front.label, front.callers_proxy
+                        )
+                    )
+                    await trio.sleep(_CALLER_PAUSE_S)
+            return asked
+        self._faults["unserved"] += 1
+        return asked
+
+    async def _play(self, nursery: trio.Nursery) -> None:
+        started_s = trio.current_time()
+        async with trio.open_nursery() as playing:
+            for fault in draw_faults(self._seed, length_s=self._length_s):
+                await trio.sleep_until(started_s + fault.at_s)
+                self._faults[fault.kind.value] += 1
+                playing.start_soon(self._inflict, fault, nursery)
+
+    async def _inflict(self, fault: Fault, nursery: trio.Nursery) -> None:
+        name = fault.kind.value
+        front = self.fronts[fault.target % len(self.fronts)]
+        if name.startswith("front_"):
+            await self._hit_front(fault, front)
+        elif name.startswith("store_") and fault.kind is not FaultKind.STORE_PATH:
+            await self._hit_store(fault)
+        elif name.startswith("server_"):
+            await self._hit_server(fault, nursery)
+        elif fault.kind is FaultKind.STORE_PATH:
+            await _spoil(front.store_proxy, fault)
+        elif fault.kind is FaultKind.CALLERS_PATH:
+            await _spoil(front.callers_proxy, fault)
+        else:
+            self._change_configuration(fault)
+
+    async def _hit_front(self, fault: Fault, front: SoakFront) -> None:
+        if not front.is_running:
+            return
+        if fault.kind is FaultKind.FRONT_PAUSE:
+            front.send(signal.SIGSTOP)
+            await trio.sleep(fault.for_s)
+            front.send(signal.SIGCONT)
+            return
+        front.write_settings([item.control_address for item in self.fronts[:3]])
+        if fault.kind is FaultKind.FRONT_RELOAD:
+            front.send(signal.SIGHUP)
+            return
+        is_kill = fault.kind is FaultKind.FRONT_KILL
+        front.send(signal.SIGCONT)
+        front.send(signal.SIGKILL if is_kill else signal.SIGTERM)
+        incarnation = front.incarnation
+        await front.wait()
+        if front.incarnation == incarnation and not front.is_running:
+            await front.start()
+
+    async def _hit_store(self, fault: Fault) -> None:
+        store = self._store
+        if fault.kind is FaultKind.STORE_FORGETS:
+            store.forget_history()
+        elif fault.kind is FaultKind.STORE_LOSES:
+            store.loses_writes += 1
+        elif fault.kind is FaultKind.STORE_SILENT:
+            store.is_silent = True
+            await trio.sleep(fault.for_s)
+            store.is_silent = False
+        else:
+            store.refuses_with = 503 if fault.variant % 2 else 429
+            await trio.sleep(fault.for_s)
+            store.refuses_with = 0
+
+    async def _hit_server(self, fault: Fault, nursery: trio.Nursery) -> None:
+        live = [name for name in self._backends if name not in self._drained]
+        server_id = live[fault.target % len(live)]
+        backend = self._backends[server_id]
+        if fault.kind is FaultKind.SERVER_PATH:
+            await _spoil(backend.proxy, fault)
+        elif fault.kind is FaultKind.SERVER_SLOW:
+            backend.server.latency_ms = _SLOW_MS
+            await trio.sleep(fault.for_s)
+            backend.server.latency_ms = 3.0
+        elif fault.kind is FaultKind.SERVER_FAILS:
+            backend.server.is_failing = True
+            await trio.sleep(fault.for_s)
+            backend.server.is_failing = False
+        else:
+            await self._replace(server_id, fault, nursery)
+
+    async def _replace(
+        self, server_id: str, fault: Fault, nursery: trio.Nursery
+    ) -> None:
+        """Let another server take over; the old one drains, or is just gone."""
+        backend = self._backends[server_id]
+        self._drained.append(server_id)
+        await self._add_server(nursery, backend.server.service, backend.zone)
+        if fault.kind is FaultKind.SERVER_DRAIN:
+            self._put_server(server_id, state="draining")
+            return
+        backend.scope.cancel()
+        self._store.remove("servers", server_id)
+
+    def _change_configuration(self, fault: Fault) -> None:
+        if fault.kind is FaultKind.TIMEOUTS:
+            self._timeout_ms = 900 + fault.variant
+        elif self._generation + 1 < _GENERATIONS:
+            self._generation += 1
+        self._put_configuration()
+
+    def _report(self, last: list[Outcome]) -> SoakReport:
+        outcomes = [*self._outcomes, *last]
+        require_own_ids(outcomes)
+        failures = [
+            *check_answers(outcomes, self._shape),
+            *check_orders(outcomes, self._ran),
+            *check_versions(outcomes, self._shape),
+            *check_drained(self._ran, last, self._drained),
+            *check_budget(
+                self._ran,
+                outcomes,
+                window_ms=EXTRA_WINDOW_MS,
+                ratio=EXTRA_RATIO,
+                allowance=EXTRA_ALLOWANCE,
+            ),
+        ]
+        if self._faults.pop("unserved", 0):
+            failures.append(Failure("recovery", "", "a front did not serve again"))
+        served = sum(outcome.status == 200 for outcome in outcomes)
+        return SoakReport(
+            seed=self._seed,
+            requests=len(outcomes),
+            served=served,
+            checks=5 * len(outcomes) + len(self.fronts),
+            faults=dict(self._faults),
+            failures=failures,
+            timeline=timeline_of(self._outcomes),
+        )
+
+
+async def _spoil(proxy: FaultyProxy, fault: Fault) -> None:
+    ways = [way for way in ProxyFault if way is not ProxyFault.NONE]
+    proxy.set_fault(ways[fault.variant % len(ways)])
+    await trio.sleep(fault.for_s)
+    proxy.set_fault(ProxyFault.NONE)
+
+
+def require_own_ids(outcomes: Sequence[Outcome]) -> None:
+    """Raise ``RuntimeError`` if two requests of the soak have one id.
+
+    What ran for the first would be held against the second.
+    """
+    counts = Counter(outcome.request_id for outcome in outcomes)
+    twice = [request_id for request_id, count in counts.items() if count > 1]
+    if twice:
+        raise RuntimeError(f"ids used twice by the soak itself: {twice[:5]}")
