Let the soak check that a stop in order cuts off no request

A request whose id a server ran, and whose connection ended without an answer while its front stopped, is a failure unless something else befell that front or its callers' path meanwhile. The test shows the check finding one.

--- a/ibisfront/testing/soak/checks.py
+++ b/ibisfront/testing/soak/checks.py
@@ -20,10 +20,12 @@
 __all__ = [
     "Failure",
     "Shape",
+    "Span",
     "check_answers",
     "check_budget",
     "check_drained",
     "check_orders",
+    "check_stops",
     "check_versions",
 ]
 
@@ -64,6 +66,31 @@
     order: str = "order"
 
 
+class Span(msgspec.Struct, frozen=True):
+    """A time in which something happened to a front process.
+
+    Attributes
+    ----------
+    front : str
+        The process, with its incarnation.
+    from_ms, until_ms : float
+        The time.
+    """
+
+    front: str
+    from_ms: float
+    until_ms: float
+
+    def meets(self, outcome: Outcome) -> bool:
+        """Return whether a request was under way in it."""
+        is_same = outcome.front == self.front
+        return (
+            is_same
+            and outcome.sent_at_ms <= self.until_ms
+            and outcome.ended_at_ms >= self.from_ms
+        )
+
+
 def check_answers(outcomes: Iterable[Outcome], shape: Shape) -> list[Failure]:
     """Check that each success is the caller's own, whole, and true."""
     failures = []
@@ -222,3 +249,34 @@
                 detail = f"{count} extra for {requests} requests"
                 failures.append(Failure("budget", service, detail))
     return failures
+
+
+def check_stops(
+    outcomes: Iterable[Outcome],
+    ran: Iterable[Ran],
+    *,
+    stops: Sequence[Span],
+    spoiled: Sequence[Span],
+) -> list[Failure]:
+    """Check that a planned stop cuts off no request that a server was sent.
+
+    Parameters
+    ----------
+    outcomes : iterable of Outcome
+        All requests.
+    ran : iterable of Ran
+        What ran.
+    stops : sequence of Span
+        From the signal to the end of the process.
+    spoiled : sequence of Span
+        Times in which something else befell a front or its callers' path.
+    """
+    passed_on = {item.request_id for item in ran}
+    return [
+        Failure("stop", outcome.request_id, f"cut off by a stop: {outcome.error}")
+        for outcome in outcomes
+        if outcome.error
+        and outcome.request_id in passed_on
+        and any(span.meets(outcome) for span in stops)
+        and not any(span.meets(outcome) for span in spoiled)
+    ]
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -4,7 +4,7 @@
 
 import signal
 from collections import Counter
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -16,10 +16,12 @@
 from ibisfront.testing.soak.checks import (
     Failure,
     Shape,
+    Span,
     check_answers,
     check_budget,
     check_drained,
     check_orders,
+    check_stops,
     check_versions,
 )
 from ibisfront.testing.soak.documents import configuration_document
@@ -35,7 +37,7 @@
 from ibisfront.testing.soak.servers import Ran, SoakServer
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Sequence
+    from collections.abc import AsyncIterator, Iterator, Sequence
     from pathlib import Path
 
 __all__ = ["SoakWorld", "require_own_ids"]
@@ -45,6 +47,9 @@
 _COPIES = 2
 _SLOW_MS = 400.0
 _CALLER_PAUSE_S = 0.02
+_AFTERMATH_MS = 100.0
+"""How long after a fault its traces are met: bytes that it held back."""
+
 _SETTLE_S = 9.0
 """After all faults: the contact bound, the bound for draining, and two more."""
 
@@ -98,6 +103,8 @@
         self._ran: list[Ran] = []
         self._outcomes: list[Outcome] = []
         self._drained: list[str] = []
+        self._stops: list[Span] = []
+        self._spoiled: list[Span] = []
         self._incarnations = 0
         self._version = 0
         self._generation = 0
@@ -246,7 +253,8 @@
         elif fault.kind is FaultKind.STORE_PATH:
             await _spoil(front.store_proxy, fault)
         elif fault.kind is FaultKind.CALLERS_PATH:
-            await _spoil(front.callers_proxy, fault)
+            with self._noted(self._spoiled, front):
+                await _spoil(front.callers_proxy, fault)
         else:
             self._change_configuration(fault)
 
@@ -254,22 +262,34 @@
         if not front.is_running:
             return
         if fault.kind is FaultKind.FRONT_PAUSE:
-            front.send(signal.SIGSTOP)
-            await trio.sleep(fault.for_s)
-            front.send(signal.SIGCONT)
+            with self._noted(self._spoiled, front):
+                front.send(signal.SIGSTOP)
+                await trio.sleep(fault.for_s)
+                front.send(signal.SIGCONT)
             return
         front.write_settings([item.control_address for item in self.fronts[:3]])
         if fault.kind is FaultKind.FRONT_RELOAD:
             front.send(signal.SIGHUP)
             return
         is_kill = fault.kind is FaultKind.FRONT_KILL
-        front.send(signal.SIGCONT)
-        front.send(signal.SIGKILL if is_kill else signal.SIGTERM)
         incarnation = front.incarnation
-        await front.wait()
+        with self._noted(self._spoiled if is_kill else self._stops, front):
+            front.send(signal.SIGCONT)
+            front.send(signal.SIGKILL if is_kill else signal.SIGTERM)
+            await front.wait()
         if front.incarnation == incarnation and not front.is_running:
             await front.start()
 
+    @contextmanager
+    def _noted(self, spans: list[Span], front: SoakFront) -> Iterator[None]:
+        """Note from when to when something happens to a front."""
+        label, from_ms = front.label, self._clock.now_ms()
+        try:
+            yield
+        finally:
+            until_ms = self._clock.now_ms() + _AFTERMATH_MS
+            spans.append(Span(label, from_ms, until_ms))
+
     async def _hit_store(self, fault: Fault) -> None:
         store = self._store
         if fault.kind is FaultKind.STORE_FORGETS:
@@ -329,6 +349,7 @@
             *check_answers(outcomes, self._shape),
             *check_orders(outcomes, self._ran),
             *check_versions(outcomes, self._shape),
+            *check_stops(outcomes, self._ran, stops=self._stops, spoiled=self._spoiled),
             *check_drained(self._ran, last, self._drained),
             *check_budget(
                 self._ran,
@@ -345,7 +366,7 @@
             seed=self._seed,
             requests=len(outcomes),
             served=served,
-            checks=5 * len(outcomes) + len(self.fronts),
+            checks=6 * len(outcomes) + len(self.fronts),
             faults=dict(self._faults),
             failures=failures,
             timeline=timeline_of(self._outcomes),
--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -11,10 +11,12 @@
 from ibisfront.testing.soak.callers import Outcome, RequestPath
 from ibisfront.testing.soak.checks import (
     Shape,
+    Span,
     check_answers,
     check_budget,
     check_drained,
     check_orders,
+    check_stops,
     check_versions,
 )
 from ibisfront.testing.soak.faults import draw_faults
@@ -115,6 +117,18 @@
         restarted = search("abcd", "r2", sent_at_ms=6.0, front="front-0#2")
         self.assertEqual(check_versions([newer, restarted], SHAPE), [])
 
+    def test_request_that_a_stop_cuts_off_is_found(self):
+        cut = order(0)
+        cut.error = "ConnectionResetError"
+        runs = [ran("order")]
+        stop = Span("front-0#1", 0.5, 9.0)
+        found = check_stops([cut], runs, stops=[stop], spoiled=[])
+        self.assertEqual([item.check for item in found], ["stop"])
+        self.assertFalse(check_stops([cut], [], stops=[stop], spoiled=[]))
+        self.assertFalse(check_stops([cut], runs, stops=[stop], spoiled=[stop]))
+        later = Span("front-0#1", 5.0, 9.0)
+        self.assertFalse(check_stops([cut], runs, stops=[later], spoiled=[]))
+
     def test_request_at_a_drained_server_is_found(self):
         found = check_drained([ran("a", server_id="i7")], [search("abcd")], ["i7"])
         self.assertEqual([item.check for item in found], ["drained"])
