End the soak's front processes when the soak is interrupted

Found when a background run was ended by hand: SIGTERM ended the soak at once, with no chance to end what it had started. A signal now cancels the run, whose exit stacks end the fronts; the test counts them after the signal. It was not run on the code before.

--- a/ibisfront/testing/soak/__main__.py
+++ b/ibisfront/testing/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 import tempfile
 import time
@@ -17,6 +18,7 @@
     from ibisfront.testing.soak.report import SoakReport
 
 _SHOWN_FAILURES = 5
+_INTERRUPTED = 130
 
 
 def main() -> int:
@@ -53,11 +55,33 @@
         callers=options.callers,
         length_s=options.length_s,
     )
-    report = trio.run(world.run)
+    report = trio.run(_run, world)
+    if report is None:
+        sys.stdout.write(f"seed {seed}: interrupted\n")
+        raise SystemExit(_INTERRUPTED)
     _print(report, folder, options)
     return not report.failures
 
 
+async def _run(world: SoakWorld) -> SoakReport | None:
+    """Return the report; None if a signal came, with no process left behind."""
+    report: SoakReport | None = None
+
+    async def stop_at_signal(
+        *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            task_status.started()
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(stop_at_signal)
+        report = await world.run()
+        nursery.cancel_scope.cancel()
+    return report
+
+
 def _print(report: SoakReport, folder: Path, options: argparse.Namespace) -> None:
     kinds = ", ".join(f"{kind} {count}" for kind, count in report.faults.items())
     sys.stdout.write(
--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import signal
 import tempfile
 import unittest
 from pathlib import Path
 
+import psutil
 import trio
 
+from ibisfront.testing.processes import RunningProcess
 from ibisfront.testing.soak.callers import Outcome, RequestPath
 from ibisfront.testing.soak.checks import (
     Shape,
@@ -196,6 +199,32 @@
             nursery.cancel_scope.cancel()
 
 
+class InterruptedTest(unittest.TestCase):
+    """A soak that is told to stop leaves nothing behind."""
+
+    @trio_test_real_clock
+    async def test_fronts_end_with_an_interrupted_soak(self):
+        """Front processes go on for hours after a soak was interrupted.
+
+        The soak starts them. Told to stop, it must end them first.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            command = ["-m", "ibisfront.testing.soak", "--fronts", "2"]
+            async with RunningProcess([*command, "--logs", folder]) as soak:
+                fronts = await self.fronts_of(soak.pid)
+                soak.send(signal.SIGTERM)
+                self.assertEqual(await soak.wait(), 130)
+        self.assertFalse(any(psutil.pid_exists(pid) for pid in fronts))
+
+    async def fronts_of(self, pid):
+        """Return the ids of a soak's front processes, once both run."""
+        children = []
+        while len(children) < 2:
+            await trio.sleep(0.05)
+            children = psutil.Process(pid).children()
+        return [child.pid for child in children]
+
+
 class ShortRunTest(unittest.TestCase):
     """A few seconds of real processes under drawn faults."""
 
