--- a/ibisfront/testing/demo.py
+++ b/ibisfront/testing/demo.py
@@ -2,7 +2,8 @@
 
 Starts the platform's stand-in, backend servers of both users' shapes and three
 entry instances in three zones, sends what callers and operators send, and
-prints what it saw. Exits 0 if all was as promised, and leaves no process
+prints what it saw. Then two front daemons serve under a stand-in of the users'
+platform. Exits 0 if all was as promised, and leaves no process
 behind.
 """
 
@@ -30,6 +31,7 @@
     demo_shape,
 )
 from ibisfront.testing.deployment import Deployment
+from ibisfront.testing.front_demo import show_front_daemon
 
 __all__ = ["Report", "main", "run_demo"]
 
@@ -86,6 +88,7 @@
         await _table_edit(deployment, report)
         report.started = psutil.Process().children(recursive=True)
         await _planned_stop(deployment, report)
+    await show_front_daemon(report)
 
 
 async def _searches(deployment: Deployment, report: Report) -> None:
--- /dev/null
+++ b/ibisfront/testing/front_demo.py
@@ -0,0 +1,45 @@
+"""The demo's part on the front daemon, which serves on the users' platform."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from ibisfront.testing.soak.faults import Fault, FaultKind
+from ibisfront.testing.soak.world import SoakWorld
+
+if TYPE_CHECKING:
+    from ibisfront.testing.demo import Report
+
+__all__ = ["show_front_daemon"]
+
+_FRONTS = 2
+_LENGTH_S = 2.0
+_SETTLE_S = 0.5
+_REPARTITION = Fault(1.0, 0.0, FaultKind.REPARTITION, 0, 0)
+
+
+async def show_front_daemon(report: Report) -> None:
+    """Serve searches, fetches and orders while the index is cut anew."""
+    report.title("The front daemon under a stand-in of the users' platform")
+    with tempfile.TemporaryDirectory() as folder:
+        world = SoakWorld(
+            0,
+            Path(folder),
+            fronts=_FRONTS,
+            callers=_FRONTS,
+            length_s=_LENGTH_S,
+            faults=[_REPARTITION],
+            settle_s=_SETTLE_S,
+        )
+        seen = await world.run()
+    report.note(f"{_FRONTS} front processes; the index is repartitioned under load")
+    report.check(
+        seen.served == seen.requests,
+        f"{seen.requests} searches, fetches and orders, {seen.served} served",
+    )
+    report.check(
+        not seen.failures,
+        f"answers that are not true, or parts of two versions: {len(seen.failures)}",
+    )
--- a/ibisfront/testing/soak/report.py
+++ b/ibisfront/testing/soak/report.py
@@ -27,7 +27,8 @@
     seed : int
         What drew its faults.
     requests, served : int
-        Requests sent, and those that were answered with success.
+        Requests sent while there were faults, and those that were answered
+        with success.
     checks : int
         How many checks of single requests and processes were made.
     faults : dict of str to int
