--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -7,11 +7,11 @@
 from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from ibisfront.core.clock import Clock
 from ibisfront.testing.object_store import StandInStore
+from ibisfront.testing.soak.backends import SoakBackend, SoakBackends
 from ibisfront.testing.soak.callers import Outcome, RequestPath, SoakCaller
 from ibisfront.testing.soak.checks import (
     Failure,
@@ -34,7 +34,6 @@
 )
 from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
 from ibisfront.testing.soak.report import SoakReport, timeline_of
-from ibisfront.testing.soak.servers import Ran, SoakServer
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator, Sequence
@@ -58,15 +57,6 @@
 machine gives the same verdict."""
 
 
-class _Backend(msgspec.Struct):
-    """A server, the proxy before it, and what ends it."""
-
-    server: SoakServer
-    proxy: FaultyProxy
-    scope: trio.CancelScope
-    zone: str
-
-
 class SoakWorld:
     """A deployment under faults.
 
@@ -115,13 +105,10 @@
             SoakCaller(f"s{seed}c{number}", clock=self._clock)
             for number in range(callers)
         ]
-        self._backends: dict[str, _Backend] = {}
-        self._ran: list[Ran] = []
+        self._backends = SoakBackends(self._store, clock=self._clock)
         self._outcomes: list[Outcome] = []
-        self._drained: list[str] = []
         self._stops: list[Span] = []
         self._spoiled: list[Span] = []
-        self._incarnations = 0
         self._version = 0
         self._generation = 0
         self._timeout_ms = 1_200
@@ -151,7 +138,7 @@
             services = [name for names in self._shape.generations for name in names]
             for service in (*services, self._shape.fetch, self._shape.order):
                 for copy in range(_COPIES):
-                    await self._add_server(nursery, service, f"z{copy}")
+                    await self._backends.add(nursery, service, f"z{copy}")
             self._put_configuration()
             seeds = [front.control_address for front in self.fronts[:3]]
             for front in self.fronts:
@@ -168,41 +155,6 @@
                         await front.close()
                 nursery.cancel_scope.cancel()
 
-    async def _add_server(self, nursery: trio.Nursery, service: str, zone: str) -> None:
-        self._incarnations += 1
-        server_id = f"i{self._incarnations}"
-        server = SoakServer(server_id, service, ran=self._ran, clock=self._clock)
-        proxy = FaultyProxy(server.address)
-        scope = trio.CancelScope()
-        await nursery.start(self._serve, server, proxy, scope)
-        self._backends[server_id] = _Backend(server, proxy, scope, zone)
-        self._put_server(server_id)
-
-    async def _serve(
-        self,
-        server: SoakServer,
-        proxy: FaultyProxy,
-        scope: trio.CancelScope,
-        *,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        with scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(server.run)
-                await nursery.start(proxy.run)
-                task_status.started()
-
-    def _put_server(self, server_id: str, *, state: str = "ready") -> None:
-        backend = self._backends[server_id]
-        entry = {
-            "service": backend.server.service,
-            "addr": backend.proxy.address,
-            "zone": backend.zone,
-            "slots": 4,
-            "state": state,
-        }
-        self._store.put("servers", server_id, entry)
-
     def _put_configuration(self) -> None:
         self._version += 3
         document = configuration_document(
@@ -323,9 +275,7 @@
             store.refuses_with = 0
 
     async def _hit_server(self, fault: Fault, nursery: trio.Nursery) -> None:
-        live = [name for name in self._backends if name not in self._drained]
-        server_id = live[fault.target % len(live)]
-        backend = self._backends[server_id]
+        backend = self._backends.live(fault.target)
         if fault.kind is FaultKind.SERVER_PATH:
             await _spoil(backend.proxy, fault)
         elif fault.kind is FaultKind.SERVER_SLOW:
@@ -337,20 +287,15 @@
             await trio.sleep(fault.for_s)
             backend.server.is_failing = False
         else:
-            await self._replace(server_id, fault, nursery)
+            await self._replace(backend, fault, nursery)
 
     async def _replace(
-        self, server_id: str, fault: Fault, nursery: trio.Nursery
+        self, backend: SoakBackend, fault: Fault, nursery: trio.Nursery
     ) -> None:
         """Let another server take over; the old one drains, or is just gone."""
-        backend = self._backends[server_id]
-        self._drained.append(server_id)
-        await self._add_server(nursery, backend.server.service, backend.zone)
-        if fault.kind is FaultKind.SERVER_DRAIN:
-            self._put_server(server_id, state="draining")
-            return
-        backend.scope.cancel()
-        self._store.remove("servers", server_id)
+        is_drained = fault.kind is FaultKind.SERVER_DRAIN
+        self._backends.leave(backend, is_drained=is_drained)
+        await self._backends.add(nursery, backend.server.service, backend.zone)
 
     def _change_configuration(self, fault: Fault) -> None:
         if fault.kind is FaultKind.TIMEOUTS:
@@ -364,12 +309,14 @@
         require_own_ids(outcomes)
         failures = [
             *check_answers(outcomes, self._shape),
-            *check_orders(outcomes, self._ran),
+            *check_orders(outcomes, self._backends.ran),
             *check_versions(outcomes, self._shape),
-            *check_stops(outcomes, self._ran, stops=self._stops, spoiled=self._spoiled),
-            *check_drained(self._ran, last, self._drained),
+            *check_stops(
+                outcomes, self._backends.ran, stops=self._stops, spoiled=self._spoiled
+            ),
+            *check_drained(self._backends.ran, last, self._backends.left),
             *check_budget(
-                self._ran,
+                self._backends.ran,
                 outcomes,
                 window_ms=EXTRA_WINDOW_MS,
                 ratio=EXTRA_RATIO,
