Let one list say what answering takes; name the whole query; drop what nobody reads

From the reading, no behaviour changed but as said: Gateway took the five things that Answering takes and passed them on; it takes an Answering now. may_delegate also meant "the whole query"; it is is_whole. Connections were shared out in two places when the number of instances changed; now where the list is taken in.

--- a/benchmarks/gather_cost.py
+++ b/benchmarks/gather_cost.py
@@ -20,6 +20,7 @@
 from ibisfront.core.bounded_log import BoundedLogHandler
 from ibisfront.core.clock import Clock
 from ibisfront.core.logs import LOGGER_NAME
+from ibisfront.gateway.answering import Answering
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import (
     CallerLimits,
@@ -110,11 +111,13 @@
     for name in route.service_names:
         book.put(ServerEntry(name, name, address, "z", 2))
     gateway = Gateway(
-        book=book,
-        budgets=ExtraBudgets(Bounds(extra_allowance=0.0), instances=1),
-        wire=WIRE,
-        clock=clock,
-        observer=Observer(),
+        Answering(
+            book=book,
+            budgets=ExtraBudgets(Bounds(extra_allowance=0.0), instances=1),
+            wire=WIRE,
+            clock=clock,
+            observer=Observer(),
+        ),
     )
     services = {name: RoutedService(name, 25) for name in route.service_names}
     configuration = Configuration(1, (route,), services, CallerLimits())
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -12,6 +12,7 @@
 from ibisfront.core.metrics_text import CONTENT_TYPE, Gauge, metrics_text
 from ibisfront.front.connections import Connections
 from ibisfront.front.feeding import watch_store
+from ibisfront.gateway.answering import Answering
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import CallerLimits, RouteTable
 from ibisfront.gateway.delegated_query import delegated_from
@@ -159,11 +160,13 @@
             clock=clock,
         )
         self.gateway = Gateway(
-            book=self.book,
-            budgets=self.budgets,
-            wire=WIRE,
-            clock=clock,
-            observer=self.observer,
+            Answering(
+                book=self.book,
+                budgets=self.budgets,
+                wire=WIRE,
+                clock=clock,
+                observer=self.observer,
+            ),
             delegation=Delegation(
                 book=self.book,
                 peers=self.peers,
@@ -227,15 +230,17 @@
 
     def take_instances(self, listed: Sequence[InstanceEntry]) -> None:
         """Take in the list of instances."""
+        before = (self.budgets.instances, self.gatherers.is_gatherer)
+        is_first = not self.relays.is_known
         self.budgets.instances = max(len(listed), 1)
         self.peers.replace(
             [peer_entry(item) for item in listed if item.name != self.own.name],
             after_outage=False,
         )
         self.relays.update(listed)
-        before = (self.gatherers.is_gatherer, len(self.gatherers.instances))
         self.gatherers.update(listed, self.gateway.table)
-        if (self.gatherers.is_gatherer, len(listed)) != before:
+        after = (self.budgets.instances, self.gatherers.is_gatherer)
+        if is_first or after != before:
             self.connections.share(self.book)
             self.connections.warm_up(self.book)
         self.source.note_change()
@@ -277,17 +282,12 @@
 
     async def keep_up(self) -> None:
         """Drop lapsed servers and probe those out of reach, until cancelled."""
-        instances = 0
         while True:
             await self._clock.sleep_ms(_UPKEEP_MS)
             if self.book.remove_lapsed():
                 self.source.note_change()
             self.book.probe_unreachable()
             self.peers.probe_unreachable()
-            if self.budgets.instances != instances:
-                instances = self.budgets.instances
-                self.connections.share(self.book)
-                self.connections.warm_up(self.book)
 
     def use_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force if it is newer than the one that is."""
--- a/ibisfront/gateway/delegated_query.py
+++ b/ibisfront/gateway/delegated_query.py
@@ -26,7 +26,7 @@
 _GATHERING = b"x-ibisfront-gathering"
 _SERVICES = b"x-ibisfront-services"
 _OBJECTIVE = b"x-ibisfront-objective-ms"
-_MAY_DELEGATE = b"x-ibisfront-may-delegate"
+_WHOLE = b"x-ibisfront-whole"
 _SIGNATURES = b"x-ibisfront-signatures"
 _OUT_OF_REACH = b"x-ibisfront-out-of-reach"
 
@@ -45,15 +45,16 @@
         route's list.
     objective_left_ms : float
         After how long to answer with the parts that are in.
-    may_delegate : bool
-        Whether the parts of other zones may be asked of an instance there.
+    is_whole : bool
+        Whether it is a whole query: it is gathered until there are enough
+        parts, and those of other zones may be asked of an instance there.
     """
 
     request: InboundRequest
     gathering: str
     services: int
     objective_left_ms: float
-    may_delegate: bool = False
+    is_whole: bool = False
 
     def chosen(self, names: Sequence[str]) -> tuple[str, ...]:
         """Return the services asked for, given the route's list."""
@@ -65,7 +66,7 @@
 def delegated_from(request: InboundRequest) -> DelegatedQuery | None:
     """Return what another instance asks for; None if it is malformed."""
     values = {name.lower(): value for name, value in request.headers}
-    own = (_GATHERING, _SERVICES, _OBJECTIVE, _MAY_DELEGATE)
+    own = (_GATHERING, _SERVICES, _OBJECTIVE, _WHOLE)
     kept = [item for item in request.headers if item[0].lower() not in own]
     try:
         return DelegatedQuery(
@@ -73,7 +74,7 @@
             gathering=values[_GATHERING].decode("ascii"),
             services=int(values[_SERVICES], 16),
             objective_left_ms=float(values[_OBJECTIVE]),
-            may_delegate=_MAY_DELEGATE in values,
+            is_whole=_WHOLE in values,
         )
     except (KeyError, ValueError):
         return None
@@ -102,8 +103,8 @@
         (_SERVICES, b"%x" % query.services),
         (_OBJECTIVE, b"%.1f" % query.objective_left_ms),
     ]
-    if query.may_delegate:
-        headers.append((_MAY_DELEGATE, b"1"))
+    if query.is_whole:
+        headers.append((_WHOLE, b"1"))
     return msgspec.structs.replace(query.request, headers=headers)
 
 
--- a/ibisfront/gateway/delegation.py
+++ b/ibisfront/gateway/delegation.py
@@ -126,7 +126,7 @@
                 candidates, list(tried), now_ms=now_ms, usual_ms=usual.median_ms
             )
             if peer is not None and not peer.is_overdue(now_ms, usual.late_ms):
-                return RemotePlan(peer, gathering.services, usual, may_delegate=True)
+                return RemotePlan(peer, gathering.services, usual, is_whole=True)
         return None
 
     def _gathering_peers(self, zone: str) -> list[Server]:
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -19,15 +19,10 @@
 from ibisfront.gateway.weights import WeightedTurns
 
 if TYPE_CHECKING:
-    from ibisfront.core.clock import Clock
-    from ibisfront.gateway.budget import ExtraBudgets
     from ibisfront.gateway.configuration import Route, RouteTable
     from ibisfront.gateway.delegated_query import DelegatedQuery
     from ibisfront.gateway.delegation import Delegation
     from ibisfront.gateway.messages import BackendReply, InboundRequest
-    from ibisfront.gateway.observing import Observer
-    from ibisfront.gateway.server_book import ServerBook
-    from ibisfront.gateway.wire import Wire
 
 __all__ = ["Gateway"]
 
@@ -39,16 +34,8 @@
 
     Parameters
     ----------
-    book : ServerBook
-        The backend servers.
-    budgets : ExtraBudgets
-        The budgets of extra sub-requests.
-    wire : Wire
-        The codec.
-    clock : Clock
-        The tier's clock.
-    observer : Observer
-        Counters and log lines.
+    answering : Answering
+        What answering takes.
     delegation : Delegation, optional
         Asks other instances for the parts that stand near them.
     """
@@ -56,19 +43,10 @@
     __slots__ = ("_answering", "_queries", "_reach", "_turns")
 
     def __init__(
-        self,
-        *,
-        book: ServerBook,
-        budgets: ExtraBudgets,
-        wire: Wire,
-        clock: Clock,
-        observer: Observer,
-        delegation: Delegation | None = None,
+        self, answering: Answering, *, delegation: Delegation | None = None
     ) -> None:
-        self._answering = Answering(
-            book=book, budgets=budgets, wire=wire, clock=clock, observer=observer
-        )
-        self._reach = Reach(book=book, clock=clock)
+        self._answering = answering
+        self._reach = Reach(book=answering.book, clock=answering.clock)
         self._queries = Queries(self._answering, delegation, self._reach)
         self._turns = WeightedTurns()
 
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -104,7 +104,7 @@
             return answering.refuse(request, answering.not_run("no_gathering_route"))
         if route.gathering.digest != query.gathering:
             return answering.refuse(request, answering.not_run("other_gathering"))
-        if query.may_delegate and not self._reach.can_serve(route):
+        if query.is_whole and not self._reach.can_serve(route):
             reply = answering.out_of_reach()
             reply.headers.append(out_of_reach_header())
             return answering.refuse(request, reply)
@@ -112,7 +112,7 @@
         end_at_ms = request.arrived_at_ms + query.objective_left_ms
         context = answering.context(request, route)
         remote_plan = None
-        if query.may_delegate and self._delegation is not None:
+        if query.is_whole and self._delegation is not None:
             remote_plan = self._delegation.plan_far(route, gathering)
         run = await self._run(
             request, route, gathering, end_at_ms, context, remote_plan
@@ -165,7 +165,7 @@
         remote_plan: RemotePlan | None,
     ) -> GatherRun:
         until_ms = give_up_at_ms(request, route)
-        is_whole = remote_plan is not None and remote_plan.may_delegate
+        is_whole = remote_plan is not None and remote_plan.is_whole
         plan = gather_plan(
             self._answering.clock.now_ms(),
             end_at_ms=min(end_at_ms, until_ms),
@@ -289,7 +289,7 @@
     return msgspec.structs.replace(
         whole,
         services=query.chosen(whole.services),
-        minimum_coverage=whole.minimum_coverage if query.may_delegate else 0.0,
+        minimum_coverage=whole.minimum_coverage if query.is_whole else 0.0,
     )
 
 
--- a/ibisfront/gateway/remote_call.py
+++ b/ibisfront/gateway/remote_call.py
@@ -50,14 +50,15 @@
         The services.
     usual : UsualLatency
         What is usual for the route's delegated queries.
-    may_delegate : bool
-        Whether the instance may ask another one in turn.
+    is_whole : bool
+        Whether it is asked for the whole query, and may ask another instance
+        for the parts of other zones in turn.
     """
 
     peer: Server
     services: tuple[str, ...]
     usual: UsualLatency
-    may_delegate: bool = False
+    is_whole: bool = False
 
 
 class RemoteCall:
@@ -190,7 +191,7 @@
                 gathering=gathering.digest,
                 services=bits,
                 objective_left_ms=left_ms - return_ms,
-                may_delegate=self._plan.may_delegate,
+                is_whole=self._plan.is_whole,
             )
             encode_for = wire.encode_request(delegating_request(query))
             return encode_for(self.peer_name, give_up_at_ms - at_ms)
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -11,6 +11,7 @@
 import trio
 
 from ibisfront.core.clock import Clock
+from ibisfront.gateway.answering import Answering
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import (
     CallerLimits,
@@ -297,11 +298,13 @@
                 for server in servers:
                     self.book.put(server.entry)
             self.gateway = Gateway(
-                book=self.book,
-                budgets=self.budgets,
-                wire=WIRE,
-                clock=self.clock,
-                observer=self.observer,
+                Answering(
+                    book=self.book,
+                    budgets=self.budgets,
+                    wire=WIRE,
+                    clock=self.clock,
+                    observer=self.observer,
+                ),
             )
             limits = CallerLimits()
             configuration = Configuration(1, self.routes, self._services, limits)
--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -60,7 +60,7 @@
         self._stack = AsyncExitStack()
         self._reserved = {role: reserve_address(self._ip) for role in _ROLES}
         self._process: RunningProcess | None = None
-        self._timeout_note = 0
+        self._written = 0
         self.callers_proxy = FaultyProxy(address_of(self._reserved["front"]))
         self.store_proxy = FaultyProxy()
         self.incarnation = 0
@@ -82,14 +82,14 @@
 
     def write_settings(self, seeds: list[Address]) -> None:
         """Write its settings file; each time a little different."""
-        self._timeout_note += 1
+        self._written += 1
         settings = {
             "nodeName": self.name,
             "zone": self.zone,
             "ip": self._ip,
             "seeds": seeds,
             "bootstrap": self.incarnation == 0,
-            "note": self._timeout_note,
+            "written": self._written,
             "listen": {role: address_of(self._reserved[role]) for role in _ROLES},
             "limits": {"cpuShare": 1.0, "cpus": 1},
             "bounds": {
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -33,7 +33,7 @@
     SoakFront,
 )
 from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
-from ibisfront.testing.soak.report import SoakReport, timeline_of
+from ibisfront.testing.soak.report import SoakReport
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator, Sequence
@@ -330,10 +330,8 @@
             seed=self._seed,
             requests=len(self._outcomes),
             served=served,
-            checks=6 * len(outcomes) + len(self.fronts),
             faults=dict(self._faults),
             failures=failures,
-            timeline=timeline_of(self._outcomes),
         )
 
 
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -12,6 +12,7 @@
 import trio
 
 from ibisfront.core.clock import Clock
+from ibisfront.gateway.answering import Answering
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import (
     CallerLimits,
@@ -235,11 +236,13 @@
         other = "z1" if zone == "z0" else "z0"
         peers.put(ServerEntry(f"instance-{other}", other, other, other))
         return Gateway(
-            book=book,
-            budgets=ExtraBudgets(Bounds(extra_allowance=1000.0), instances=1),
-            wire=WIRE,
-            clock=self.clock,
-            observer=Observer(),
+            Answering(
+                book=book,
+                budgets=ExtraBudgets(Bounds(extra_allowance=1000.0), instances=1),
+                wire=WIRE,
+                clock=self.clock,
+                observer=Observer(),
+            ),
             delegation=Delegation(
                 book=book,
                 peers=peers,
