Do not let the demo's verdict depend on how busy the machine is

Traced with eight busy loops beside it: the process of the demo, in which all stand-in servers run, was kept from running for over 55 ms, all twelve were silent at once, and the front answered 502 all_silent, as it should (two requests of 600; log line seen). "All served" was a bound on the wall clock.

The count is shown; what is checked is that answers are true and of one version, orders run once, "not run" holds, and each front serves before and after the repartition.

--- a/ibisfront/testing/front_demo.py
+++ b/ibisfront/testing/front_demo.py
@@ -35,11 +35,12 @@
         )
         seen = await world.run()
     report.note(f"{_FRONTS} front processes; the index is repartitioned under load")
+    # How many are served depends on the machine: all stand-ins run in this
+    # process, and fall silent together when it is kept from running.
+    report.note(f"{seen.requests} searches, fetches and orders, {seen.served} served")
+    failures = [f"{item.check}: {item.detail}" for item in seen.failures]
     report.check(
-        seen.served == seen.requests,
-        f"{seen.requests} searches, fetches and orders, {seen.served} served",
-    )
-    report.check(
-        not seen.failures,
-        f"answers that are not true, or parts of two versions: {len(seen.failures)}",
+        not failures,
+        f"answers not true, orders run twice, fronts that do not serve again:"
+        f" {failures or 'none'}",
     )
