Tell the incarnations of a server apart, and leave odd entries aside

A backend server may start again under its id; health, drain state, connections and requests under way stayed those of the dead one, and a stale entry could bring it back. An entry of another writer could lack fields and still name a server (missing slots, state and zone had defaults, any state but ready counted as draining), a change to an odd entry left the old one in use, and content that is no proper JSON made a whole list unreadable.

Change: an incarnation is an id and the time of its start. A newer one is a new server: connections of the old one are closed, what was sent ends as perhaps run, health and warm-up begin anew. An older one never replaces a newer one, also after that has left. Entries are checked whole; an odd one names no server, at once, and is logged once a change and counted (server_entries).

--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -31,6 +31,7 @@
     MEMBER_CHANGES = "member_changes"
     TABLE_CHANGES = "table_changes"
     OBJECT_CHANGES = "object_changes"
+    SERVER_ENTRIES = "server_entries"
     CLAIMS = "claims"
     SHARES = "shares"
 
@@ -54,6 +55,7 @@
     CounterKind.MEMBER_CHANGES: "Changes of the members as seen here.",
     CounterKind.TABLE_CHANGES: "Versions of the table put in force or refused here.",
     CounterKind.OBJECT_CHANGES: "Changed objects, by where they came from.",
+    CounterKind.SERVER_ENTRIES: "Entries of backend servers that name none, by why.",
     CounterKind.CLAIMS: "Claims of non-idempotent requests, by what came of them.",
     CounterKind.SHARES: "Shares of limits, by what happened to them.",
 }
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -27,6 +27,10 @@
 _TABLE_LOG = part_logger(LogPart.TABLE)
 _BACKEND_LOG = part_logger(LogPart.BACKEND)
 
+_REPORTED_KEPT = 1_000
+"""Entries that name no server whose report is remembered, so that each is
+logged once a change; a thousand names take 0.1 MB."""
+
 
 def configuration_target(process: FrontProcess) -> FeedTarget:
     """Return what takes in the configuration."""
@@ -49,25 +53,54 @@
 
 def servers_target(process: FrontProcess) -> FeedTarget:
     """Return what takes in the backend servers' entries."""
+    reported: dict[str, int] = {}
+
+    def read(item: StoredObject) -> ServerEntry | None:
+        """Return a server's entry; None if it names no server.
+
+        One odd entry must not keep the others from being taken in. It is
+        logged once a change: a list repeats it.
+        """
+        try:
+            return server_entry_from(item.name, item.spec)
+        except (msgspec.DecodeError, ValueError) as error:
+            process.observer.counters.add(CounterKind.SERVER_ENTRIES, "unreadable")
+            if reported.get(item.name) != item.revision:
+                _note_reported(reported, item)
+                _BACKEND_LOG.error(
+                    "The entry of %.80s names no server: %s.", item.name, error
+                )
+            return None
 
     def replace(listing: Listing, after_outage: bool) -> None:
-        entries = [_entry(item) for item in listing.objects]
-        known = [entry for entry in entries if entry is not None]
-        process.book.replace(known, after_outage=after_outage)
+        entries = {item.name: read(item) for item in listing.objects}
+        process.book.replace(
+            [entry for entry in entries.values() if entry is not None],
+            after_outage=after_outage,
+            unreadable={name for name, entry in entries.items() if entry is None},
+        )
         process.connections.warm_up(process.book)
 
     def change(changes: Sequence[ObjectChange]) -> None:
         for item in changes:
-            entry = None if item.is_removed else _entry(item.object)
-            if item.is_removed:
-                process.book.remove(item.object.name)
-            elif entry is not None:
+            entry = None if item.is_removed else read(item.object)
+            if entry is not None:
                 process.book.put(entry)
+            else:
+                process.book.remove(item.object.name)
         process.connections.warm_up(process.book)
 
     return _target(process, "servers", replace, change)
 
 
+def _note_reported(reported: dict[str, int], item: StoredObject) -> None:
+    """Note that an entry was reported; the oldest notes are dropped."""
+    reported.pop(item.name, None)
+    reported[item.name] = item.revision
+    if len(reported) > _REPORTED_KEPT:
+        del reported[next(iter(reported))]
+
+
 def _target(
     process: FrontProcess,
     name: str,
@@ -102,15 +135,3 @@
         _TABLE_LOG.error("The configuration cannot be read: %s.", error)
         return
     process.use_configuration(configuration)
-
-
-def _entry(item: StoredObject) -> ServerEntry | None:
-    """Return a server's entry; None if it cannot be read.
-
-    One wrong entry must not keep the others from being taken in.
-    """
-    try:
-        return server_entry_from(item.name, item.spec)
-    except (msgspec.DecodeError, ValueError) as error:
-        _BACKEND_LOG.error("The entry of %s cannot be read: %s.", item.name, error)
-        return None
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -155,6 +155,12 @@
         self._idle.clear()
         self._fail_waiting(ExchangeErrorKind.SERVER_GONE)
 
+    def retire(self) -> None:
+        """Close every connection; what was sent may have run, and ends so."""
+        self.close()
+        for connection in list(self._connections):
+            connection.close()
+
     def _enqueue(self, exchange: Exchange) -> None:
         index = len(self._waiting)
         while index and self._waiting[index - 1].rank > exchange.rank:
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -84,7 +84,7 @@
     Attributes
     ----------
     server_id : str
-        The name of this incarnation; a restart has another.
+        Its name. A restart may keep it, and is another server all the same.
     service : str
         The service it belongs to.
     address : Address
@@ -97,6 +97,9 @@
         Whether it asks for no new requests.
     warm_up_left_ms : float
         How much longer it is slow after its start, when the entry was written.
+    born_ms : int
+        When this incarnation started, in Unix milliseconds by its own clock;
+        0 if the entry does not say.
     """
 
     server_id: str
@@ -106,6 +109,16 @@
     slots: int = 1
     is_draining: bool = False
     warm_up_left_ms: float = 0.0
+    born_ms: int = 0
+
+    def is_same_server(self, other: ServerEntry) -> bool:
+        """Return whether both are of one incarnation of one server."""
+        return (
+            self.server_id == other.server_id
+            and self.born_ms == other.born_ms
+            and self.address == other.address
+            and self.service == other.service
+        )
 
 
 class Server:
--- a/ibisfront/gateway/server_book.py
+++ b/ibisfront/gateway/server_book.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 from ibisfront.core.logs import LogPart, part_logger
@@ -24,10 +24,18 @@
 after the store is back: live servers write theirs again within about two
 seconds; what is missing then has gone."""
 
+_BIRTHS_KEPT = 10_000
+"""Ids of which the newest start is remembered after they are gone: more than a
+deployment lists, so that an entry that comes late is still told from a new one."""
+
 
 class ServerBook:
     """Every backend server that may be asked.
 
+    A server may start again under the id that it had. It knows nothing of
+    before; an incarnation is therefore an id and the time of its start, and
+    what was learnt of one says nothing of the next.
+
     Parameters
     ----------
     clock : Clock
@@ -38,7 +46,15 @@
         This instance's availability zone.
     """
 
-    __slots__ = ("_by_id", "_by_service", "_clock", "_lapsed", "_make_pool", "_zone")
+    __slots__ = (
+        "_born_ms",
+        "_by_id",
+        "_by_service",
+        "_clock",
+        "_lapsed",
+        "_make_pool",
+        "_zone",
+    )
 
     def __init__(
         self, *, clock: Clock, make_pool: Callable[[Server], ServerPool], zone: str
@@ -49,6 +65,7 @@
         self._by_id: dict[str, Server] = {}
         self._by_service: dict[str, list[Server]] = {}
         self._lapsed: dict[str, float] = {}
+        self._born_ms: dict[str, int] = {}
 
     def of_service(self, service: str) -> list[Server]:
         """Return the servers of a service that are not gone."""
@@ -76,30 +93,57 @@
         return self._by_id.values()
 
     def put(self, entry: ServerEntry) -> None:
-        """Take in a new or changed entry."""
-        self._lapsed.pop(entry.server_id, None)
-        known = self._by_id.get(entry.server_id)
-        if known is not None and known.entry.address == entry.address:
+        """Take in a new or changed entry; one of an older incarnation is not."""
+        server_id = entry.server_id
+        if entry.born_ms < self._born_ms.get(server_id, 0):
+            # A stale read, or an instance that is behind, still names the
+            # incarnation before. Taken in, it would drop the server that lives
+            # and send requests to one that is dead.
+            _LOG.info("An entry of an earlier start of %s is left aside.", server_id)
+            return
+        self._lapsed.pop(server_id, None)
+        known = self._by_id.get(server_id)
+        if known is not None and known.entry.is_same_server(entry):
             if entry.is_draining and not known.entry.is_draining:
-                _LOG.info("%s of %s is draining.", entry.server_id, entry.service)
+                _LOG.info("%s of %s is draining.", server_id, entry.service)
             known.entry = entry
             return
         if known is not None:
-            self._remove(entry.server_id, "its address changed")
+            is_reborn = entry.born_ms > known.entry.born_ms
+            why = "it has started again" if is_reborn else "it has moved"
+            self._remove(server_id, why, is_reborn=is_reborn)
+        self._add(entry)
+
+    def _add(self, entry: ServerEntry) -> None:
         is_near = entry.zone == self._zone
         server = Server(entry, now_ms=self._clock.now_ms(), is_near=is_near)
         server.pool = self._make_pool(server)
         self._by_id[entry.server_id] = server
         self._by_service.setdefault(entry.service, []).append(server)
+        self._note_birth(entry)
         _LOG.info(
             "%s of %s at %s is listed.", entry.server_id, entry.service, entry.address
         )
 
+    def _note_birth(self, entry: ServerEntry) -> None:
+        if not entry.born_ms:
+            return
+        self._born_ms.pop(entry.server_id, None)
+        self._born_ms[entry.server_id] = entry.born_ms
+        if len(self._born_ms) > _BIRTHS_KEPT:
+            del self._born_ms[next(iter(self._born_ms))]
+
     def remove(self, server_id: str) -> None:
         """Take in that an entry was removed while the store was well."""
         self._remove(server_id, "its entry was removed")
 
-    def replace(self, entries: Iterable[ServerEntry], *, after_outage: bool) -> None:
+    def replace(
+        self,
+        entries: Iterable[ServerEntry],
+        *,
+        after_outage: bool,
+        unreadable: Collection[str] = (),
+    ) -> None:
         """Take in a full list.
 
         Parameters
@@ -110,13 +154,16 @@
             Whether the store was away. Servers cannot renew their entries
             then; dropping those that are missing would leave whole services
             without a server although all of them live.
+        unreadable : collection of str
+            Ids whose entries are there and name no server. They have not
+            lapsed, and go at once.
         """
         listed = {entry.server_id: entry for entry in entries}
         for entry in listed.values():
             self.put(entry)
         now_ms = self._clock.now_ms()
         for server_id in [name for name in self._by_id if name not in listed]:
-            if after_outage:
+            if after_outage and server_id not in unreadable:
                 self._lapsed.setdefault(server_id, now_ms + LAPSE_GRACE_MS)
             else:
                 self._remove(server_id, "it is not listed any more")
@@ -129,7 +176,7 @@
             self._remove(server_id, "its entry lapsed and did not come back")
         return bool(due)
 
-    def _remove(self, server_id: str, why: str) -> None:
+    def _remove(self, server_id: str, why: str, *, is_reborn: bool = False) -> None:
         self._lapsed.pop(server_id, None)
         server = self._by_id.pop(server_id, None)
         if server is None:
@@ -139,6 +186,10 @@
         servers.remove(server)
         if not servers:
             del self._by_service[server.entry.service]
-        if server.pool is not None:
+        if server.pool is not None and is_reborn:
+            # Its process is dead: no reply comes any more. Behind a cut no
+            # reset comes either, and requests would wait for their deadline.
+            server.pool.retire()
+        elif server.pool is not None:
             server.pool.close()
         _LOG.info("%s of %s is gone: %s.", server_id, server.entry.service, why)
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 
+from ibisfront.core.lenient_json import UNREADABLE
 from ibisfront.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -73,15 +76,41 @@
     limits: _Limits
 
 
+_Readable = Annotated[str, msgspec.Meta(pattern=f"^[^{UNREADABLE}]*$", max_length=256)]
+_Text = Annotated[_Readable, msgspec.Meta(min_length=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+_MOST_SLOTS = 100_000
+"""Slots beyond which an entry is not believed: three orders of magnitude above
+the servers of today."""
+
+_LONGEST_WARM_UP_MS = 600_000.0
+"""The same for what is left of a cold start, which takes seconds."""
+
+_Address = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[1-9][0-9]{0,4}$")
+]
+
+
 class _Server(msgspec.Struct, rename="camel"):
-    """A server's entry; its id is the name of the object."""
+    """A server's entry; its id is the name of the object.
 
-    service: str
-    addr: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    warmup_left_ms: float = 0.0
+    Anybody may have written it: an entry that lacks a field, or holds one that
+    cannot be, names no server.
+    """
+
+    service: _Text
+    addr: _Address
+    zone: _Text
+    # The version of the server's software; nothing depends on it.
+    version: _Readable
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    state: Literal["ready", "draining"]
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_LONGEST_WARM_UP_MS)]
+    # Rises with each write of one incarnation; nothing depends on it.
+    seq: _Count
+    # When this incarnation started; entries written by older software lack it.
+    born: _Count = 0
 
 
 def configuration_from(spec: bytes) -> Configuration:
@@ -148,6 +177,7 @@
         address=raw.addr,
         zone=raw.zone,
         slots=raw.slots,
-        is_draining=raw.state != "ready",
+        is_draining=raw.state == "draining",
         warm_up_left_ms=raw.warmup_left_ms,
+        born_ms=raw.born,
     )
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ibisfront.core.lenient_json import made_proper
+from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.instances import InstanceEntry
 from ibisfront.gateway.store import (
     Changes,
@@ -31,6 +33,8 @@
     "PlatformKindFeed",
 ]
 
+_LOG = part_logger(LogPart.PLATFORM)
+
 CONFIGURATION_KIND = "config"
 """The kind whose object ``main`` is the configuration in force."""
 
@@ -150,7 +154,7 @@
         revision: int | None = None
         query = options
         while True:
-            page = _decoded(await self.get(f"?{query}" if query else ""), _Page)
+            page = _decoded_page(await self.get(f"?{query}" if query else ""), _Page)
             objects += [_stored(item) for item in page.items]
             # Changes between two pages are seen again by the watch only if it
             # begins at the first page's revision.
@@ -237,7 +241,7 @@
             f"?watch={revision}&waitMs={self._watch_wait_ms}",
             timeout_ms=self._watch_wait_ms + _WATCH_SLACK_MS,
         )
-        answer = _decoded(raw, _Events)
+        answer = _decoded_page(raw, _Events)
         changes = [
             ObjectChange(_stored(item.object), item.deleted) for item in answer.events
         ]
@@ -262,5 +266,18 @@
         raise StoreError(StoreErrorKind.BAD_ANSWER, str(error)) from error
 
 
+def _decoded_page(raw: bytes, kind: type[_T]) -> _T:
+    """Decode an answer that holds what others have written.
+
+    One object with content that is no proper JSON makes the whole answer none:
+    no server would be known any more. Read leniently, that object alone is odd.
+    """
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except msgspec.DecodeError as error:
+        _LOG.warning("An answer of the store is no proper JSON: %s.", error)
+    return _decoded(made_proper(raw), kind)
+
+
 def _stored(item: _Object) -> StoredObject:
     return StoredObject(item.meta.name, item.meta.rev, bytes(item.spec))
--- a/ibisfront/testing/object_store.py
+++ b/ibisfront/testing/object_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -212,4 +213,6 @@
 
 def _json(status: int, body: object) -> CallerReply:
     headers = [(b"Content-Type", b"application/json")]
-    return CallerReply(status, headers, msgspec.json.encode(body), "store")
+    # The lenient encoder: what another writer has put there goes out as it is.
+    text = json.dumps(body, separators=(",", ":"))
+    return CallerReply(status, headers, text.encode(), "store")
--- a/ibisfront/testing/soak/backends.py
+++ b/ibisfront/testing/soak/backends.py
@@ -84,8 +84,11 @@
             "service": backend.server.service,
             "addr": backend.proxy.address,
             "zone": backend.zone,
+            "version": "v1",
             "slots": _SLOTS,
             "state": state,
+            "warmupLeftMs": 0,
+            "seq": 1,
         }
         self._store.put("servers", backend.server.server_id, entry)
 
--- a/ibisfront/tests/test_gateway_runs.py
+++ b/ibisfront/tests/test_gateway_runs.py
@@ -5,6 +5,7 @@
 import math
 import unittest
 
+import msgspec
 import trio
 
 from ibisfront.gateway.configuration import RequestKind, WeightedService
@@ -312,6 +313,52 @@
         self.assertEqual(sent, 10)
 
 
+class RebornServerTest(unittest.TestCase):
+    """Requests under way at a server that starts again under its id."""
+
+    async def _ask_across_a_rebirth(self, kind):
+        route = forward_route(kind=kind)
+        fixture = GatewayFixture(route, servers=1, latency_ms=math.inf)
+        replies = []
+        async with fixture.running(), trio.open_nursery() as nursery:
+            stand_in = fixture.servers["archive"][0]
+
+            async def ask():
+                replies.append(await fixture.ask("/fetch/a", deadline_ms=2000.0))
+
+            nursery.start_soon(ask)
+            await trio.sleep(0.05)
+            stand_in.latency_ms = 10.0
+            fixture.book.put(msgspec.structs.replace(stand_in.entry, born_ms=2_000))
+            await trio.sleep(0.1)
+            ended = len(replies)
+        return ended, replies[0], len(stand_in.received)
+
+    @trio_test
+    async def test_idempotent_request_goes_to_the_new_incarnation_at_once(self):
+        """A lookup comes two seconds late though its server is long back.
+
+        The server died behind a cut, so that no reset came, and started again.
+        The request waits on a connection to the dead one.
+        """
+        ended, reply, received = await self._ask_across_a_rebirth(
+            RequestKind.IDEMPOTENT
+        )
+        self.assertEqual((ended, reply.status, received), (1, 200, 2))
+
+    @trio_test
+    async def test_non_idempotent_request_may_have_run_at_the_dead_one(self):
+        """An envelope is printed twice.
+
+        The server may have run the request before it died. Its next
+        incarnation knows nothing of it; the caller is not told "not run".
+        """
+        ended, reply, received = await self._ask_across_a_rebirth(
+            RequestKind.NON_IDEMPOTENT
+        )
+        self.assertEqual((ended, reply.status, received), (1, 502, 1))
+
+
 class RecordsTest(unittest.TestCase):
     """The greatest records of the parts."""
 
--- a/ibisfront/tests/test_gateway_server_book.py
+++ b/ibisfront/tests/test_gateway_server_book.py
@@ -78,6 +78,118 @@
         self.assertIsNot(book.of_service("s")[0], before)
 
 
+class IncarnationTest(unittest.TestCase):
+    """A server that starts again under its id is another server.
+
+    The health, the connections and the requests of the one that died must not
+    be taken for those of the one that lives.
+    """
+
+    @trio_test
+    async def test_reborn_server_starts_from_nothing(self):
+        """A server that is back gets no requests for seconds.
+
+        It was silent and refused connections before it died; all that was
+        held against it is held against the new one at the same address.
+        """
+        book = book_of("a")
+        before = book.of_service("s")[0]
+        before.note_unreachable(Clock().now_ms())
+        before.note_unreachable(Clock().now_ms())
+        book.put(entry("a", born_ms=2_000, warm_up_left_ms=3_000.0))
+        after = book.of_service("s")[0]
+        now_ms = Clock().now_ms()
+        self.assertTrue(before.is_gone)
+        self.assertTrue(after.is_reachable(now_ms))
+        self.assertLess(after.cost(now_ms, 10.0), 2.0)
+        self.assertGreater(after.warm_at_ms, now_ms + 2_000.0)
+        self.assertEqual(len(book.of_service("s")), 1)
+
+    @trio_test
+    async def test_requests_of_the_dead_one_end_as_perhaps_run(self):
+        """Searches wait until their deadline for a server that was reborn.
+
+        It crashed behind a cut, so that no reset came; the connections to the
+        dead one stay open and silent.
+        """
+        pools = []
+
+        def make_pool(server):
+            pools.append(RetiredPool())
+            return pools[-1]
+
+        book = ServerBook(clock=Clock(), make_pool=make_pool, zone="z0")
+        book.put(entry("a", born_ms=1_000))
+        book.put(entry("a", born_ms=2_000))
+        self.assertEqual([pool.ends for pool in pools], [["retired"], []])
+        book.remove("a")
+        self.assertEqual([pool.ends for pool in pools], [["retired"], ["closed"]])
+
+    @trio_test
+    async def test_older_incarnation_never_replaces_a_newer_one(self):
+        """A server that lives is left alone, and a dead one asked, for seconds.
+
+        An entry from before the restart comes late: by a stale read, or from
+        an instance that is behind. That holds after the newer one has left.
+        """
+        book = book_of()
+        book.put(entry("a", born_ms=2_000))
+        server = book.of_service("s")[0]
+        book.put(entry("a", born_ms=1_000, address="elsewhere:80", is_draining=True))
+        self.assertIs(book.of_service("s")[0], server)
+        self.assertEqual(listed(book), {"a"})
+        book.replace([entry("a", born_ms=1_000)], after_outage=False)
+        self.assertIs(book.of_service("s")[0], server)
+        book.remove("a")
+        book.put(entry("a", born_ms=1_000))
+        self.assertEqual(listed(book), set())
+        book.put(entry("a", born_ms=2_000))
+        self.assertEqual(listed(book), {"a"})
+
+    @trio_test
+    async def test_server_that_had_lost_its_address_may_be_reborn(self):
+        book = book_of("a")
+        book.of_service("s")[0].is_gone = True
+        book.put(entry("a", born_ms=2_000))
+        self.assertEqual(listed(book), {"a"})
+
+    @trio_test
+    async def test_id_that_moves_to_another_service_leaves_the_first(self):
+        """Searches over one service get parts of another.
+
+        An id is written again with another service; it must not stay listed
+        under the one that it had.
+        """
+        book = book_of("a")
+        book.put(entry("a", service="t"))
+        self.assertEqual(listed(book), set())
+        self.assertEqual(len(book.of_service("t")), 1)
+
+    @trio_test
+    async def test_unreadable_entry_names_no_server_also_after_an_outage(self):
+        """An odd entry is asked for seconds after an outage of the store.
+
+        What is missing from the first list may only have lapsed, and stays; an
+        entry that is there and cannot be read has not lapsed.
+        """
+        book = book_of("a", "b")
+        book.replace([], after_outage=True, unreadable=["b"])
+        self.assertEqual(listed(book), {"a"})
+
+
+class RetiredPool:
+    """Connections that note how they were ended."""
+
+    def __init__(self):
+        self.ends = []
+
+    def close(self):
+        self.ends.append("closed")
+
+    def retire(self):
+        self.ends.append("retired")
+
+
 class ServerHealthTest(unittest.TestCase):
     """What a server's replies say of it."""
 
--- /dev/null
+++ b/ibisfront/tests/test_platform_documents.py
@@ -0,0 +1,73 @@
+"""Tests of the entries in the platform's store, as anybody may have written them."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+import msgspec
+
+from ibisfront.platform.documents import server_entry_from
+
+VALID = {
+    "service": "s",
+    "addr": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmupLeftMs": 120,
+    "seq": 4,
+}
+
+
+def entry_of(**changes):
+    """Decode a valid entry with some fields changed."""
+    return server_entry_from("i-1", json.dumps({**VALID, **changes}).encode())
+
+
+class ServerEntryTest(unittest.TestCase):
+    """Entries of other writers name no server to use.
+
+    All searches over a service fail while one odd entry is listed: it reads as
+    a server without an address, with a slot count of 2^70, or in a state that
+    nobody has heard of, and gets its share of the requests.
+    """
+
+    def test_valid_entry_says_when_its_server_started(self):
+        self.assertEqual(entry_of(born=1_790_000_000_123).born_ms, 1_790_000_000_123)
+        self.assertEqual(entry_of().born_ms, 0)
+
+    def test_missing_field_is_refused(self):
+        for field in VALID:
+            spec = {name: value for name, value in VALID.items() if name != field}
+            with self.subTest(field), self.assertRaises(msgspec.DecodeError):
+                server_entry_from("i-1", json.dumps(spec).encode())
+
+    def test_field_of_another_type_is_refused(self):
+        wrong = {
+            "service": [7, None, "", ["s"]],
+            "addr": [7, None, "", "nowhere", "10.0.0.1", "10.0.0.1:0", "::1", ":80"],
+            "zone": [7, None, "", "z\ufffd"],
+            "version": [7, None, "v\ufffd"],
+            "slots": ["2", 0, -1, 2**70, True, 1.5, None],
+            "state": ["gone", "READY", "", 1, None],
+            "warmupLeftMs": ["0", -1, None, 1e300],
+            "seq": ["4", None, 1.5],
+            "born": ["1", -1, 1.5, None, True],
+        }
+        for field, values in wrong.items():
+            for value in values:
+                with (
+                    self.subTest(field, value=value),
+                    self.assertRaises(msgspec.DecodeError),
+                ):
+                    entry_of(**{field: value})
+
+    def test_bytes_that_are_no_entry_are_refused(self):
+        for spec in (b"", b"null", b"[]", b"7", b'"x"', b"{", b"\xff\xfe", b"{}"):
+            with self.subTest(spec), self.assertRaises(msgspec.DecodeError):
+                server_entry_from("i-1", spec)
+
+    def test_field_that_is_not_known_is_left_aside(self):
+        self.assertEqual(entry_of(more={"a": 1}).service, "s")
--- a/ibisfront/tests/test_platform_store.py
+++ b/ibisfront/tests/test_platform_store.py
@@ -76,6 +76,33 @@
         self.assertEqual(told, [("b", False), ("a", True)])
         self.assertEqual(idle.changes, [])
 
+    @trio_test_real_clock
+    async def test_content_that_is_no_proper_json_leaves_the_others(self):
+        """No instance learns of a new server any more, until it is restarted.
+
+        Another writer has put a lone surrogate, not-a-number and bytes in no
+        encoding into three entries. The list of all servers is read as one
+        answer, and is no JSON any more.
+        """
+        store = StandInStore()
+        store.put("servers", "a", {"n": 1})
+        for number, value in enumerate((float("nan"), "\udc00", "\ud800")):
+            store.put("servers", f"odd-{number}", {"n": value})
+        async with store.running():
+            feed = feed_of(store)
+            listing = await feed.list_all()
+            store.put("servers", "odd-3", {"n": float("nan")})
+            store.put("servers", "b", {"n": 2})
+            answer = await feed.watch(listing.revision)
+        specs = {item.name: item.spec for item in listing.objects}
+        self.assertEqual(specs.pop("a"), b'{"n": 1}')
+        unreadable = '{"n": "\ufffd"}'.encode()
+        self.assertEqual(set(specs.values()), {b'{"n": null}', unreadable})
+        self.assertEqual(
+            [change.object.spec for change in answer.changes],
+            [b'{"n": null}', b'{"n": 2}'],
+        )
+
     @trio_test_real_clock
     async def test_forgotten_history_is_its_own_error(self):
         store = StandInStore()
--- /dev/null
+++ b/properties/test_entry_properties.py
@@ -0,0 +1,152 @@
+"""Properties of the list of backend servers, for any history of entries."""
+
+from __future__ import annotations
+
+import json
+import logging
+import unittest
+from types import SimpleNamespace
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from trio.testing import MockClock
+
+from ibisfront.core.clock import Clock
+from ibisfront.front.targets import servers_target
+from ibisfront.gateway.observing import Observer
+from ibisfront.gateway.server_book import ServerBook
+from ibisfront.gateway.store import Listing, ObjectChange, StoredObject
+
+IDS = ("i-1", "i-2", "i-3")
+ODD_SPECS = (
+    b"null",
+    b"[1]",
+    b"{",
+    b'"text"',
+    b"\xff\xfe",
+    b'{"service":7}',
+    b'{"service":"s","addr":"10.0.0.1:80"}',
+    b'{"service":"s","addr":"nowhere","zone":"z","version":"v","slots":1,'
+    b'"state":"ready","warmupLeftMs":0,"seq":1}',
+)
+
+
+def spec_of(server_id, born, state):
+    """Return a proper entry, as its server writes it."""
+    number = IDS.index(server_id) + 1
+    fields = {
+        "service": "s",
+        "addr": f"10.0.0.{number}:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 2,
+        "state": state,
+        "warmupLeftMs": 0,
+        "seq": 1,
+        "born": born,
+    }
+    return json.dumps(fields).encode()
+
+
+WRITES = st.tuples(
+    st.sampled_from(IDS),
+    st.one_of(
+        st.tuples(st.integers(1, 4), st.sampled_from(("ready", "draining"))),
+        st.sampled_from(ODD_SPECS),
+        st.none(),
+    ),
+)
+
+
+class Oracle:
+    """What the published page says of a history: plain, and by itself.
+
+    For each id the newest start that was ever listed counts. An entry of an
+    earlier start says nothing, a removed or odd one names no server, and a
+    draining server gets no new request.
+    """
+
+    def __init__(self):
+        self.newest = dict.fromkeys(IDS, 0)
+        self.usable = {}
+
+    def write(self, server_id, written):
+        if written is None or isinstance(written, bytes):
+            self.usable.pop(server_id, None)
+            return
+        born, state = written
+        if born < self.newest[server_id]:
+            return
+        self.newest[server_id] = born
+        self.usable[server_id] = (born, state == "ready")
+
+    def expected(self):
+        return {
+            (server_id, born)
+            for server_id, (born, is_ready) in self.usable.items()
+            if is_ready
+        }
+
+
+class EntryHistoryProperties(unittest.TestCase):
+    """No history of entries leads to a request for the wrong server."""
+
+    def setUp(self):
+        # Some thousand odd entries are drawn, and each is logged.
+        log = logging.getLogger("ibisfront.backend")
+        self.addCleanup(log.setLevel, log.level)
+        log.setLevel(logging.CRITICAL)
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(
+        st.lists(st.tuples(WRITES, st.booleans()), min_size=1, max_size=25),
+    )
+    def test_those_asked_are_the_newest_that_are_ready(self, history):
+        """Searches go to a server that is dead, or leave one out that lives.
+
+        Servers start again under their ids, other writers put odd entries in
+        their place, entries are removed, and what was written earlier is read
+        again, by changes and by whole lists in any order.
+        """
+        trio.run(self._play, history, clock=MockClock())
+
+    async def _play(self, history):
+        book = ServerBook(clock=Clock(), make_pool=lambda server: None, zone="z")
+        target = servers_target(_process_of(book))
+        oracle, objects = Oracle(), {}
+        for revision, ((server_id, written), as_list) in enumerate(history, 1):
+            oracle.write(server_id, written)
+            change = _change(server_id, written, revision)
+            if change.is_removed:
+                objects.pop(server_id, None)
+            else:
+                objects[server_id] = change.object
+            if as_list:
+                target.replace(Listing(list(objects.values()), revision), False)
+            else:
+                target.change([change])
+            asked = {
+                (server.entry.server_id, server.entry.born_ms)
+                for server in book.of_service("s")
+                if server.is_usable
+            }
+            self.assertEqual(asked, oracle.expected())
+
+
+def _change(server_id, written, revision):
+    if written is None:
+        return ObjectChange(StoredObject(server_id, revision, b"null"), True)
+    spec = written if isinstance(written, bytes) else spec_of(server_id, *written)
+    return ObjectChange(StoredObject(server_id, revision, spec), False)
+
+
+def _process_of(book):
+    """Return what taking entries in needs of a process."""
+    return SimpleNamespace(
+        book=book,
+        observer=Observer(),
+        connections=SimpleNamespace(warm_up=lambda book: None),
+        feed=SimpleNamespace(away=set()),
+        source=SimpleNamespace(note_change=lambda: None, note_away=lambda: None),
+    )
