Believe one thing of each zone's way, and tell callers when the balancer has moved

Cause: while a zone was cut off each server had to be found silent by itself, and once all were refused nothing was under way, so that they seemed reachable again: refusals, failures and readiness took turns until the cut ended. Queries waited up to their deadline, and refused callers were told to come back after 20 ms, into the same zone, with the one try that they have.

Change: one belief for each other zone (gateway/zone_ways.py), fed by every reply and new connection of its servers and instances. Three endpoints past their time without a sign of life make it suspect, failed probes of up to five make it cut, any sign of life ends it. A cut ends the exchanges that wait on it (not those of non-idempotent requests), and the instance is out of rotation when all ways are cut. Retry-After is the time until the balancer must have moved, spread over 200 ms.

Mock time: an instance whose zone is cut off is out of rotation after 175 ms (525 without), its longest query takes 130 ms (1,985 without).

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -85,6 +85,7 @@
             process.feed.note_listed()
         nursery.start_soon(process.feed.run)
         nursery.start_soon(process.keep_up)
+        nursery.start_soon(process.zone_watch.run)
         nursery.start_soon(handler.run)
         nursery.start_soon(_watch_settings, process, path, clock)
         _LOG.info("%s starts.", settings.instance, extra={"zone": settings.zone})
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -30,6 +30,8 @@
 from ibisfront.gateway.server_book import ServerBook
 from ibisfront.gateway.state_feed import StateFeed
 from ibisfront.gateway.state_relay import KnownState, RelayedState, StateSource
+from ibisfront.gateway.zone_watch import ZoneWatch
+from ibisfront.gateway.zone_ways import ZoneWays
 from ibisfront.http1.state_client import HttpStateClient, asked_state
 from ibisfront.platform.headers import WIRE
 
@@ -90,6 +92,8 @@
         Which instances watch the store for the others.
     feed : StateFeed
         Keeps the store's state up to date.
+    zone_watch : ZoneWatch
+        Finds out which other zones are cut off.
     is_stopping : bool
         Whether a planned stop has begun.
     """
@@ -109,6 +113,7 @@
         "relays",
         "settings",
         "source",
+        "zone_watch",
     )
 
     def __init__(
@@ -134,11 +139,19 @@
             nursery=nursery,
             clock=clock,
         )
+        ways = ZoneWays(zone)
         self.book = ServerBook(
-            clock=clock, make_pool=self.connections.server_pool, zone=zone
+            clock=clock, make_pool=self.connections.server_pool, zone=zone, ways=ways
         )
         self.peers = ServerBook(
-            clock=clock, make_pool=self.connections.peer_pool, zone=zone
+            clock=clock, make_pool=self.connections.peer_pool, zone=zone, ways=ways
+        )
+        self.zone_watch = ZoneWatch(
+            ways=ways,
+            servers=self.book,
+            peers=self.peers,
+            counters=self.observer.counters,
+            clock=clock,
         )
         self.relays = Relays(own)
         self.feed = StateFeed(
@@ -182,6 +195,10 @@
         """Whether the balancer should send callers here."""
         return self.gateway.is_ready and not self.is_stopping
 
+    def tell_readiness(self) -> bool:
+        """Return what the balancer is told, and note when that changes."""
+        return self.gateway.tell_readiness() and not self.is_stopping
+
     def limits(self) -> CallerLimits:
         """Return what callers may send."""
         table = self.gateway.table
@@ -201,7 +218,7 @@
 
     async def answer_ready(self, request: InboundRequest) -> CallerReply:
         """Answer the balancer."""
-        return CallerReply(200 if self.is_ready else 503, [], b"", "ready")
+        return CallerReply(200 if self.tell_readiness() else 503, [], b"", "ready")
 
     async def answer_peer(self, request: InboundRequest) -> CallerReply:
         """Answer another instance."""
--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -6,6 +6,7 @@
 
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observing import RequestTrace
+from ibisfront.gateway.rotation import Rotation
 from ibisfront.gateway.route_state import RouteStates, caller_until_ms
 from ibisfront.gateway.service_call import CallContext
 
@@ -25,10 +26,6 @@
 GATEWAY_TIMEOUT = 504
 _UNAVAILABLE = 503
 
-_ELSEWHERE_RETRY_MS = 20.0
-"""When to come back, to another instance: a trial value, short beside the
-objective of fast routes."""
-
 _RETRY_AFTER_MS = 150.0
 """When to come back if no server may be asked: long enough for a failed server
 to be tried again, short beside a deadline."""
@@ -56,9 +53,20 @@
         What was measured of the routes.
     table : RouteTable or None
         The configuration in force; None until the first is known.
+    rotation : Rotation
+        When the balancer sends callers elsewhere.
     """
 
-    __slots__ = ("_budgets", "_observer", "book", "clock", "states", "table", "wire")
+    __slots__ = (
+        "_budgets",
+        "_observer",
+        "book",
+        "clock",
+        "rotation",
+        "states",
+        "table",
+        "wire",
+    )
 
     def __init__(
         self,
@@ -75,6 +83,7 @@
         self.wire = wire
         self.clock = clock
         self.states = RouteStates()
+        self.rotation = Rotation()
         self.table: RouteTable | None = None
 
     @property
@@ -113,9 +122,11 @@
     def out_of_reach(self) -> CallerReply:
         """Return the refusal where too few servers of a route can be reached.
 
-        An instance of another zone can serve the caller at once.
+        An instance of another zone can serve the caller, once the balancer
+        sends it there.
         """
-        reply = self.not_run("out_of_reach", _ELSEWHERE_RETRY_MS)
+        wait_ms = self.rotation.wait_ms(self.clock.now_ms())
+        reply = self.not_run("out_of_reach", wait_ms)
         reply.closes = True
         return reply
 
--- a/ibisfront/gateway/exchange.py
+++ b/ibisfront/gateway/exchange.py
@@ -40,6 +40,9 @@
         After how long a reply is late by what is usual for such requests.
     has_reply_body : bool
         Whether its reply may have a body; that to a HEAD request has none.
+    may_break_off : bool
+        Whether its end may be hastened when the way to its server is cut: the
+        request may be sent again, so that nothing hangs on this reply.
 
     Attributes
     ----------
@@ -65,6 +68,7 @@
         "has_reply_body",
         "is_abandoned",
         "is_cancelled",
+        "may_break_off",
         "payload",
         "rank",
         "reply",
@@ -84,8 +88,10 @@
         created_at_ms: float,
         expected_ms: float,
         has_reply_body: bool = True,
+        may_break_off: bool = True,
     ) -> None:
         self.has_reply_body = has_reply_body
+        self.may_break_off = may_break_off
         self.server = server
         self.request_id = request_id
         self.payload = payload
@@ -122,6 +128,13 @@
             self.error = ExchangeError(kind, may_have_run=self.sent_at_ms is not None)
             self._on_end(self)
 
+    def break_off(self) -> None:
+        """End it as lost, at once: no reply can come on the way that it went."""
+        if self.sent_at_ms is None:
+            self.fail(ExchangeErrorKind.CONNECT_FAILED)
+        elif self.abandon is not None:
+            self.abandon(True)
+
     def give_up(self, *, at_once: bool) -> None:
         """Wait for it no longer.
 
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -66,6 +66,13 @@
             return False
         return not self.is_cut_off
 
+    def tell_readiness(self) -> bool:
+        """Return whether the balancer should send callers here, and note it."""
+        is_ready = self.is_ready
+        now_ms = self._answering.clock.now_ms()
+        self._answering.rotation.note(is_ready=is_ready, now_ms=now_ms)
+        return is_ready
+
     @property
     def is_cut_off(self) -> bool:
         """Whether this instance itself has found the ways to the servers cut."""
@@ -84,6 +91,7 @@
         if route is None:
             return answering.refuse(request, CallerReply(404, [], b"", "no_route"))
         if not self._reach.can_serve(route):
+            self.tell_readiness()
             return answering.refuse(request, answering.out_of_reach())
         if route.gathering is not None:
             return await self._queries.answer(request, route, route.gathering)
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Protocol, TypeAlias
@@ -116,7 +117,7 @@
     def submit(self, exchange: Exchange) -> None:
         """Send an exchange, now or as soon as there is a connection."""
         now_ms = self._clock.now_ms()
-        self._server.in_flight[exchange] = None
+        self._server.note_submitted(exchange, now_ms)
         if self._is_closed:
             exchange.fail(ExchangeErrorKind.SERVER_GONE)
             return
@@ -138,10 +139,23 @@
         while self._idle:
             self._idle.pop().close()
 
-    def probe(self) -> None:
-        """Open one more connection, to see whether the server is there."""
-        if not self._opening and self.has_room and not self._is_closed:
-            self._start_opening()
+    def probe(self, *, timeout_ms: float = math.inf) -> bool:
+        """Open one more connection, to see whether the server is there.
+
+        Parameters
+        ----------
+        timeout_ms : float
+            How long it may take to open, if that is less than usual.
+
+        Returns
+        -------
+        bool
+            Whether it is being opened.
+        """
+        if self._opening or not self.has_room or self._is_closed:
+            return False
+        self._start_opening(timeout_ms)
+        return True
 
     def forget(self, exchange: Exchange) -> None:
         """Note that an exchange has ended."""
@@ -167,13 +181,19 @@
             index -= 1
         self._waiting.insert(index, exchange)
 
-    def _start_opening(self) -> None:
+    def _start_opening(self, timeout_ms: float = math.inf) -> None:
         self._opening += 1
-        self._nursery.start_soon(self._run_connection)
+        self._nursery.start_soon(self._run_connection, timeout_ms)
+
+    async def _open(self, timeout_ms: float) -> ServerConnection:
+        address = self._server.entry.address
+        with self._clock.timeout_ms(timeout_ms):
+            return await self._open_connection(address)
+        raise TimeoutError(f"{address} does not accept")
 
-    async def _run_connection(self) -> None:
+    async def _run_connection(self, timeout_ms: float) -> None:
         try:
-            connection = await self._open_connection(self._server.entry.address)
+            connection = await self._open(timeout_ms)
         except OSError as error:
             self._opening -= 1
             self._note_unreachable(error)
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -84,6 +84,7 @@
         """Take in that those that gather cannot reach the servers."""
         now_ms = self._answering.clock.now_ms()
         self._out_of_reach_until_ms = now_ms + _OUT_OF_REACH_MS
+        self._answering.rotation.note(is_ready=False, now_ms=now_ms)
 
     async def answer(
         self, request: InboundRequest, route: Route, gathering: Gathering
--- a/ibisfront/gateway/reach.py
+++ b/ibisfront/gateway/reach.py
@@ -73,6 +73,8 @@
         """
         if all(self.can_serve(route) for route in table.configuration.routes):
             return False
+        if self._are_all_ways_cut():
+            return True
         now_ms = self._clock.now_ms()
         cut = 0
         for server in self._book.servers():
@@ -83,6 +85,15 @@
             cut += not server.is_reachable(now_ms)
         return cut >= _CUT_SERVERS
 
+    def _are_all_ways_cut(self) -> bool:
+        """Return whether no other zone with servers can be reached."""
+        ways = {
+            server.way.zone: server.way
+            for server in self._book.servers()
+            if server.way is not None and server.is_usable
+        }
+        return bool(ways) and all(way.is_cut for way in ways.values())
+
     def _look(self, route: Route) -> bool:
         names = route.service_names
         reached = sum(self._book.is_reachable(name) for name in names)
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from ibisfront.gateway.exchange import Exchange
     from ibisfront.gateway.pool import ServerPool
+    from ibisfront.gateway.zone_ways import ZoneWay
 
 __all__ = ["Server", "ServerEntry"]
 
@@ -132,6 +133,8 @@
         The time.
     is_near : bool
         Whether it is in this instance's availability zone.
+    way : ZoneWay, optional
+        The way to its zone; None for this instance's.
 
     Attributes
     ----------
@@ -165,10 +168,19 @@
         "not_before_ms",
         "pool",
         "warm_at_ms",
+        "way",
     )
 
-    def __init__(self, entry: ServerEntry, *, now_ms: float, is_near: bool) -> None:
+    def __init__(
+        self,
+        entry: ServerEntry,
+        *,
+        now_ms: float,
+        is_near: bool,
+        way: ZoneWay | None = None,
+    ) -> None:
         self.entry = entry
+        self.way = way
         self.is_near = is_near
         self.pool: ServerPool | None = None
         self.is_gone = False
@@ -189,6 +201,11 @@
         """Whether it may get new requests."""
         return not self.is_gone and not self.entry.is_draining
 
+    @property
+    def is_behind_cut(self) -> bool:
+        """Whether the way to its zone is cut."""
+        return self.way is not None and self.way.is_cut
+
     @property
     def last_seen_ms(self) -> float:
         """When it last showed life: a reply or a new connection."""
@@ -214,7 +231,7 @@
 
     def is_reachable(self, now_ms: float) -> bool:
         """Return whether it seems to be there at all, if perhaps slow."""
-        if self._is_unreachable:
+        if self._is_unreachable or self.is_behind_cut:
             return False
         if not self.in_flight:
             return True
@@ -254,6 +271,27 @@
             cost += _AVOIDED_PENALTY
         return cost
 
+    def note_submitted(self, exchange: Exchange, now_ms: float) -> None:
+        """Take in an exchange that is sent, or waits for a connection."""
+        self.in_flight[exchange] = None
+        if self.way is not None:
+            name = self.entry.server_id
+            self.way.note_asked(name, now_ms, late_ms=exchange.expected_ms)
+
+    def break_off(self) -> int:
+        """End what waits for its reply and may be sent again; return how many."""
+        exchanges = [item for item in self.in_flight if item.may_break_off]
+        for exchange in exchanges:
+            exchange.break_off()
+        return len(exchanges)
+
+    def forget_losses(self) -> None:
+        """Take it for reachable and sound: what it lost was lost on a cut way."""
+        self._lost_in_row = 0
+        self._is_unreachable = False
+        self._failing = 0.0
+        self.not_before_ms = -math.inf
+
     def note_reply(self, now_ms: float, *, took_ms: float, usual_ms: float) -> None:
         """Take in a reply that shows how fast it works."""
         self._note_life(now_ms)
@@ -298,6 +336,8 @@
     def note_connected(self, now_ms: float) -> None:
         """Take in that a connection to it could be opened."""
         self.connected_at_ms = now_ms
+        if self.way is not None:
+            self.way.note_life()
         self._lost_in_row = 0
         self._is_unreachable = False
         self.not_before_ms = -math.inf
@@ -328,6 +368,8 @@
 
     def _note_life(self, now_ms: float) -> None:
         self.last_reply_at_ms = now_ms
+        if self.way is not None:
+            self.way.note_life()
         self._is_unreachable = False
 
     def _note_failing(self, now_ms: float) -> None:
--- a/ibisfront/gateway/server_book.py
+++ b/ibisfront/gateway/server_book.py
@@ -8,6 +8,7 @@
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.pool import ServerPool
 from ibisfront.gateway.server import Server
+from ibisfront.gateway.zone_ways import ZoneWays
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -44,6 +45,8 @@
         Makes the connections of a server.
     zone : str
         This instance's availability zone.
+    ways : ZoneWays, optional
+        The ways to other zones, which the books of an instance share.
     """
 
     __slots__ = (
@@ -53,12 +56,19 @@
         "_clock",
         "_lapsed",
         "_make_pool",
+        "_ways",
         "_zone",
     )
 
     def __init__(
-        self, *, clock: Clock, make_pool: Callable[[Server], ServerPool], zone: str
+        self,
+        *,
+        clock: Clock,
+        make_pool: Callable[[Server], ServerPool],
+        zone: str,
+        ways: ZoneWays | None = None,
     ) -> None:
+        self._ways = ZoneWays(zone) if ways is None else ways
         self._zone = zone
         self._clock = clock
         self._make_pool = make_pool
@@ -83,7 +93,7 @@
         """Connect to servers that seem cut off and have been left alone."""
         now_ms = self._clock.now_ms()
         for server in self._by_id.values():
-            if server.pool is None or not server.is_usable:
+            if server.pool is None or not server.is_usable or server.is_behind_cut:
                 continue
             if not server.is_reachable(now_ms) and now_ms >= server.not_before_ms:
                 server.pool.probe()
@@ -116,7 +126,12 @@
 
     def _add(self, entry: ServerEntry) -> None:
         is_near = entry.zone == self._zone
-        server = Server(entry, now_ms=self._clock.now_ms(), is_near=is_near)
+        server = Server(
+            entry,
+            now_ms=self._clock.now_ms(),
+            is_near=is_near,
+            way=self._ways.to(entry.zone),
+        )
         server.pool = self._make_pool(server)
         self._by_id[entry.server_id] = server
         self._by_service.setdefault(entry.service, []).append(server)
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -103,7 +103,7 @@
     best: Server | None = None
     best_cost = 0.0
     for server in servers:
-        if not server.is_usable or server in tried:
+        if not server.is_usable or server.is_behind_cut or server in tried:
             continue
         cost = server.cost(now_ms, usual_ms)
         if server.pool is not None and not server.pool.has_room:
@@ -272,6 +272,7 @@
             created_at_ms=now_ms,
             expected_ms=context.usual.late_ms,
             has_reply_body=context.has_reply_body,
+            may_break_off=context.is_idempotent,
         )
         self._tried.append(server)
         self._open.append(exchange)
--- /dev/null
+++ b/ibisfront/gateway/zone_watch.py
@@ -0,0 +1,130 @@
+"""Acting on what is believed of the ways to other zones."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from ibisfront.core.counters import CounterKind
+from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.gateway.zone_ways import WayStep
+
+if TYPE_CHECKING:
+    from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.gateway.server import Server
+    from ibisfront.gateway.server_book import ServerBook
+    from ibisfront.gateway.zone_ways import ZoneWay, ZoneWays
+
+__all__ = ["ZoneWatch"]
+
+_LOG = part_logger(LogPart.MEMBERS)
+
+_CHECK_MS = 25.0
+"""How often the ways are looked at: a tenth of the objective of fast routes
+that are asked of other zones, at a thousandth of a core."""
+
+_OVERSLEPT_MS = 8.0
+"""Lateness of a look that shows that the process did not run meanwhile."""
+
+_PROBED_INSTANCES = 3
+"""Instances of a zone that are probed: their connections cost servers nothing."""
+
+_PROBED_SERVERS = 2
+"""Backend servers that are probed besides, in case all instances are lost."""
+
+_PROBE_TIMEOUT_MS = 300.0
+"""How long a probe's connection may take to open. A lost first packet is sent
+again after a second; a new probe is quicker."""
+
+
+class ZoneWatch:
+    """Probes zones that are suspect, and lets go of what waits on cut ones.
+
+    Parameters
+    ----------
+    ways : ZoneWays
+        What is believed.
+    servers, peers : ServerBook
+        The backend servers, and the other instances under their zone.
+    counters : Counters
+        Where changes are counted.
+    clock : Clock
+        The tier's clock.
+    """
+
+    __slots__ = ("_clock", "_counters", "_peers", "_servers", "_ways")
+
+    def __init__(
+        self,
+        *,
+        ways: ZoneWays,
+        servers: ServerBook,
+        peers: ServerBook,
+        counters: Counters,
+        clock: Clock,
+    ) -> None:
+        self._ways = ways
+        self._servers = servers
+        self._peers = peers
+        self._counters = counters
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Look at the ways until cancelled."""
+        while True:
+            due_ms = self._clock.now_ms() + _CHECK_MS
+            await self._clock.sleep_ms(_CHECK_MS)
+            now_ms = self._clock.now_ms()
+            late_ms = now_ms - due_ms
+            for way in self._ways.all():
+                if late_ms > _OVERSLEPT_MS:
+                    way.postpone(late_ms)
+                else:
+                    self._take_step(way, way.step(now_ms), now_ms)
+
+    def _take_step(self, way: ZoneWay, step: WayStep | None, now_ms: float) -> None:
+        match step:
+            case WayStep.PROBE:
+                way.note_probed(self._probe(way.zone), now_ms)
+            case WayStep.CUT:
+                self._let_go(way.zone)
+            case WayStep.OPENED:
+                self._take_back(way.zone)
+
+    def _probe(self, zone: str) -> int:
+        """Connect to some endpoints of a zone; return to how many."""
+        peers = self._endpoints(self._peers, zone)
+        servers = self._endpoints(self._servers, zone)
+        random.shuffle(peers)
+        random.shuffle(servers)
+        probed = peers[:_PROBED_INSTANCES] + servers[:_PROBED_SERVERS]
+        return sum(
+            endpoint.pool.probe(timeout_ms=_PROBE_TIMEOUT_MS)
+            for endpoint in probed
+            if endpoint.pool is not None
+        )
+
+    def _let_go(self, zone: str) -> None:
+        """End the exchanges that wait for a reply from a zone that is cut off.
+
+        Their requests are then asked of servers elsewhere while there is time,
+        or fail while their callers have time to come again.
+        """
+        self._counters.add(CounterKind.MEMBER_CHANGES, "zone_cut")
+        ended = 0
+        for book in (self._servers, self._peers):
+            for endpoint in self._endpoints(book, zone):
+                ended += endpoint.break_off()
+        _LOG.warning("Zone %s is cut off from here; %d requests end.", zone, ended)
+
+    def _take_back(self, zone: str) -> None:
+        """Use a zone's endpoints again, whatever befell them during the cut."""
+        self._counters.add(CounterKind.MEMBER_CHANGES, "zone_back")
+        for book in (self._servers, self._peers):
+            for endpoint in self._endpoints(book, zone):
+                endpoint.forget_losses()
+        _LOG.info("Zone %s is within reach again.", zone)
+
+    def _endpoints(self, book: ServerBook, zone: str) -> list[Server]:
+        return [server for server in book.servers() if server.entry.zone == zone]
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -35,6 +35,8 @@
 from ibisfront.gateway.server import Server, ServerEntry
 from ibisfront.gateway.server_book import ServerBook
 from ibisfront.gateway.settings import Bounds
+from ibisfront.gateway.zone_watch import ZoneWatch
+from ibisfront.gateway.zone_ways import ZoneWays
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
@@ -263,6 +265,11 @@
         Extra sub-requests that a service may get besides its share.
     zone : str
         The availability zone of the servers; the gateway is in ``z0``.
+
+    Attributes
+    ----------
+    watches_zones : bool
+        Whether ways to other zones are found cut; to be set before it runs.
     """
 
     def __init__(
@@ -274,6 +281,7 @@
         zone: str = "z0",
     ) -> None:
         self._zone = zone
+        self.watches_zones = True
         self.clock = Clock()
         self.routes = routes
         self.servers: dict[str, list[StandInServer]] = {}
@@ -291,9 +299,12 @@
         """Run the gateway for the length of the block."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            ways = ZoneWays("z0")
             self.book = ServerBook(
-                clock=self.clock, make_pool=self._make_pool, zone="z0"
+                clock=self.clock, make_pool=self._make_pool, zone="z0", ways=ways
             )
+            if self.watches_zones:
+                nursery.start_soon(self._zone_watch(ways).run)
             for servers in self.servers.values():
                 for server in servers:
                     self.book.put(server.entry)
@@ -312,6 +323,15 @@
             yield self.gateway
             nursery.cancel_scope.cancel()
 
+    def _zone_watch(self, ways: ZoneWays) -> ZoneWatch:
+        return ZoneWatch(
+            ways=ways,
+            servers=self.book,
+            peers=ServerBook(clock=self.clock, make_pool=self._make_pool, zone="z0"),
+            counters=self.observer.counters,
+            clock=self.clock,
+        )
+
     async def ask(
         self, path: str = "/search/a", *, deadline_ms: float = 1000.0
     ) -> CallerReply:
--- /dev/null
+++ b/ibisfront/tests/test_gateway_zones.py
@@ -0,0 +1,255 @@
+"""Tests of what is believed of other zones, and of what follows, in mock time."""
+
+from __future__ import annotations
+
+import math
+import unittest
+
+import msgspec
+import trio
+
+from ibisfront.gateway.configuration import RequestKind
+from ibisfront.gateway.rotation import Rotation
+from ibisfront.gateway.zone_ways import WayStep, ZoneWay
+from ibisfront.testing.gateway_fixture import (
+    GatewayFixture,
+    forward_route,
+    gather_route,
+)
+from ibisfront.tests import trio_test
+
+
+def asked_way(endpoints, *, late_ms=30.0):
+    """Return a way on which some endpoints were asked at time 0."""
+    way = ZoneWay("z1")
+    for number in range(endpoints):
+        way.note_asked(f"e{number}", 0.0, late_ms=late_ms)
+    return way
+
+
+class ZoneWayTest(unittest.TestCase):
+    """When a way is believed to be cut."""
+
+    def test_silence_and_failed_probes_together_make_a_cut(self):
+        way = asked_way(3)
+        self.assertIsNone(way.step(44.0))
+        self.assertEqual(way.step(45.0), WayStep.PROBE)
+        way.note_probed(4, 45.0)
+        self.assertIsNone(way.step(104.0))
+        self.assertFalse(way.is_cut)
+        self.assertEqual(way.step(105.0), WayStep.CUT)
+        self.assertTrue(way.is_cut)
+
+    def test_few_silent_servers_are_no_suspicion(self):
+        way = asked_way(2)
+        self.assertIsNone(way.step(10_000.0))
+
+    def test_any_sign_of_life_ends_the_suspicion(self):
+        way = asked_way(5)
+        self.assertEqual(way.step(50.0), WayStep.PROBE)
+        way.note_probed(3, 50.0)
+        way.note_life()
+        self.assertIsNone(way.step(200.0))
+        self.assertFalse(way.is_cut)
+
+    def test_long_work_is_given_its_time(self):
+        way = asked_way(5, late_ms=400.0)
+        self.assertIsNone(way.step(590.0))
+        self.assertEqual(way.step(600.0), WayStep.PROBE)
+
+    def test_nothing_is_decided_before_a_probe_was_sent(self):
+        way = asked_way(3)
+        way.step(50.0)
+        way.note_probed(0, 50.0)
+        self.assertEqual(way.step(500.0), WayStep.PROBE)
+        self.assertFalse(way.is_cut)
+
+    def test_process_that_did_not_run_gives_more_time(self):
+        """A zone is taken for cut though its replies lie unread here.
+
+        A small instance may be kept from running for most of a tenth of a
+        second; nobody can show life to it meanwhile.
+        """
+        way = asked_way(3)
+        way.postpone(80.0)
+        self.assertIsNone(way.step(120.0))
+        self.assertEqual(way.step(125.0), WayStep.PROBE)
+
+    def test_cut_stays_until_life_is_shown_and_is_probed_meanwhile(self):
+        way = asked_way(3)
+        way.step(50.0)
+        way.note_probed(3, 50.0)
+        way.step(110.0)
+        steps = [way.step(110.0 + number * 25.0) for number in range(80)]
+        self.assertEqual(steps.count(WayStep.PROBE), 14)
+        self.assertTrue(way.is_cut)
+        way.note_life()
+        self.assertFalse(way.is_cut)
+        self.assertEqual(way.step(2_200.0), WayStep.OPENED)
+        self.assertIsNone(way.step(2_225.0))
+
+
+class RotationTest(unittest.TestCase):
+    """When refused callers are told to come back."""
+
+    def test_callers_come_back_when_the_balancer_has_moved(self):
+        rotation = Rotation()
+        rotation.note(is_ready=False, now_ms=1_000.0)
+        rotation.note(is_ready=False, now_ms=1_500.0)
+        self.assertGreaterEqual(rotation.wait_ms(1_000.0), 2_200.0)
+        self.assertLessEqual(rotation.wait_ms(1_000.0), 2_400.0)
+        self.assertGreaterEqual(rotation.wait_ms(3_100.0), 100.0)
+        self.assertLess(rotation.wait_ms(3_201.0), 50.0)
+
+    def test_second_cut_is_counted_from_its_own_start(self):
+        rotation = Rotation()
+        rotation.note(is_ready=False, now_ms=1_000.0)
+        rotation.note(is_ready=True, now_ms=5_000.0)
+        rotation.note(is_ready=False, now_ms=20_000.0)
+        self.assertGreaterEqual(rotation.wait_ms(20_000.0), 2_200.0)
+
+
+class CutZoneFixture(GatewayFixture):
+    """An instance in ``z0`` with a third of its services in ``z1`` only."""
+
+    def __init__(self, *routes, latency_ms=10.0):
+        super().__init__(*routes, latency_ms=latency_ms)
+        for index, servers in enumerate(self.servers.values()):
+            for copy, server in enumerate(servers):
+                is_near = copy == 0 and index % 3 != 0
+                zone = "z0" if is_near else "z1"
+                server.entry = msgspec.structs.replace(server.entry, zone=zone)
+
+    def far_servers(self):
+        return [item for item in self.all_servers() if item.entry.zone == "z1"]
+
+    def cut(self):
+        self._usual = [server.latency_ms for server in self.far_servers()]
+        for server in self.far_servers():
+            server.latency_ms, server.accepts = math.inf, False
+
+    def heal(self):
+        for server, latency_ms in zip(self.far_servers(), self._usual, strict=True):
+            server.latency_ms, server.accepts = latency_ms, True
+
+
+class ZoneCutTest(unittest.TestCase):
+    """Queries of an instance whose zone is cut off."""
+
+    async def _load(self, fixture, nursery, replies):
+        """Ask every 30 ms and note when each answer came, and what it was."""
+
+        async def ask():
+            asked_ms = fixture.clock.now_ms()
+            reply = await fixture.ask(deadline_ms=2000.0)
+            replies.append((asked_ms, fixture.clock.now_ms(), reply))
+
+        while True:
+            nursery.start_soon(ask)
+            await trio.sleep(0.03)
+
+    async def _play(self, fixture):
+        """Cut the zone for two seconds under load; return what was seen."""
+        replies, ready = [], []
+        async with fixture.running() as gateway, trio.open_nursery() as nursery:
+            nursery.start_soon(self._load, fixture, nursery, replies)
+            await trio.sleep(1.0)
+            fixture.cut()
+            cut_ms = fixture.clock.now_ms()
+            for _ in range(80):
+                ready.append(gateway.tell_readiness())
+                await trio.sleep(0.025)
+            fixture.heal()
+            healed_ms = fixture.clock.now_ms()
+            await trio.sleep(0.4)
+            is_back = gateway.tell_readiness()
+            await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        during = [item for item in replies if cut_ms <= item[0] < healed_ms]
+        after = [item for item in replies if item[0] >= healed_ms + 400.0]
+        return ready, during, is_back, after
+
+    @trio_test
+    async def test_instance_knows_its_zone_is_cut_off_and_stays_out(self):
+        """A whole zone's callers are refused, kept waiting and failed by turns.
+
+        The way to the other zones is cut. Each server is found silent by
+        itself; once all are, nothing is under way, and they seem reachable
+        again. The instance goes in and out of rotation until the cut heals.
+        With one belief for the zone it was out of rotation after 175 ms and no
+        query took over 130 ms; without, after 525 ms and 1,985 ms.
+        """
+        ready, during, is_back, after = await self._play(
+            CutZoneFixture(gather_route(21, timeout_ms=2000.0))
+        )
+        self.assertEqual(ready.index(False) <= 10, True)
+        self.assertEqual(set(ready[ready.index(False) :]), {False})
+        longest_ms = max(ended_ms - asked_ms for asked_ms, ended_ms, _ in during)
+        self.assertLess(longest_ms, 300.0)
+        late = [reply for asked_ms, _, reply in during[10:] if reply.status != 503]
+        self.assertEqual(late, [])
+        self.assertTrue(is_back)
+        self.assertEqual({reply.status for _, _, reply in after}, {200})
+
+    @trio_test
+    async def test_refused_callers_are_told_when_to_come_back(self):
+        """Callers of a cut zone come back at once, into the same zone.
+
+        They have one more try. The balancer takes two seconds to send them
+        elsewhere, so that nearly all of them fail.
+        """
+        fixture = CutZoneFixture(gather_route(21, timeout_ms=2000.0))
+        ready, during, _, _ = await self._play(fixture)
+        first_ms = during[0][0] + 25.0 * ready.index(False)
+        refused = [item for item in during if item[0] > first_ms]
+        self.assertGreater(len(refused), 50)
+        for asked_ms, _, reply in refused:
+            wait_ms = 1000.0 * float(dict(reply.headers)[b"Retry-After"])
+            if asked_ms + wait_ms < first_ms + 2_100.0:
+                self.fail(f"sent back after {asked_ms + wait_ms - first_ms:.0f} ms")
+
+    @trio_test
+    async def test_servers_that_only_pause_do_not_cut_a_zone(self):
+        """A sound zone is given up because its servers collect garbage at once.
+
+        None replies for 150 ms; connections to them open as ever.
+        """
+        fixture = CutZoneFixture(gather_route(21, timeout_ms=2000.0))
+        ready = []
+        async with fixture.running() as gateway, trio.open_nursery() as nursery:
+            nursery.start_soon(self._load, fixture, nursery, [])
+            await trio.sleep(1.0)
+            for server in fixture.far_servers():
+                server.latency_ms = 150.0
+            for _ in range(20):
+                ready.append(gateway.tell_readiness())
+                await trio.sleep(0.025)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(set(ready), {True})
+
+    @trio_test
+    async def test_reply_to_non_idempotent_work_is_waited_for(self):
+        """An envelope that was printed is reported as failed.
+
+        The way to the server is cut and heals within the caller's time. The
+        reply is on its way; ending the request at the cut would lose it.
+        """
+        route = forward_route(kind=RequestKind.NON_IDEMPOTENT)
+        fixture = CutZoneFixture(gather_route(21), route)
+        replies = []
+        for server in fixture.servers["archive"]:
+            server.entry = msgspec.structs.replace(server.entry, zone="z1")
+            server.latency_ms = 900.0
+
+        async def fetch():
+            replies.append(await fixture.ask("/fetch/a", deadline_ms=2000.0))
+
+        async with fixture.running(), trio.open_nursery() as nursery:
+            nursery.start_soon(self._load, fixture, nursery, [])
+            await trio.sleep(0.5)
+            nursery.start_soon(fetch)
+            await trio.sleep(0.1)
+            fixture.cut()
+            await trio.sleep(1.0)
+            nursery.cancel_scope.cancel()
+        self.assertEqual([reply.status for reply in replies], [200])
