Follow a neighbour where the store turns an instance away, and do not wait for seeds

Cause: below thirteen instances each watches the store for itself. Three of eight that were turned away for nine seconds kept version 4 while the others had 14, refused delegated work and asked servers that were gone.

Change: an instance whose own watch fails asks four neighbours at once and follows one that hears the store for five seconds, then tries the store again. Only those that watch it themselves are followed. Seeds are all asked at once beside the watch.

Tests red before: newest version within 1 s at instances turned away, return to the own watch, a restart in an outage.

--- a/ibisfront/gateway/relays.py
+++ b/ibisfront/gateway/relays.py
@@ -41,17 +41,21 @@
     sources : sequence of InstanceEntry
         The instances to follow, the first choice first; empty for one that
         watches the store.
+    neighbours : sequence of InstanceEntry
+        All others, where each watches the store: whom to follow for a while if
+        the store does not serve this instance.
     is_source : bool
         Whether others may follow this instance.
     is_known : bool
         Whether the list of instances was read.
     """
 
-    __slots__ = ("_own", "is_known", "is_source", "sources")
+    __slots__ = ("_own", "is_known", "is_source", "neighbours", "sources")
 
     def __init__(self, own: InstanceEntry) -> None:
         self._own = own
         self.sources: Sequence[InstanceEntry] = ()
+        self.neighbours: Sequence[InstanceEntry] = ()
         self.is_source = False
         self.is_known = False
 
@@ -59,8 +63,12 @@
         """Work them out anew from all instances that are listed."""
         self.is_known = True
         self.sources = ()
+        self.neighbours = ()
         self.is_source = False
         if len(instances) <= _MOST_WATCHERS:
+            self.neighbours = [
+                item for item in instances if item.name != self._own.name
+            ]
             return
         zone = [item for item in instances if item.zone == self._own.zone]
         first = sorted(zone, key=strongest_first)[:_SOURCES]
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Callable, Sequence
 from contextlib import ExitStack, closing
 from enum import Enum
@@ -18,6 +19,7 @@
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
+    from ibisfront.gateway.instances import InstanceEntry
     from ibisfront.gateway.relays import Relays
 from ibisfront.gateway.state_relay import RelayedState, StateClient
 
@@ -50,6 +52,14 @@
 _START_PAUSE_MS = 100.0
 """Pause between two such looks."""
 
+_ASKED_NEIGHBOURS = 4
+"""Neighbours that are asked at once whether they hear the store: with a third of
+the instances turned away, one in eighty such looks finds none."""
+
+_FOLLOW_NEIGHBOUR_MS = 5_000.0
+"""How long a neighbour is followed before the store is tried again. Outages of
+single instances last seconds, and each refused call has a price."""
+
 
 class _Source(msgspec.Struct):
     """An instance that was found to hear the store.
@@ -192,30 +202,44 @@
     async def run(self) -> None:
         """Keep up to date until cancelled."""
         await self._listed.wait()
-        if not self._relays.is_known:
-            await self._ask_seeds()
+        async with trio.open_nursery() as nursery:
+            if not self._relays.is_known:
+                nursery.start_soon(self._ask_seeds)
+            await self._keep_up()
+
+    async def _keep_up(self) -> None:
         source = await self._look_at_start()
         while True:
             if source is None:
                 source = await self._watch_until_found()
-            else:
+            elif self._relays.sources:
                 await self._follow(source)
                 source = await self._look()
+            else:
+                with self._clock.timeout_ms(_FOLLOW_NEIGHBOUR_MS):
+                    await self._follow(source)
+                self._mode = _Mode.SEEKING
+                source = None
 
     async def _ask_seeds(self) -> None:
         """Take what other instances know while the store is away at the start.
 
         Without a configuration every caller would be refused until the store
-        is back.
+        is back. The store is looked for meanwhile: seeds that are lost or cut
+        off answer nothing for a second each.
         """
-        for address in self._seeds:
-            source = await self._ask(address, address)
-            if source is not None:
+        async with trio.open_nursery() as nursery:
+            for address in self._seeds:
+                nursery.start_soon(self._ask_seed, address)
+
+    async def _ask_seed(self, address: Address) -> None:
+        source = await self._ask(address, address)
+        if source is None:
+            return
+        with closing(source.client):
+            if not self._knows_state():
                 # Perhaps of another zone: not to be followed.
                 self._take(source.state)
-                source.client.close()
-            if self._knows_state():
-                return
 
     async def _look_at_start(self) -> _Source | None:
         """Look for an instance to follow while all may be starting."""
@@ -233,8 +257,35 @@
             source = await self._ask(entry.name, entry.address)
             if source is not None:
                 return source
+        if self.away:
+            return await self._look_around()
         return None
 
+    async def _look_around(self) -> _Source | None:
+        """Return a neighbour that hears the store; None if none that is asked does.
+
+        The store may turn away some instances and serve the others. Those
+        turned away would go by the servers and the version that they had.
+        """
+        found: list[_Source] = []
+
+        async def ask(entry: InstanceEntry) -> None:
+            source = await self._ask(entry.name, entry.address)
+            if source is None:
+                return
+            if found:
+                source.client.close()
+                return
+            found.append(source)
+            nursery.cancel_scope.cancel()
+
+        neighbours = self._relays.neighbours
+        count = min(len(neighbours), _ASKED_NEIGHBOURS)
+        async with trio.open_nursery() as nursery:
+            for entry in random.sample(neighbours, count):
+                nursery.start_soon(ask, entry)
+        return found[0] if found else None
+
     async def _ask(self, name: str, address: Address) -> _Source | None:
         """Ask an instance; return it if it hears the store."""
         client = self._connect(address)
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -154,9 +154,9 @@
 
 
 class Zone:
-    """Twenty instances of one zone."""
+    """Twenty instances of one zone, or fewer."""
 
-    def __init__(self):
+    def __init__(self, instances=20):
         self.clock = Clock()
         self.version = 1
         self.changed = trio.Event()
@@ -165,7 +165,7 @@
         self.servers = [
             ServerEntry(f"i{number}", "s", "10.0.0.1:80", "z0") for number in range(300)
         ]
-        self.instances = [Instance(self, number) for number in range(20)]
+        self.instances = [Instance(self, number) for number in range(instances)]
 
     def client(self, address):
         return Client(next(i for i in self.instances if i.entry.address == address))
@@ -193,19 +193,100 @@
         return calls
 
 
-def in_zone(test):
+def in_zone(test, *, instances=20):
     """Run a test with a zone and a nursery that ends with it."""
 
     # Without the name the test runner finds another method of this name.
     @functools.wraps(test)
     async def run(self):
         async with trio.open_nursery() as nursery:
-            await test(self, Zone(), nursery)
+            await test(self, Zone(instances), nursery)
             nursery.cancel_scope.cancel()
 
     return trio_test(run)
 
 
+in_small_zone = functools.partial(in_zone, instances=8)
+
+
+class FewInstancesTest(unittest.TestCase):
+    """Instances that each watch the store, when it turns some of them away."""
+
+    async def _heard_after_s(self, zone, instances):
+        started_s = trio.current_time()
+        with trio.move_on_after(20.0):
+            while any(item.version != zone.version for item in instances):
+                await trio.sleep(0.02)
+        return trio.current_time() - started_s
+
+    @in_small_zone
+    async def test_instances_turned_away_hold_the_newest_version(self, zone, nursery):
+        """A third of the callers get old answers, or none, for nine seconds.
+
+        The store turns three of eight instances away. They keep the version and
+        the servers that they had, and send requests to servers that are gone.
+        """
+        zone.start(nursery)
+        await trio.sleep(5.0)
+        for instance in zone.instances[:3]:
+            instance.is_turned_away = True
+        # Until the silence shows: a watch waits up to three seconds.
+        await trio.sleep(6.0)
+        heard_s = []
+        for version in range(2, 12):
+            zone.put(version)
+            heard_s.append(await self._heard_after_s(zone, zone.instances))
+            await trio.sleep(1.7)
+        self.assertLess(max(heard_s), 1.0)
+
+    @in_small_zone
+    async def test_two_blind_instances_do_not_follow_each_other(self, zone, nursery):
+        zone.start(nursery)
+        await trio.sleep(5.0)
+        for instance in zone.instances:
+            instance.is_turned_away = True
+        zone.put(2)
+        await trio.sleep(12.0)
+        self.assertEqual({item.version for item in zone.instances}, {1})
+        self.assertEqual({item.feed.is_fresh for item in zone.instances}, {False})
+        for instance in zone.instances[4:]:
+            instance.is_turned_away = False
+        await trio.sleep(4.0)
+        self.assertEqual({item.version for item in zone.instances}, {2})
+
+    @in_small_zone
+    async def test_watch_is_taken_up_again_when_the_store_serves(self, zone, nursery):
+        zone.start(nursery)
+        await trio.sleep(5.0)
+        zone.instances[0].is_turned_away = True
+        await trio.sleep(8.0)
+        self.assertFalse(zone.instances[0].feed.is_fresh)
+        zone.instances[0].is_turned_away = False
+        await trio.sleep(8.0)
+        self.assertTrue(zone.instances[0].feed.is_fresh)
+
+    @in_small_zone
+    async def test_restart_in_an_outage_does_not_wait_for_lost_seeds(
+        self, zone, nursery
+    ):
+        """All callers are refused for two seconds after the store is back.
+
+        All machines lost power while the store was away. Each asked the seeds
+        of its settings one after the other, which are down or cut off, before
+        it looked at the store again.
+        """
+        zone.instances[1].is_down = True
+        for instance in zone.instances:
+            instance.feed._seeds = ("i1", "i1", "i1")
+            instance.is_turned_away = zone.store_refuses = True
+        zone.start(nursery, is_listed=False, but=zone.instances[1])
+        await trio.sleep(0.1)
+        for instance in zone.instances:
+            instance.is_turned_away = zone.store_refuses = False
+        others = [item for item in zone.instances if not item.is_down]
+        self.assertLess(await self._heard_after_s(zone, others), 1.0)
+
+
 class StateFeedTest(unittest.TestCase):
     """Who watches the store, and what the others do."""
 
