Say at a cut-off instance when to come back also where the query may have run

Cause: queries under way when a zone's cut is found end with 502; without a word their callers come back at once, into the same zone, with their last try. Change: such a failure carries the Retry-After of a refusal there, and closes the connection.

--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -273,10 +273,25 @@
         if not run.was_sent:
             return self._not_run(run)
         if run.found_silence:
-            return CallerReply(BAD_GATEWAY, [], b"", "all_silent", closes=True)
+            return self._failed(BAD_GATEWAY, "all_silent", closes=True)
         if run.is_open:
-            return CallerReply(GATEWAY_TIMEOUT, [], b"", "too_few_parts_in_time")
-        return CallerReply(BAD_GATEWAY, [], b"", "too_few_parts")
+            return self._failed(GATEWAY_TIMEOUT, "too_few_parts_in_time")
+        return self._failed(BAD_GATEWAY, "too_few_parts")
+
+    def _failed(self, status: int, reason: str, *, closes: bool = False) -> CallerReply:
+        """Return a failure of a query that may have run.
+
+        Where this instance is cut off, its caller's next try is of use only
+        once the balancer sends it to another zone.
+        """
+        answering = self._answering
+        table = answering.table
+        if table is None or not self._reach.is_isolated(table):
+            return CallerReply(status, [], b"", reason, closes=closes)
+        now_ms = answering.clock.now_ms()
+        answering.rotation.note(is_ready=False, now_ms=now_ms)
+        later = answering.wire.retry_after(answering.rotation.wait_ms(now_ms))
+        return CallerReply(status, [later], b"", reason, closes=True)
 
 
 def _delegated_gathering(query: DelegatedQuery, whole: Gathering) -> Gathering:
