Count from the logs why requests failed or came late

Lines of late answers were ordinary ones: without decisions, and dropped when there were many, which is when answers are late.

Change: an answer past its objective has a line with its decisions, like a failure; 'ibisfront causes FILE...' counts causes by time and route. Processor time of the additional lines was not measured apart; they are bounded like all others.

--- a/ibisfront/cli/application.py
+++ b/ibisfront/cli/application.py
@@ -10,6 +10,7 @@
 from cleo.io.inputs.argv_input import ArgvInput
 
 import ibisfront
+from ibisfront.cli.causes import Causes
 from ibisfront.cli.counters import ShowCounters
 from ibisfront.cli.exits import ExitCode, exit_code_help
 from ibisfront.cli.explain import Explain
@@ -33,6 +34,7 @@
 __all__ = ["build_application", "main"]
 
 _COMMANDS: tuple[type[ToolCommand], ...] = (
+    Causes,
     CheckSettings,
     Explain,
     PurposeRemove,
--- a/ibisfront/cli/explain.py
+++ b/ibisfront/cli/explain.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-from typing import TYPE_CHECKING, Any, ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
-import msgspec
 from cleo.helpers import argument
 
 from ibisfront.cli.command import JSON_OPTION, ToolCommand
-from ibisfront.cli.exits import CommandError, ExitCode
+from ibisfront.cli.exits import ExitCode
+from ibisfront.cli.log_lines import LogLine, decoded_line, text_lines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -17,32 +16,11 @@
     from cleo.io.inputs.argument import Argument
     from cleo.io.inputs.option import Option
 
-__all__ = ["Explain", "LogLine", "lines_about"]
+__all__ = ["Explain", "lines_about"]
 
 _SHOWN_APART = frozenset(("timestamp", "instance", "level", "message", "decisions"))
 
 
-class LogLine(msgspec.Struct, frozen=True):
-    """A log line about a request.
-
-    Attributes
-    ----------
-    timestamp : str
-        When it was written, by the instance's time of day.
-    instance : str
-        Which instance wrote it.
-    message : str
-        The sentence, with the prefix of its part.
-    fields : dict
-        Everything else that stands in it; the fields differ by line.
-    """
-
-    timestamp: str
-    instance: str
-    message: str
-    fields: dict[str, Any]
-
-
 class Explain(ToolCommand):
     """Print what the logs say of a request."""
 
@@ -57,7 +35,7 @@
     def run_command(self) -> ExitCode:
         """Find and print the lines."""
         request_id = self.argument("request-id")
-        found = lines_about(request_id, _text_lines(self.argument("files")))
+        found = lines_about(request_id, text_lines(self.argument("files")))
         if self.wants_json:
             self.print_json(found)
         elif not found:
@@ -82,34 +60,12 @@
     for text in texts:
         if request_id not in text:
             continue
-        line = _decoded(text)
+        line = decoded_line(text)
         if line is not None and line.fields.get("request_id") == request_id:
             found.append(line)
     return sorted(found, key=lambda line: line.timestamp)
 
 
-def _decoded(text: str) -> LogLine | None:
-    """Return a line that is one; None for other output between them."""
-    try:
-        fields = msgspec.json.decode(text[text.find("{") :], type=dict[str, Any])
-    except msgspec.DecodeError:
-        return None
-    return LogLine(
-        timestamp=str(fields.get("timestamp", "")),
-        instance=str(fields.get("instance", "")),
-        message=str(fields.get("message", "")),
-        fields=fields,
-    )
-
-
-def _text_lines(files: Iterable[str]) -> Iterator[str]:
-    for name in files:
-        try:
-            yield from Path(name).read_text(errors="replace").splitlines()
-        except OSError as error:
-            raise CommandError(f"{name} cannot be read: {error.strerror}") from error
-
-
 def _story(line: LogLine) -> Iterator[str]:
     """Return the lines of text that tell of one log line."""
     yield f"{line.timestamp} {line.instance} {line.message}"
--- a/ibisfront/gateway/observing.py
+++ b/ibisfront/gateway/observing.py
@@ -23,7 +23,8 @@
 """Decisions that stand in one line; a query over many services may have more
 when all of them fail."""
 
-_ORDINARY = frozenset(("whole", "answered", "partial", "delegated_parts"))
+_FOR_ANOTHER = "delegated_parts"
+_ORDINARY = frozenset(("whole", "answered", "partial", _FOR_ANOTHER))
 """Reasons whose lines give way to those of failures."""
 
 
@@ -121,8 +122,8 @@
     ) -> None:
         """Take in a request that was answered.
 
-        A failure's line holds every decision about it; an ordinary one's does
-        not, and may be dropped when there are many.
+        The line of a failure or a late answer holds every decision about it; an
+        ordinary one's does not, and may be dropped when there are many.
         """
         took_ms = now_ms - request.arrived_at_ms
         self.counters.add(CounterKind.ANSWERS, reply.reason)
@@ -141,11 +142,16 @@
         }
         if parts:
             fields["parts"] = parts
-        if reply.reason in _ORDINARY:
+        # Parts that another instance asked for are late at that one, if at all.
+        is_late = took_ms > route.objective_ms and reply.reason != _FOR_ANOTHER
+        if reply.reason in _ORDINARY and not is_late:
             _LOG.info("Answered %d.", reply.status, extra=fields)
             return
         fields.update(trace.as_fields())
-        _LOG.warning("Answered %d: %s.", reply.status, reply.reason, extra=fields)
+        late = " late" if is_late else ""
+        _LOG.warning(
+            "Answered %d%s: %s.", reply.status, late, reply.reason, extra=fields
+        )
 
     def note_left(
         self, request: InboundRequest, route: Route, trace: RequestTrace, now_ms: float
