Tell those that gather nothing at once that their zone is cut off

Its 24 instances must all be out of rotation before the balancer uses another zone; two gather and know after 0.2 s, the others heard with the answer to their next question, up to a second later, while refused callers were told the time of the first.

Change: a change of the belief answers all questions that wait; an answer that says 'not cut off' ends the state at once too. Tests: followers hear of the cut and of its end within 100 ms (red before: the end was never told); the callback at both turns.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -151,6 +151,7 @@
             servers=self.book,
             peers=self.peers,
             counters=self.observer.counters,
+            on_change=lambda: self.source.tell(),
             clock=clock,
         )
         self.relays = Relays(own)
@@ -262,10 +263,10 @@
             self.connections.warm_up(self.book)
         self.source.note_change()
 
-    def _note_cut_off(self) -> None:
-        """Take in that another instance of the zone cannot reach the servers."""
+    def _note_cut_off(self, is_cut_off: bool) -> None:
+        """Take in whether another instance of the zone is cut off."""
         if not self.gatherers.is_gatherer:
-            self.gateway.note_cut_off()
+            self.gateway.note_cut_off(is_cut_off)
 
     def _note_peer_lost(self, name: str) -> None:
         """Take in that another instance does not answer any more."""
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -121,7 +121,7 @@
 
     def away() -> None:
         process.feed.away.add(name)
-        process.source.note_away()
+        process.source.tell()
 
     return FeedTarget(name, replace_and_tell, change_and_tell, away)
 
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -78,9 +78,12 @@
         """Whether this instance itself has found the ways to the servers cut."""
         return self.table is not None and self._reach.is_isolated(self.table)
 
-    def note_cut_off(self) -> None:
-        """Take in that an instance that gathers for this one is cut off."""
-        self._queries.note_out_of_reach()
+    def note_cut_off(self, is_cut_off: bool) -> None:
+        """Take in whether an instance that gathers for this one is cut off."""
+        if is_cut_off:
+            self._queries.note_out_of_reach()
+        else:
+            self._queries.note_within_reach()
 
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -86,6 +86,10 @@
         self._out_of_reach_until_ms = now_ms + _OUT_OF_REACH_MS
         self._answering.rotation.note(is_ready=False, now_ms=now_ms)
 
+    def note_within_reach(self) -> None:
+        """Take in that those that gather can reach the servers."""
+        self._out_of_reach_until_ms = -math.inf
+
     async def answer(
         self, request: InboundRequest, route: Route, gathering: Gathering
     ) -> CallerReply:
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -105,7 +105,8 @@
     take : callable
         Takes in a state that another instance passed on.
     on_cut_off : callable
-        Told when another instance of the zone cannot reach the servers.
+        Told with each answer whether another instance of the zone is cut off
+        from the servers.
     on_lost : callable
         Told the name of an instance that does not answer any more.
     knows_state : callable
@@ -145,7 +146,7 @@
         connect: Callable[[Address], StateClient],
         watch: Callable[[trio.Nursery, FollowOptions], None],
         take: Callable[[RelayedState], None],
-        on_cut_off: Callable[[], None],
+        on_cut_off: Callable[[bool], None],
         on_lost: Callable[[str], None],
         knows_state: Callable[[], bool],
         seeds: Sequence[Address],
@@ -304,8 +305,7 @@
         if state is None:
             self._on_lost(name)
             return
-        if state.is_cut_off:
-            self._on_cut_off()
+        self._on_cut_off(state.is_cut_off)
         if not state.is_fresh:
             _LOG.info("%s does not hear the store.", name)
             self._store_was_away = True
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state_relay.py
@@ -183,14 +183,15 @@
         self._instances_revision = self._revision
         self._first = self._revision
 
-    def note_away(self) -> None:
-        """Note that the store serves this instance no more.
-
-        Those that wait here for a change are told at once, and turn elsewhere.
+    def tell(self) -> None:
+        """Answer those that wait for a change at once.
+
+        To be called when the store serves this instance no more, so that they
+        turn elsewhere, and when it is cut off from other zones or no more: an
+        instance that gathers nothing itself would go on taking callers for the
+        second that its question may wait, and the balancer sends callers to a
+        zone as long as any of its instances is ready.
         """
-        self._wake()
-
-    def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
@@ -219,7 +220,7 @@
         if changed:
             self._known = listed
             self._revision = revision
-            self._wake()
+            self.tell()
 
     def _forget_removed(self) -> None:
         """Keep only the last removed servers; who is further back gets all."""
--- a/ibisfront/gateway/zone_watch.py
+++ b/ibisfront/gateway/zone_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ibisfront.core.counters import CounterKind
@@ -49,11 +50,13 @@
         The backend servers, and the other instances under their zone.
     counters : Counters
         Where changes are counted.
+    on_change : callable
+        Told when a zone is found to be cut off, or within reach again.
     clock : Clock
         The tier's clock.
     """
 
-    __slots__ = ("_clock", "_counters", "_peers", "_servers", "_ways")
+    __slots__ = ("_clock", "_counters", "_on_change", "_peers", "_servers", "_ways")
 
     def __init__(
         self,
@@ -62,12 +65,14 @@
         servers: ServerBook,
         peers: ServerBook,
         counters: Counters,
+        on_change: Callable[[], None],
         clock: Clock,
     ) -> None:
         self._ways = ways
         self._servers = servers
         self._peers = peers
         self._counters = counters
+        self._on_change = on_change
         self._clock = clock
 
     async def run(self) -> None:
@@ -89,8 +94,10 @@
                 way.note_probed(self._probe(way.zone), now_ms)
             case WayStep.CUT:
                 self._let_go(way.zone)
+                self._on_change()
             case WayStep.OPENED:
                 self._take_back(way.zone)
+                self._on_change()
 
     def _probe(self, zone: str) -> int:
         """Connect to some endpoints of a zone; return to how many."""
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -270,6 +270,8 @@
     ----------
     watches_zones : bool
         Whether ways to other zones are found cut; to be set before it runs.
+    zone_changes : int
+        How often one was found cut, or open again.
     """
 
     def __init__(
@@ -282,6 +284,7 @@
     ) -> None:
         self._zone = zone
         self.watches_zones = True
+        self.zone_changes = 0
         self.clock = Clock()
         self.routes = routes
         self.servers: dict[str, list[StandInServer]] = {}
@@ -328,9 +331,13 @@
             servers=self.book,
             peers=ServerBook(clock=self.clock, make_pool=self._make_pool, zone="z0"),
             counters=self.observer.counters,
+            on_change=self._note_zone_change,
             clock=self.clock,
         )
 
+    def _note_zone_change(self) -> None:
+        self.zone_changes += 1
+
     async def ask(
         self, path: str = "/search/a", *, deadline_ms: float = 1000.0
     ) -> CallerReply:
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -39,6 +39,7 @@
         self.is_turned_away = False
         self.is_down = False
         self.cut_off_at_s = -1e9
+        self.is_told_cut_off = False
         self.lists_after_outage = []
         self.feed = StateFeed(
             relays=self.relays,
@@ -68,8 +69,10 @@
         if state.configuration is not None:
             self.version = max(self.version, state.configuration.version)
 
-    def note_cut_off(self):
-        self.cut_off_at_s = trio.current_time()
+    def note_cut_off(self, is_cut_off):
+        self.is_told_cut_off = is_cut_off
+        if is_cut_off:
+            self.cut_off_at_s = trio.current_time()
 
     def watch(self, nursery, options):
         run = functools.partial(follow, clock=self.zone.clock, options=options)
@@ -87,7 +90,7 @@
 
         def away():
             self.feed.away.add(kind)
-            self.source.note_away()
+            self.source.tell()
 
         return FeedTarget(kind, replace, self.change, away)
 
@@ -364,6 +367,25 @@
             heard_s = [item.cut_off_at_s for item in zone.instances[3:]]
             self.assertLess(trio.current_time() - min(heard_s), 1.5)
 
+    @in_zone
+    async def test_cut_is_told_at_once_and_so_is_its_end(self, zone, nursery):
+        """Callers are refused in a cut zone for a second longer than need be.
+
+        The balancer sends callers to a zone as long as any of its instances is
+        ready. Those that gather know of the cut at once; the others hear of it
+        when the answer to their next question is due.
+        """
+        zone.start(nursery)
+        await trio.sleep(8.0)
+        followers = zone.instances[3:]
+        for is_cut_off in (True, False):
+            for instance in zone.instances[:3]:
+                instance.is_turned_away = is_cut_off
+                instance.source.tell()
+            await trio.sleep(0.1)
+            told = {item.is_told_cut_off for item in followers}
+            self.assertEqual(told, {is_cut_off})
+
     @in_zone
     async def test_outage_of_the_store_is_not_met_by_all_at_once(self, zone, nursery):
         """An outage costs more calls than a day without one.
--- a/ibisfront/tests/test_gateway_state_relay.py
+++ b/ibisfront/tests/test_gateway_state_relay.py
@@ -76,7 +76,7 @@
             connect=lambda address: DirectClient(self),
             watch=self.watch,
             take=self.taken.append,
-            on_cut_off=lambda: None,
+            on_cut_off=lambda is_cut_off: None,
             on_lost=lambda name: None,
             knows_state=lambda: bool(self.taken),
             seeds=(),
@@ -131,7 +131,7 @@
         """
         async with self.following():
             self.is_fresh = False
-            self.source.note_away()
+            self.source.tell()
             await trio.sleep(0.1)
             self.assertEqual(self.watches, 1)
             # Entries of servers may have lapsed meanwhile.
--- a/ibisfront/tests/test_gateway_zones.py
+++ b/ibisfront/tests/test_gateway_zones.py
@@ -192,6 +192,12 @@
         self.assertTrue(is_back)
         self.assertEqual({reply.status for _, _, reply in after}, {200})
 
+    @trio_test
+    async def test_those_that_follow_are_told_of_a_cut_and_of_its_end(self):
+        fixture = CutZoneFixture(gather_route(21, timeout_ms=2000.0))
+        await self._play(fixture)
+        self.assertEqual(fixture.zone_changes, 2)
+
     @trio_test
     async def test_refused_callers_are_told_when_to_come_back(self):
         """Callers of a cut zone come back at once, into the same zone.
