Do not let a seed's old state replace what the store has listed

Since seeds are asked beside the store, one that knew a configuration from before an outage could answer after the store had listed the servers and before it had listed the configuration: its older list of servers took the place of the newer one, and as entries rarely change nothing mended it. Once the store has listed one kind, an old state is left aside. Test red before (the state was taken).

--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -125,6 +125,7 @@
     __slots__ = (
         "_clock",
         "_connect",
+        "_kinds",
         "_knows_state",
         "_listed",
         "_mode",
@@ -164,6 +165,7 @@
         self._mode = _Mode.SEEKING
         self._listed = trio.Event()
         self._watch_started_ms = -math.inf
+        self._kinds = 0
         self.away: set[str] = set()
         # Entries lapse while the store is away: servers that are missing from
         # the next list may live.
@@ -196,6 +198,16 @@
         """Whether the list of instances must be read here too."""
         return self._mode is not _Mode.FOLLOWING
 
+    @property
+    def _knows_nothing(self) -> bool:
+        """Whether what another instance knew earlier is better than nothing.
+
+        Once the store has listed one kind, the older list of another instance
+        would take the place of the newer one, and no change would follow.
+        """
+        has_listed = self._mode is _Mode.WATCHING and len(self.away) < self._kinds
+        return not has_listed and not self._knows_state()
+
     def note_listed(self) -> None:
         """Note that the list of instances was read, or could not be."""
         self._listed.set()
@@ -238,7 +250,7 @@
         if source is None:
             return
         with closing(source.client):
-            if not self._knows_state():
+            if self._knows_nothing:
                 # Perhaps of another zone: not to be followed.
                 self._take(source.state)
 
@@ -309,7 +321,7 @@
         if not state.is_fresh:
             _LOG.info("%s does not hear the store.", name)
             self._store_was_away = True
-            if not self._knows_state():
+            if self._knows_nothing:
                 self._take(state)
 
     async def _follow(self, source: _Source) -> None:
@@ -347,6 +359,7 @@
             self._watch_started_ms = looked_ms = self._clock.now_ms()
             _LOG.info("The store is watched from here from now on.")
             self._watch(nursery, self._options())
+            self._kinds = len(self.away)
             # Others follow this instance now, or no more: it watches anew.
             while source is None and self._relays.is_source is is_source:
                 await self._clock.sleep_ms(_CHECK_MS)
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -5,6 +5,7 @@
 import functools
 import unittest
 
+import msgspec
 import trio
 
 from ibisfront.core.clock import Clock
@@ -15,7 +16,7 @@
 from ibisfront.gateway.server import ServerEntry
 from ibisfront.gateway.settings import Bounds
 from ibisfront.gateway.state_feed import StateFeed
-from ibisfront.gateway.state_relay import KnownState, StateSource
+from ibisfront.gateway.state_relay import KnownState, RelayedState, StateSource
 from ibisfront.gateway.store import Changes, Listing, StoreError, StoreErrorKind
 from ibisfront.tests import trio_test
 
@@ -291,6 +292,54 @@
         self.assertLess(await self._heard_after_s(zone, others), 1.0)
 
 
+class SeedTest(unittest.TestCase):
+    """Seeds that are asked beside the store."""
+
+    @trio_test
+    async def test_old_state_of_a_seed_does_not_replace_what_the_store_listed(self):
+        """A new server gets no requests for hours, a removed one gets them.
+
+        At a start the store has listed the servers and not yet the
+        configuration, when a seed answers with what it knew before an outage.
+        Its list would take the place of the newer one, and no change follows.
+        """
+        clock, taken = Clock(), []
+
+        class Seed:
+            async def ask(self, asked, *, timeout_ms):
+                await trio.sleep(0.01)
+                known = Configuration(1, (), {}, CallerLimits())
+                state = RelayedState(1, False, known, is_whole=True)
+                return msgspec.msgpack.encode(state)
+
+            def close(self):
+                pass
+
+        def watch(nursery, options):
+            feed.away.update(KINDS)
+            nursery.start_soon(list_servers)
+
+        async def list_servers():
+            await trio.sleep(0.005)
+            feed.away.discard("servers")
+
+        feed = StateFeed(
+            relays=Relays(InstanceEntry("i0", "z0", "i0")),
+            connect=lambda address: Seed(),
+            watch=watch,
+            take=taken.append,
+            on_cut_off=lambda is_cut_off: None,
+            on_lost=lambda name: None,
+            knows_state=lambda: False,
+            seeds=("i1",),
+            clock=clock,
+        )
+        feed.note_listed()
+        with trio.move_on_after(0.2):
+            await feed.run()
+        self.assertEqual(taken, [])
+
+
 class StateFeedTest(unittest.TestCase):
     """Who watches the store, and what the others do."""
 
