--- /dev/null
+++ b/ibisfront/tests/zone_of_instances.py
@@ -0,0 +1,211 @@
+"""Instances of one zone that follow each other or the store, in mock time."""
+
+from __future__ import annotations
+
+import functools
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.gateway.configuration import CallerLimits, Configuration
+from ibisfront.gateway.feed import FeedTarget, follow
+from ibisfront.gateway.instances import InstanceEntry
+from ibisfront.gateway.relays import Relays
+from ibisfront.gateway.server import ServerEntry
+from ibisfront.gateway.settings import Bounds
+from ibisfront.gateway.state_feed import StateFeed
+from ibisfront.gateway.state_relay import KnownState, StateSource
+from ibisfront.gateway.store import Changes, Listing, StoreError, StoreErrorKind
+from ibisfront.tests import trio_test
+
+KINDS = frozenset(("configuration", "servers"))
+
+CALL_TIMEOUT_S = 1.2
+CONNECT_TIMEOUT_S = 0.7
+WATCH_SLACK_S = 0.6
+"""How long the clients wait for a silent store or machine."""
+
+
+class Instance:
+    """One instance of a zone, with a store that may turn it away."""
+
+    def __init__(self, zone, number):
+        self.zone = zone
+        self.entry = InstanceEntry(f"i{number}", "z0", f"i{number}", 100.0 - number)
+        self.relays = Relays(self.entry)
+        self.version = 0
+        self.calls = 0
+        self.is_turned_away = False
+        self.is_down = False
+        self.cut_off_at_s = -1e9
+        self.is_told_cut_off = False
+        self.lists_after_outage = []
+        self.feed = StateFeed(
+            relays=self.relays,
+            connect=self.zone.client,
+            watch=self.watch,
+            take=self.take,
+            on_cut_off=self.note_cut_off,
+            on_lost=lambda name: None,
+            knows_state=lambda: self.version > 0,
+            seeds=("i1",),
+            clock=zone.clock,
+        )
+        self.source = StateSource(
+            state=self.state,
+            is_fresh=lambda: self.feed.is_fresh,
+            may_become_fresh=lambda: self.feed.may_become_fresh,
+            is_cut_off=lambda: self.is_turned_away,
+            clock=zone.clock,
+        )
+
+    def state(self):
+        configuration = Configuration(self.version, (), {}, CallerLimits())
+        servers = self.zone.servers if self.version else []
+        return KnownState(configuration if self.version else None, servers, [])
+
+    def take(self, state):
+        if state.configuration is not None:
+            self.version = max(self.version, state.configuration.version)
+
+    def note_cut_off(self, is_cut_off):
+        self.is_told_cut_off = is_cut_off
+        if is_cut_off:
+            self.cut_off_at_s = trio.current_time()
+
+    def watch(self, nursery, options):
+        run = functools.partial(follow, clock=self.zone.clock, options=options)
+        for kind in sorted(KINDS):
+            nursery.start_soon(run, Feed(self), self.target(kind))
+
+    def target(self, kind):
+        """Return what takes in a kind, as the front process does."""
+        self.feed.away.add(kind)
+
+        def replace(listing, after_outage):
+            self.feed.away.discard(kind)
+            self.lists_after_outage.append(after_outage)
+            self.change(())
+
+        def away():
+            self.feed.away.add(kind)
+            self.source.tell()
+
+        return FeedTarget(kind, replace, self.change, away)
+
+    def change(self, changes):
+        self.version = self.zone.version
+        self.source.note_change()
+
+
+class Feed:
+    """One kind in a store that may turn the instance away in silence."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.zone = instance.zone
+
+    async def list_all(self):
+        self.instance.calls += 1
+        await trio.sleep(0.01)
+        if self.zone.store_refuses:
+            raise StoreError(StoreErrorKind.REFUSED, "busy")
+        if self.instance.is_turned_away:
+            await trio.sleep(CALL_TIMEOUT_S)
+            raise StoreError(StoreErrorKind.UNREACHABLE, "silent")
+        return Listing([], 1)
+
+    async def watch(self, revision):
+        """Wait as a watch does; a silent store shows when it is overdue."""
+        self.instance.calls += 1
+        wait_s = Bounds(change_ms=5000.0).source_watch_wait_ms / 1000.0
+        changes = []
+        with trio.move_on_after(wait_s):
+            await self.zone.changed.wait()
+            if self.instance.is_turned_away:
+                await trio.sleep_forever()
+            changes = [None]
+        if self.zone.store_refuses:
+            raise StoreError(StoreErrorKind.REFUSED, "busy")
+        if self.instance.is_turned_away:
+            await trio.sleep(WATCH_SLACK_S)
+            raise StoreError(StoreErrorKind.UNREACHABLE, "overdue")
+        return Changes(changes, 1)
+
+    def close(self):
+        pass
+
+
+class Client:
+    """Asks an instance without a network."""
+
+    def __init__(self, instance):
+        self.instance = instance
+
+    async def ask(self, asked, *, timeout_ms):
+        if self.instance.is_down:
+            # A machine without power does not even refuse.
+            await trio.sleep(CONNECT_TIMEOUT_S)
+            raise TimeoutError
+        data = await self.instance.source.answer(asked)
+        self.instance.zone.bytes_passed_on += len(data)
+        return data
+
+    def close(self):
+        pass
+
+
+class Zone:
+    """Twenty instances of one zone, or fewer."""
+
+    def __init__(self, instances=20):
+        self.clock = Clock()
+        self.version = 1
+        self.changed = trio.Event()
+        self.bytes_passed_on = 0
+        self.store_refuses = False
+        self.servers = [
+            ServerEntry(f"i{number}", "s", "10.0.0.1:80", "z0") for number in range(300)
+        ]
+        self.instances = [Instance(self, number) for number in range(instances)]
+
+    def client(self, address):
+        return Client(next(i for i in self.instances if i.entry.address == address))
+
+    def start(self, nursery, *, is_listed=True, but=None):
+        for instance in self.instances:
+            if instance is but:
+                continue
+            if is_listed:
+                instance.relays.update([item.entry for item in self.instances])
+            instance.feed.note_listed()
+            nursery.start_soon(instance.feed.run)
+
+    def put(self, version):
+        """Put a version in force; who watches the store hears of it."""
+        self.version = version
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def take_calls(self):
+        """Return how often the store was called since the last time."""
+        calls = sum(instance.calls for instance in self.instances)
+        for instance in self.instances:
+            instance.calls = 0
+        return calls
+
+
+def in_zone(test, *, instances=20):
+    """Run a test with a zone and a nursery that ends with it."""
+
+    # Without the name the test runner finds another method of this name.
+    @functools.wraps(test)
+    async def run(self):
+        async with trio.open_nursery() as nursery:
+            await test(self, Zone(instances), nursery)
+            nursery.cancel_scope.cancel()
+
+    return trio_test(run)
+
+
+in_small_zone = functools.partial(in_zone, instances=8)
