Tell a slow transfer from silence in logs and counters

Cause: a follower's 'no reply within 1500 ms' did not say whether the source was silent (turned away by the store, busy) or the answer was on its way. The figures of the machines had to tell: 700 to 900 KB a second came in. Change: the error says how many bytes of the reply's body came, an answer of 32 KiB or more has a line, and a counter (peer_bytes, state_sent) tells what a source sends. Ruled out: a line for each answer of a source, 22 at each change. Conclusion: kept; it separates the hypotheses of size from those of store and processor.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -226,6 +226,8 @@
         asked = asked_state(request)
         if asked is not None:
             state = await self.source.answer(asked)
+            counters = self.observer.counters
+            counters.add(CounterKind.PEER_BYTES, "state_sent", len(state))
             return CallerReply(200, [], state, "state")
         query = delegated_from(request)
         if query is None:
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state_relay.py
@@ -51,6 +51,10 @@
 _FRESH_CHECK_MS = 50.0
 """Pause between two looks whether it has."""
 
+_LARGE_BYTES = 32_768
+"""An answer of this size has a line in the log: it takes 37 ms on a link of
+7 Mbit/s, in which a query's answer waits."""
+
 _COALESCE_MS = 15.0
 """Pause between a change and the answer, so that changes that come together
 are sent together."""
@@ -313,6 +317,8 @@
     """
     try:
         data = await client.ask(asked, timeout_ms=_WAIT_MS + _SLACK_MS)
+        if len(data) >= _LARGE_BYTES:
+            _LOG.info("%s passed on %d bytes.", name, len(data))
         return msgspec.msgpack.decode(data, type=RelayedState)
     except (OSError, msgspec.DecodeError) as error:
         _LOG.warning("%s does not pass on the state: %s.", name, error)
--- a/ibisfront/http1/client.py
+++ b/ibisfront/http1/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import trio
@@ -12,8 +11,6 @@
 from ibisfront.http1.parser import MalformedMessageError, ReplyReader
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from ibisfront.core.types import Address
     from ibisfront.http1.parser import RawMessage
 
@@ -61,12 +58,24 @@
             f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         try:
-            with _timeout(timeout_ms):
+            with trio.move_on_after(timeout_ms / 1000.0):
                 return await self._exchange(head.encode() + body)
+            raise self._overdue(timeout_ms)
         except BaseException:
             self.close()
             raise
 
+    def _overdue(self, timeout_ms: float) -> TimeoutError:
+        """Return the error of a reply that is not whole in time.
+
+        A server that is silent or gone and a link that is too slow for a large
+        reply need different cures; what has come tells them apart.
+        """
+        came = self._reader.body_bytes
+        return TimeoutError(
+            f"no whole reply within {timeout_ms:.0f} ms, {came} bytes came"
+        )
+
     def close(self) -> None:
         """Close the connection; the next call opens another."""
         if self._sock is not None:
@@ -106,14 +115,6 @@
             raise ConnectionResetError(f"no reply: {error}") from error
 
 
-@contextmanager
-def _timeout(timeout_ms: float) -> Iterator[None]:
-    with trio.move_on_after(timeout_ms / 1000.0) as scope:
-        yield
-    if scope.cancelled_caught:
-        raise TimeoutError(f"no reply within {timeout_ms:.0f} ms")
-
-
 async def _send_all(sock: socket.socket, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/ibisfront/http1/parser.py
+++ b/ibisfront/http1/parser.py
@@ -106,6 +106,11 @@
             raise MalformedMessageError(413, "the body is too large")
         self._body.append(body)
 
+    @property
+    def body_bytes(self) -> int:
+        """How much of the body of the message under way has come."""
+        return self._body_bytes if self.is_inside else 0
+
     def _take_body(self) -> bytes:
         return self._body[0] if len(self._body) == 1 else b"".join(self._body)
 
--- /dev/null
+++ b/ibisfront/tests/test_http1_client.py
@@ -0,0 +1,76 @@
+"""Tests of calls of one HTTP server, over real sockets in mock time."""
+
+from __future__ import annotations
+
+import functools
+import socket
+import unittest
+
+import trio
+import trio.testing
+
+from ibisfront.http1.client import HttpClient
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n"
+PIECE = b"x" * 1000
+
+
+def with_server(test):
+    """Run a test with a client and the connection that its server accepts.
+
+    The clock stands still but for the jumps that the test makes, so that
+    nothing depends on how busy the machine is.
+    """
+
+    @functools.wraps(test)
+    def run(self):
+        clock = trio.testing.MockClock()
+        trio.run(served, test, self, clock, clock=clock)
+
+    return run
+
+
+async def served(test, case, clock):
+    """Run a test while a server listens that accepts what it is told to."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        client = HttpClient(address, maximum_body_bytes=1_000_000)
+        server = Server(listener, clock)
+        async with trio.open_nursery() as nursery:
+            await test(case, client, server, nursery)
+            nursery.cancel_scope.cancel()
+        client.close()
+
+
+class Server:
+    """Sends one reply in pieces."""
+
+    def __init__(self, listener, clock):
+        self.listener = listener
+        self.clock = clock
+
+    async def send_pieces(self, *pieces, pause_s):
+        await trio.lowlevel.wait_readable(self.listener)
+        connection, _ = self.listener.accept()
+        with connection:
+            for data in pieces:
+                connection.sendall(data)
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                self.clock.jump(pause_s)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+
+
+class SlowReplyTest(unittest.TestCase):
+    """Replies that take long."""
+
+    @with_server
+    async def test_error_says_how_much_of_a_reply_came(self, client, server, nursery):
+        async def send():
+            await server.send_pieces(HEAD, PIECE, PIECE, pause_s=0.4)
+            server.clock.jump(60.0)
+
+        nursery.start_soon(send)
+        with self.assertRaises(TimeoutError) as caught:
+            await client.call("GET", "/", timeout_ms=1_000.0)
+        self.assertIn("2000 bytes came", str(caught.exception))
