--- /dev/null
+++ b/ibisfront/tests/front_zone.py
@@ -0,0 +1,235 @@
+"""Front processes of one zone on links of bounded rate, in mock time."""
+
+from __future__ import annotations
+
+import functools
+import json
+import string
+from random import Random
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.front.process import FrontProcess
+from ibisfront.front.targets import configuration_target, servers_target
+from ibisfront.gateway.feed import follow
+from ibisfront.gateway.settings import Bounds, GatewaySettings
+from ibisfront.gateway.store import (
+    Changes,
+    Listing,
+    ObjectChange,
+    StoredObject,
+    StoreError,
+    StoreErrorKind,
+)
+from ibisfront.testing.network_link import NetworkLink, transfer
+
+STRONG_LINK = 70e6 / 8
+WEAK_LINK = 7e6 / 8
+"""Links of 70 and 7 Mbit/s, in bytes a second."""
+
+STRONG_INSTANCES = 2
+SERVERS = 675
+CALL_TIMEOUT_S = 1.2
+WATCH_SLACK_S = 0.6
+"""How long the store's client waits for a whole answer."""
+
+BOUNDS = Bounds(contact_ms=5000.0, change_ms=5000.0)
+
+
+def configuration_spec(version, routes):
+    """Return a configuration as operators write it, with this many routes."""
+    services = [f"s{number:02}" for number in range(90)]
+    common = {"kind": "idempotent", "timeoutMs": 2000, "sloMs": 250, "attempts": 2}
+    gathered = {"gather": services, "topK": 20, "minCoverage": 0.95}
+    entries = [
+        {"name": f"g{number}", "pathPrefix": f"/g{number}/", **common, **gathered}
+        for number in range(2)
+    ]
+    random = Random(1)
+    entries += [
+        {
+            "name": f"r-{_random_name(random)}",
+            "pathPrefix": f"/{_random_name(random)}/",
+            **common,
+            "service": "archive",
+        }
+        for _ in range(routes)
+    ]
+    document = {
+        "version": version,
+        "routes": [{"host": "search.example", **entry} for entry in entries],
+        "services": [{"name": name, "maxConns": 56} for name in services],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def _random_name(random):
+    return "".join(random.choices(string.ascii_lowercase + string.digits, k=8))
+
+
+class Front:
+    """One front process, its link and its clients."""
+
+    def __init__(self, zone, number, nursery):
+        self.zone = zone
+        self.is_strong = number < STRONG_INSTANCES
+        self.link = NetworkLink(STRONG_LINK if self.is_strong else WEAK_LINK)
+        self.received_bytes = 0
+        settings = GatewaySettings(
+            instance=f"i{number}",
+            zone="z0",
+            callers_address="",
+            ready_address="",
+            store_address="",
+            peers_address=f"i{number}",
+            bounds=BOUNDS,
+            capacity=2.0 if self.is_strong else 0.5,
+        )
+        self.process = FrontProcess(settings, clock=zone.clock, nursery=nursery)
+        self.process.feed._connect = functools.partial(Client, self)
+        self.process.feed._watch = self.watch
+
+    @property
+    def version(self):
+        table = self.process.gateway.table
+        return 0 if table is None else table.configuration.version
+
+    def watch(self, nursery, options):
+        for kind, target in (
+            ("config", configuration_target(self.process)),
+            ("servers", servers_target(self.process)),
+        ):
+            run = functools.partial(follow, clock=self.zone.clock, options=options)
+            nursery.start_soon(run, Feed(self, kind), target)
+
+
+class Client:
+    """Asks another instance; the time allowed is for the whole answer."""
+
+    def __init__(self, asker, address):
+        self.asker = asker
+        self.asked = asker.zone.front(address)
+
+    async def ask(self, asked, *, timeout_ms):
+        with trio.move_on_after(timeout_ms / 1000.0):
+            data = await self.asked.process.source.answer(asked)
+            self.asker.received_bytes += len(data)
+            await transfer(len(data), self.asked.link, self.asker.link)
+            return data
+        raise TimeoutError("not whole in time")
+
+    def close(self):
+        pass
+
+
+class Feed:
+    """One kind in the store; the time allowed is for the whole answer."""
+
+    def __init__(self, front, kind):
+        self.front = front
+        self.zone = front.zone
+        self.kind = kind
+
+    async def list_all(self):
+        objects, revision = self.zone.objects(self.kind)
+        await self._receive(objects, CALL_TIMEOUT_S)
+        return Listing(objects, revision)
+
+    async def watch(self, revision):
+        wait_s = BOUNDS.source_watch_wait_ms / 1000.0
+        until_s = trio.current_time() + wait_s
+        while self.zone.revisions[self.kind] <= revision:
+            with trio.move_on_at(until_s) as scope:
+                await self.zone.changed.wait()
+            if scope.cancelled_caught:
+                return Changes([], revision)
+        objects, revision = self.zone.objects(self.kind)
+        await self._receive(objects, WATCH_SLACK_S)
+        return Changes([ObjectChange(item, False) for item in objects], revision)
+
+    async def _receive(self, objects, timeout_s):
+        size = sum(len(item.spec) for item in objects)
+        with trio.move_on_after(timeout_s):
+            await transfer(size, self.front.link)
+            return
+        raise StoreError(StoreErrorKind.UNREACHABLE, "not whole in time")
+
+    def close(self):
+        pass
+
+
+class FrontZone:
+    """Twenty front processes, two of them on strong machines, and the store."""
+
+    def __init__(self, nursery, instances=20):
+        self.clock = Clock()
+        self.changed = trio.Event()
+        self.revisions = {"config": 1, "servers": 1}
+        self.version = 1
+        self.routes = 10
+        self.spec = configuration_spec(1, self.routes)
+        self.fronts = [Front(self, number, nursery) for number in range(instances)]
+        self._servers = [_server(number) for number in range(SERVERS)]
+
+    def front(self, address):
+        return self.fronts[int(address.removeprefix("i"))]
+
+    def objects(self, kind):
+        """Return the objects of a kind, and the revision."""
+        revision = self.revisions[kind]
+        if kind == "servers":
+            return self._servers, revision
+        return [StoredObject("main", revision, self.spec)], revision
+
+    def start(self, nursery):
+        listed = [item.process.own for item in self.fronts]
+        for front in self.fronts:
+            front.process.take_instances(listed)
+            front.process.feed.note_listed()
+            nursery.start_soon(front.process.feed.run)
+
+    def add_routes(self, count):
+        """Put a version with more routes in force."""
+        self.version += 1
+        self.routes += count
+        self.spec = configuration_spec(self.version, self.routes)
+        self.revisions["config"] += 1
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def in_force_after_s(self, *, at_most_s):
+        """Wait until all hold the newest version; return how long that took."""
+        started_s = trio.current_time()
+        while any(item.version != self.version for item in self.fronts):
+            await trio.sleep(0.01)
+            if trio.current_time() - started_s > at_most_s:
+                break
+        return trio.current_time() - started_s
+
+    def take_received_bytes(self):
+        """Return what each instance was sent by others since the last time."""
+        sizes = [front.received_bytes for front in self.fronts]
+        for front in self.fronts:
+            front.received_bytes = 0
+        return sizes
+
+
+def _server(number):
+    spec = {
+        "service": "elsewhere",
+        "addr": f"10.0.{number // 250}.{number % 250}:8000",
+        "zone": "z0",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "seq": 1,
+    }
+    return StoredObject(f"i-{number:010}", 1, json.dumps(spec).encode())
--- a/ibisfront/tests/test_http1_client.py
+++ b/ibisfront/tests/test_http1_client.py
@@ -74,3 +74,22 @@
         with self.assertRaises(TimeoutError) as caught:
             await client.call("GET", "/", timeout_ms=1_000.0)
         self.assertIn("2000 bytes came", str(caught.exception))
+
+    @with_server
+    async def test_reply_that_keeps_coming_is_read_to_its_end(
+        self, client, server, nursery
+    ):
+        """An instance never gets a new configuration, although all links are well.
+
+        The time allowed was for the whole reply. A megabyte takes longer than
+        that on a link of 7 Mbit/s ("no whole reply within 1200 ms, 983040 bytes
+        came"); it was thrown away each time, and asked for from its beginning.
+        """
+        nursery.start_soon(send_slowly, server)
+        reply = await client.call("GET", "/", timeout_ms=1_000.0)
+        self.assertEqual(len(reply.body), 4000)
+
+
+async def send_slowly(server):
+    """Send a reply in 1.6 s, with something each 0.4 s."""
+    await server.send_pieces(HEAD, PIECE, PIECE, PIECE, PIECE, pause_s=0.4)
