Let a run pass in which only known red tests fail

Change: the event counts as handled once the plugin has judged. Test first: test_known_red_tests_alone_do_not_fail_the_run failed before, passes now; that another failure still fails the run passed before and after.

--- a/ibisfront/testing/nose2_summary.py
+++ b/ibisfront/testing/nose2_summary.py
@@ -95,3 +95,5 @@
         """Pass a run in which only known red tests failed."""
         if self.failed and self.failed == len(self.known_red_seen):
             event.success = True
+            # The runner's own reporter would judge after this, and fail the run.
+            event.handled = True
