Decode only the routes that have changed

Cause: an instance that watches the store decoded the whole configuration at each change, 18 ms of a core for 4,200 routes, in which queries wait; both versions were held in full until the next collection. Change: routes that are written as in the version before are taken from there (platform/documents.ConfigurationReader). Ruled out: asking the store for less; it hands out whole objects only.

--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -11,7 +11,7 @@
 from ibisfront.gateway.feed import FeedTarget
 from ibisfront.platform.documents import (
     CONFIGURATION_NAME,
-    configuration_from,
+    ConfigurationReader,
     server_entry_from,
 )
 
@@ -34,10 +34,11 @@
 
 def configuration_target(process: FrontProcess) -> FeedTarget:
     """Return what takes in the configuration."""
+    reader = ConfigurationReader()
 
     def take(item: StoredObject) -> None:
         if item.name == CONFIGURATION_NAME:
-            _put_configuration(process, item.spec)
+            _put_configuration(process, reader, item.spec)
 
     def replace(listing: Listing, after_outage: bool) -> None:
         for item in listing.objects:
@@ -126,10 +127,12 @@
     return FeedTarget(name, replace_and_tell, change_and_tell, away)
 
 
-def _put_configuration(process: FrontProcess, spec: bytes) -> None:
+def _put_configuration(
+    process: FrontProcess, reader: ConfigurationReader, spec: bytes
+) -> None:
     counters = process.observer.counters
     try:
-        configuration = configuration_from(spec)
+        configuration = reader.read(spec)
     except (msgspec.DecodeError, ValueError) as error:
         counters.add(CounterKind.TABLE_CHANGES, "unreadable")
         _TABLE_LOG.error("The configuration cannot be read: %s.", error)
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -18,7 +18,7 @@
 )
 from ibisfront.gateway.server import ServerEntry
 
-__all__ = ["CONFIGURATION_NAME", "configuration_from", "server_entry_from"]
+__all__ = ["CONFIGURATION_NAME", "ConfigurationReader", "server_entry_from"]
 
 CONFIGURATION_NAME = "main"
 """The name of the object that holds the configuration in force."""
@@ -71,7 +71,8 @@
     """The whole configuration as it is written."""
 
     version: int
-    routes: tuple[_Route, ...]
+    # Each as it stands there: most are those of the version before.
+    routes: list[msgspec.Raw]
     services: tuple[_Service, ...]
     limits: _Limits
 
@@ -113,31 +114,52 @@
     born: _Count = 0
 
 
-def configuration_from(spec: bytes) -> Configuration:
-    """Decode a configuration.
+class ConfigurationReader:
+    """Decodes one version of the configuration after the other.
 
-    Raises
-    ------
-    msgspec.DecodeError
-        If it is none.
+    Routes that are written as in the version before are taken from there. With one
+    route more of 4,200 that takes 5 ms in place of 18, in which queries wait
+    (medians of 15 on one core), and both versions share the routes.
     """
-    raw = msgspec.json.decode(spec, type=_Configuration)
-    return Configuration(
-        version=raw.version,
-        routes=tuple(_route(item) for item in raw.routes),
-        services={
-            item.name: RoutedService(item.name, item.max_conns) for item in raw.services
-        },
-        limits=CallerLimits(
-            maximum_header_bytes=raw.limits.max_header_bytes,
-            maximum_body_bytes=raw.limits.max_body_bytes,
-            header_timeout_ms=raw.limits.header_timeout_ms,
-            idle_timeout_ms=raw.limits.idle_timeout_ms,
-        ),
-    )
+
+    __slots__ = ("_routes",)
+
+    def __init__(self) -> None:
+        self._routes: dict[bytes, Route] = {}
+
+    def read(self, spec: bytes) -> Configuration:
+        """Decode a configuration.
+
+        Raises
+        ------
+        msgspec.DecodeError, ValueError
+            If it is none.
+        """
+        raw = msgspec.json.decode(spec, type=_Configuration)
+        known = self._routes
+        routes: dict[bytes, Route] = {}
+        for item in raw.routes:
+            data = bytes(item)
+            routes[data] = known.get(data) or _route(data)
+        self._routes = routes
+        return Configuration(
+            version=raw.version,
+            routes=tuple(routes.values()),
+            services={
+                item.name: RoutedService(item.name, item.max_conns)
+                for item in raw.services
+            },
+            limits=CallerLimits(
+                maximum_header_bytes=raw.limits.max_header_bytes,
+                maximum_body_bytes=raw.limits.max_body_bytes,
+                header_timeout_ms=raw.limits.header_timeout_ms,
+                idle_timeout_ms=raw.limits.idle_timeout_ms,
+            ),
+        )
 
 
-def _route(raw: _Route) -> Route:
+def _route(data: bytes) -> Route:
+    raw = msgspec.json.decode(data, type=_Route)
     gathering = None
     services: tuple[WeightedService, ...] = ()
     if raw.gather:
--- a/ibisfront/tests/test_platform_documents.py
+++ b/ibisfront/tests/test_platform_documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ibisfront.platform.documents import server_entry_from
+from ibisfront.platform.documents import ConfigurationReader, server_entry_from
 
 VALID = {
     "service": "s",
@@ -71,3 +71,45 @@
 
     def test_field_that_is_not_known_is_left_aside(self):
         self.assertEqual(entry_of(more={"a": 1}).service, "s")
+
+
+def route_of(name, **changes):
+    """Return a route as operators write it."""
+    common = {"host": "h", "pathPrefix": f"/{name}/", "kind": "idempotent"}
+    times = {"timeoutMs": 1000, "sloMs": 100, "service": "s"}
+    return {"name": name, **common, **times, **changes}
+
+
+def configuration_of(version, *routes):
+    """Return the content of a version with these routes."""
+    limits = ("maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs")
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "s", "maxConns": 10}],
+        "limits": dict.fromkeys(limits, 1),
+    }
+    return json.dumps(document).encode()
+
+
+class ConfigurationReaderTest(unittest.TestCase):
+    """One version is read after the other."""
+
+    def test_routes_that_did_not_change_are_shared(self):
+        reader = ConfigurationReader()
+        before = reader.read(configuration_of(1, route_of("a"), route_of("b")))
+        changed = route_of("b", timeoutMs=2000)
+        spec = configuration_of(2, route_of("c"), changed, route_of("a"))
+        after = reader.read(spec)
+        self.assertEqual(after, ConfigurationReader().read(spec))
+        self.assertIs(after.routes[2], before.routes[0])
+        self.assertEqual(after.routes[1].timeout_ms, 2000.0)
+
+    def test_one_that_cannot_be_read_leaves_the_next(self):
+        reader = ConfigurationReader()
+        reader.read(configuration_of(1, route_of("a")))
+        for odd in (b"", b"{}", configuration_of(2, route_of("a", kind="odd"))):
+            with self.subTest(odd[:20]), self.assertRaises(ValueError):
+                reader.read(odd)
+        after = reader.read(configuration_of(3, route_of("a")))
+        self.assertEqual((after.version, len(after.routes)), (3, 1))
