Failing test: a large object on a slow link is asked for each second

In the spread of tables between entry instances an unanswered question is asked again after one second, although its reply may be on its way; each copy queues behind the other. Measured: eight copies of 256 KiB for a reply that takes eight seconds (2.1 MB). Looked at too: the platform's watch of the same interface gives a call its wait and 3 s in all, 23 s, which 4.3 MiB of objects do not use up on 7 Mbit/s; no change there.

--- a/ibisfront/tests/test_spread.py
+++ b/ibisfront/tests/test_spread.py
@@ -167,3 +167,27 @@
             self.assertEqual(third.value("a"), b"{}")
 
         await self._run(scenario)
+
+    @trio_test
+    async def test_slow_reply_is_not_asked_for_each_second(self) -> None:
+        """An instance on a slow link never gets a new table.
+
+        Its heartbeats bring the newest version twice a second. It asked again a
+        second after each question, although the reply was on its way; eight
+        whole copies queued on a link that needs eight seconds for one.
+        """
+
+        async def scenario(clock, network, first, second, third) -> None:
+            value = b"x" * REPLY_BYTES
+            network.cut("i2", "i3")
+            network.delay_ms = 4_000.0
+            second.spread.take_list([], revision=1)
+            first.spread.take_list([_item("a", 2, value)], revision=2)
+            for _ in range(20):
+                third.spread.heard_newest("i1", first.store.newest)
+                await clock.sleep_ms(500.0)
+            self.assertEqual(third.value("a"), value)
+            # Waits that double: asked at 0, 1, 3 and 7 s, and by i2 once.
+            self.assertLess(network.bytes_sent, 6 * len(value))
+
+        await self._run(scenario)
