Ask again for a large object after waits that double

Change: the wait after an unanswered question doubles, from 1 s to 8 s, and starts over with any reply (core/spread). Ruled out: no second question at all; a lost reply would be missing until the next change. Measured in mock time: four copies of 256 KiB in place of eight where one takes eight seconds. The test failed before and passes now; 21 tests of spread, shared state and the watch passed, and a lost reply is still asked for after one second.

--- a/ibisfront/core/spread.py
+++ b/ibisfront/core/spread.py
@@ -37,7 +37,16 @@
 REPLY_BYTES = 262_144
 """Up to which size objects are put into one reply; the rest is asked for."""
 
-_ASK_AGAIN_MS = 1000.0
+_ASK_AGAIN_MS = 1_000.0
+"""After how long a question without a reply is asked again; each time it takes
+twice as long. A large reply on a slow link would be asked for, and queue on that
+link, once a second: eight copies of 256 KiB where one takes eight seconds, four
+with this (counted in mock time)."""
+
+_LONGEST_ASK_AGAIN_MS = 8_000.0
+"""The longest such wait: a table of the largest size, 1 MB, takes 1.2 s on a link
+of 7 Mbit/s, and several times that on a shared one."""
+
 _LOG = part_logger(LogPart.TABLE)
 
 
@@ -95,7 +104,14 @@
         Where changes are counted by where they came from.
     """
 
-    __slots__ = ("_clock", "_counters", "_peers", "_store", "_wait_until_ms")
+    __slots__ = (
+        "_ask_again_ms",
+        "_clock",
+        "_counters",
+        "_peers",
+        "_store",
+        "_wait_until_ms",
+    )
 
     def __init__(
         self, store: ObjectStore, *, peers: Peers, clock: Clock, counters: Counters
@@ -104,6 +120,7 @@
         self._peers = peers
         self._clock = clock
         self._counters = counters
+        self._ask_again_ms = _ASK_AGAIN_MS
         self._wait_until_ms = float("-inf")
         peers.handle(ObjectsChanged, self._changed)
         peers.handle(ObjectsWanted, self._wanted)
@@ -143,7 +160,8 @@
         # One question at a time: a large value asked of every neighbour that
         # announces it would arrive as often as there are neighbours. A lost
         # reply holds the next question up for one wait only.
-        self._wait_until_ms = now_ms + _ASK_AGAIN_MS
+        self._wait_until_ms = now_ms + self._ask_again_ms
+        self._ask_again_ms = min(2.0 * self._ask_again_ms, _LONGEST_ASK_AGAIN_MS)
         self._peers.send(sender, ObjectsWanted(self._store.revision))
 
     def _newest_known(self, sender: str, message: NewestKnown) -> None:
@@ -153,6 +171,7 @@
         store = self._store
         before = store.revision
         self._wait_until_ms = float("-inf")
+        self._ask_again_ms = _ASK_AGAIN_MS
         if message.present is not None:
             store.delete_absent(
                 frozenset(message.present),
