Hold and look at what there are few of, in place of each route

Change: a table names one route of each target, and whether the instance is cut off is told from those; latencies stand by route for the 64 pairs of route and reason that come first, the others share a label; what is kept of a route goes with it, in the reach, the turns, the delegation and the measurements too. Ruled out: telling less often whether the instance is cut off; its callers would wait.

--- a/ibisfront/core/latencies.py
+++ b/ibisfront/core/latencies.py
@@ -2,14 +2,27 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from ibisfront.core.latency import LatencyHistogram
 from ibisfront.core.metrics_text import LatencySample, MetricLabel
 
+if TYPE_CHECKING:
+    from collections.abc import Container
+
 __all__ = ["Latencies", "LatencyValue", "RouteLatencies"]
 
 
+_MOST_RECORDED = 64
+"""Histograms beyond which routes share them. One takes 21.7 KB: 4,200 routes with
+one each, 91 MB, and as many to be summed up each time that metrics are read."""
+
+_OTHER_ROUTES = "(other)"
+"""The label of the routes that share histograms; no route is named so."""
+
+
 class LatencyValue(msgspec.Struct, frozen=True):
     """The latencies of one branch and purpose since the process started."""
 
@@ -87,8 +100,8 @@
 class RouteLatencies:
     """Records durations by route and by what the caller was told.
 
-    Routes are those of the configuration and reasons a closed list, so that
-    the labels are bounded.
+    Reasons are a closed list, and routes may be thousands: those that are asked
+    first stand by themselves, as long as they are there, and the others together.
     """
 
     __slots__ = ("_recorded",)
@@ -98,7 +111,19 @@
 
     def record_ms(self, route: str, reason: str, duration_ms: float) -> None:
         """Record the duration of one request."""
-        self._recorded.setdefault((route, reason), _Recorded()).record_ms(duration_ms)
+        key = (route, reason)
+        if key not in self._recorded and len(self._recorded) >= _MOST_RECORDED:
+            key = (_OTHER_ROUTES, reason)
+        recorded = self._recorded.get(key)
+        if recorded is None:
+            recorded = self._recorded[key] = _Recorded()
+        recorded.record_ms(duration_ms)
+
+    def keep(self, routes: Container[str]) -> None:
+        """Forget all routes but these."""
+        for route, reason in list(self._recorded):
+            if route not in routes and route != _OTHER_ROUTES:
+                del self._recorded[route, reason]
 
     def samples(self) -> list[LatencySample]:
         """Return the latencies as metrics, in order."""
--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -91,6 +91,12 @@
         """The version of the configuration in force, if one is known."""
         return None if self.table is None else self.table.configuration.version
 
+    def use(self, table: RouteTable) -> None:
+        """Go by another version from now on; forget routes that it lacks."""
+        self.table = table
+        self.states.keep(table.route_names)
+        self._observer.latencies.keep(table.route_names)
+
     def context(self, request: InboundRequest, route: Route) -> CallContext:
         """Return what all sub-requests of a request share."""
         encode_for = self.wire.encode_request(request)
--- a/ibisfront/gateway/configuration.py
+++ b/ibisfront/gateway/configuration.py
@@ -186,24 +186,42 @@
         The services that are asked by gathered queries.
     service_names : frozenset of str
         Every service that a request may reach.
+    route_names : frozenset of str
+        Every route.
+    distinct_routes : tuple of Route
+        One route of each target; whether it can be served holds for all routes
+        with that target, of which there may be thousands.
     """
 
-    __slots__ = ("_by_host", "configuration", "gathered_services", "service_names")
+    __slots__ = (
+        "_by_host",
+        "configuration",
+        "distinct_routes",
+        "gathered_services",
+        "route_names",
+        "service_names",
+    )
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self._by_host: dict[str, dict[str, Route]] = {}
-        gathered: set[str] = set()
-        forwarded: set[str] = set()
+        by_target: dict[str | tuple[str, ...] | Gathering, Route] = {}
         # One pass of plain loops: built at each change, while queries wait.
         for route in configuration.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
-            if route.gathering is not None:
-                gathered.update(route.gathering.services)
-            for item in route.services:
-                forwarded.add(item.service)
-        self.gathered_services = frozenset(gathered)
-        self.service_names = frozenset(gathered | forwarded)
+            by_target.setdefault(_target(route), route)
+        distinct = tuple(by_target.values())
+        self.distinct_routes = distinct
+        self.route_names = frozenset([route.name for route in configuration.routes])
+        self.service_names = frozenset(
+            name for route in distinct for name in route.service_names
+        )
+        self.gathered_services = frozenset(
+            name
+            for route in distinct
+            if route.gathering is not None
+            for name in route.gathering.services
+        )
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, if any.
@@ -221,3 +239,12 @@
                 return route
             end = path.rfind("/", 0, end - 1) + 1
         return None
+
+
+def _target(route: Route) -> str | tuple[str, ...] | Gathering:
+    """Return what tells apart routes that can be served and others that cannot."""
+    if route.gathering is not None:
+        return route.gathering
+    if len(route.services) == 1:
+        return route.services[0].service
+    return route.service_names
--- a/ibisfront/gateway/delegation.py
+++ b/ibisfront/gateway/delegation.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.gateway.configuration import Gathering
 from ibisfront.gateway.remote_call import RemotePlan
+from ibisfront.gateway.route_state import keep_routes
 from ibisfront.gateway.service_call import choose_server
 from ibisfront.gateway.usual_latency import UsualLatency
 
@@ -141,6 +142,11 @@
             and now_ms >= peer.not_before_ms
         ]
 
+    def keep(self, names: Container[str]) -> None:
+        """Forget all routes but these."""
+        keep_routes(self._latencies, names)
+        keep_routes(self._found, names)
+
     def _usual(self, route: Route) -> UsualLatency:
         usual = self._latencies.get(route.name)
         if usual is None:
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -40,12 +40,13 @@
         Asks other instances for the parts that stand near them.
     """
 
-    __slots__ = ("_answering", "_queries", "_reach", "_turns")
+    __slots__ = ("_answering", "_delegation", "_queries", "_reach", "_turns")
 
     def __init__(
         self, answering: Answering, *, delegation: Delegation | None = None
     ) -> None:
         self._answering = answering
+        self._delegation = delegation
         self._reach = Reach(book=answering.book, clock=answering.clock)
         self._queries = Queries(self._answering, delegation, self._reach)
         self._turns = WeightedTurns()
@@ -57,7 +58,11 @@
 
     @table.setter
     def table(self, table: RouteTable) -> None:
-        self._answering.table = table
+        self._answering.use(table)
+        self._reach.keep(table.route_names)
+        self._turns.keep(table.route_names)
+        if self._delegation is not None:
+            self._delegation.keep(table.route_names)
 
     @property
     def is_ready(self) -> bool:
--- a/ibisfront/gateway/reach.py
+++ b/ibisfront/gateway/reach.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
+from ibisfront.gateway.route_state import keep_routes
+
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.configuration import Route, RouteTable
     from ibisfront.gateway.server_book import ServerBook
@@ -65,13 +69,20 @@
             self._found[route.name] = found
         return found.can_serve
 
+    def keep(self, names: Container[str]) -> None:
+        """Forget what was found of all routes but these."""
+        keep_routes(self._found, names)
+
     def is_isolated(self, table: RouteTable) -> bool:
         """Return whether this instance is cut off and cannot serve for it.
 
         A service that is down everywhere must not look like this: every
         instance would report itself not ready at once.
+
+        One route of each target is looked at, 0.2 ms of a core for 4,200 routes
+        in place of 12: this is told with each answer to a follower.
         """
-        if all(self.can_serve(route) for route in table.configuration.routes):
+        if all(self.can_serve(route) for route in table.distinct_routes):
             return False
         if self._are_all_ways_cut():
             return True
--- a/ibisfront/gateway/route_state.py
+++ b/ibisfront/gateway/route_state.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from ibisfront.gateway.usual_latency import UsualLatency
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from ibisfront.gateway.configuration import Route
     from ibisfront.gateway.messages import InboundRequest
 
-__all__ = ["RouteState", "RouteStates", "caller_until_ms", "give_up_at_ms"]
+__all__ = [
+    "RouteState",
+    "RouteStates",
+    "caller_until_ms",
+    "give_up_at_ms",
+    "keep_routes",
+]
+
+_T = TypeVar("_T")
 
 _DEFAULT_DEADLINE_MS = 10_000.0
 """How long a caller waits that does not say; the route's timeout is less."""
@@ -26,6 +36,16 @@
 """How long before its caller's time is up a request gets its final answer."""
 
 
+def keep_routes(by_name: dict[str, _T], names: Container[str]) -> None:
+    """Forget what is kept of all routes but these.
+
+    Routes come and go with each version; what is kept of those that are gone
+    would add up for as long as the process lives.
+    """
+    for name in [name for name in by_name if name not in names]:
+        del by_name[name]
+
+
 class RouteState:
     """What was measured of one route.
 
@@ -80,6 +100,10 @@
             state = self._by_name[route.name] = RouteState(route)
         return state
 
+    def keep(self, names: Container[str]) -> None:
+        """Forget all routes but these."""
+        keep_routes(self._by_name, names)
+
 
 def caller_until_ms(request: InboundRequest, route: Route) -> float:
     """Return until when the caller waits, or may be kept waiting."""
--- a/ibisfront/gateway/weights.py
+++ b/ibisfront/gateway/weights.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from ibisfront.gateway.route_state import keep_routes
+
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from ibisfront.gateway.configuration import Route
 
 __all__ = ["WeightedTurns"]
@@ -38,3 +42,7 @@
         chosen = max(route.services, key=lambda item: credits[item.service]).service
         credits[chosen] -= total
         return chosen
+
+    def keep(self, names: Container[str]) -> None:
+        """Forget all routes but these."""
+        keep_routes(self._credits, names)
--- a/ibisfront/tests/test_gateway_many_routes.py
+++ b/ibisfront/tests/test_gateway_many_routes.py
@@ -5,13 +5,17 @@
 import tracemalloc
 import unittest
 
+import msgspec
+
 from ibisfront.core.clock import Clock
 from ibisfront.core.latencies import RouteLatencies
 from ibisfront.core.metrics_text import metrics_text
-from ibisfront.gateway.configuration import RouteTable
+from ibisfront.gateway.configuration import RouteTable, WeightedService
 from ibisfront.gateway.reach import Reach
+from ibisfront.gateway.route_state import RouteStates
 from ibisfront.gateway.server import ServerEntry
 from ibisfront.gateway.server_book import ServerBook
+from ibisfront.gateway.weights import WeightedTurns
 from ibisfront.platform.documents import ConfigurationReader
 from ibisfront.testing.large_configuration import configuration_spec
 from ibisfront.tests import trio_test
@@ -59,6 +63,22 @@
     async def test_looking_whether_all_can_be_served_does_not_grow_with_routes(self):
         self.assertEqual(questions(table_of(ROUTES)), questions(table_of(1)))
 
+    def test_what_is_kept_of_routes_that_are_gone_goes_too(self):
+        table = table_of(3)
+        gone = msgspec.structs.replace(table.configuration.routes[0], name="gone")
+        states, latencies, turns = RouteStates(), RouteLatencies(), WeightedTurns()
+        weighted = (WeightedService("a", 1.0), WeightedService("b", 1.0))
+        for route in (gone, *table.configuration.routes):
+            states.of(route)
+            latencies.record_ms(route.name, "answered", 1.0)
+            turns.next_service(msgspec.structs.replace(route, services=weighted))
+        for kept in (states, latencies, turns):
+            kept.keep(table.route_names)
+        self.assertEqual(states._by_name.keys(), table.route_names)
+        self.assertEqual(turns._credits.keys(), table.route_names)
+        recorded = {sample.labels[0].value for sample in latencies.samples()}
+        self.assertEqual(recorded, table.route_names)
+
     def test_latencies_of_many_routes_fit(self):
         names = [route.name for route in table_of(ROUTES).configuration.routes]
         tracemalloc.start()
