Extend the time for a reply only when bytes came; tidy imports

Found on reading: a wake-up without bytes extended the time for a reply, and the error of a call that could not connect told the bytes of the one before. A reply that never ends is given up after 8 s, now with a test. The imports of the state feed stood in two places.

--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -14,14 +14,19 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.feed import FollowOptions
-from ibisfront.gateway.state_relay import FRESH_WAIT_MS, AskedState, ask_state
+from ibisfront.gateway.state_relay import (
+    FRESH_WAIT_MS,
+    AskedState,
+    RelayedState,
+    StateClient,
+    ask_state,
+)
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
     from ibisfront.gateway.instances import InstanceEntry
     from ibisfront.gateway.relays import Relays
-from ibisfront.gateway.state_relay import RelayedState, StateClient
 
 __all__ = ["StateFeed"]
 
--- a/ibisfront/http1/client.py
+++ b/ibisfront/http1/client.py
@@ -105,6 +105,7 @@
             trio.lowlevel.notify_closing(self._sock)
             self._sock.close()
             self._sock = None
+            self._reader = ReplyReader(self._maximum_body_bytes)
 
     async def _exchange(self, data: bytes, scope: trio.CancelScope) -> RawMessage:
         latest_s = trio.current_time() + _LONGEST_REPLY_MS / 1000.0
@@ -112,33 +113,34 @@
             self._sock = await open_socket(
                 self._address, timeout_ms=_CONNECT_TIMEOUT_MS
             )
-            self._reader = ReplyReader(self._maximum_body_bytes)
         await _send_all(self._sock, data)
         reader = self._reader
         while not reader.messages:
-            await self._read_some(self._sock, reader)
-            goes_on_until_s = trio.current_time() + _SILENCE_MS / 1000.0
-            scope.deadline = max(scope.deadline, min(goes_on_until_s, latest_s))
+            if await self._read_some(self._sock, reader):
+                goes_on_until_s = trio.current_time() + _SILENCE_MS / 1000.0
+                scope.deadline = max(scope.deadline, min(goes_on_until_s, latest_s))
         message = reader.messages.pop()
         if not message.keeps_open or reader.messages or reader.is_inside:
             self.close()
         return message
 
-    async def _read_some(self, sock: socket.socket, reader: ReplyReader) -> None:
+    async def _read_some(self, sock: socket.socket, reader: ReplyReader) -> bool:
+        """Read once; return whether bytes of a reply came."""
         await trio.lowlevel.wait_readable(sock)
         try:
             data = sock.recv(_READ_BYTES)
         except BlockingIOError:
-            return
+            return False
         if not data:
             reader.end()
             if not reader.messages:
                 raise ConnectionResetError("closed without a whole reply")
-            return
+            return True
         try:
             reader.feed(data)
         except MalformedMessageError as error:
             raise ConnectionResetError(f"no reply: {error}") from error
+        return True
 
 
 async def _send_all(sock: socket.socket, data: bytes) -> None:
--- a/ibisfront/tests/test_http1_client.py
+++ b/ibisfront/tests/test_http1_client.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import functools
 import socket
 import unittest
+from functools import partial, wraps
 
 import trio
 import trio.testing
 
 from ibisfront.http1.client import HttpClient
 
+LONGEST_REPLY_S = 8.0
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n"
 PIECE = b"x" * 1000
 
@@ -22,7 +23,7 @@
     nothing depends on how busy the machine is.
     """
 
-    @functools.wraps(test)
+    @wraps(test)
     def run(self):
         clock = trio.testing.MockClock()
         trio.run(served, test, self, clock, clock=clock)
@@ -88,6 +89,14 @@
         reply = await client.call("GET", "/", timeout_ms=1_000.0)
         self.assertEqual(len(reply.body), 4000)
 
+    @with_server
+    async def test_reply_that_never_ends_is_given_up(self, client, server, nursery):
+        """An instance follows a faulty source that sends a byte now and then."""
+        nursery.start_soon(partial(server.send_pieces, HEAD, *[b"x"] * 60, pause_s=0.4))
+        with self.assertRaises(TimeoutError):
+            await client.call("GET", "/", timeout_ms=1_000.0)
+        self.assertAlmostEqual(trio.current_time(), LONGEST_REPLY_S, delta=0.5)
+
 
 async def send_slowly(server, pieces):
     """Send the head and some pieces, something each 0.4 s."""
