A zone whose watchers the store turns away hears from other zones

Change: where only some instances watch the store, those of other zones may be followed too, for five seconds at a time; the own zone goes first again then.

Ruled out: a new election of watchers (who is turned away is not known to the others until they ask, and the list would differ between instances); followers of followers (two could take each other for fresh without a count of hops).

--- a/ibisfront/gateway/relays.py
+++ b/ibisfront/gateway/relays.py
@@ -42,8 +42,9 @@
         The instances to follow, the first choice first; empty for one that
         watches the store.
     neighbours : sequence of InstanceEntry
-        All others, where each watches the store: whom to follow for a while if
-        the store does not serve this instance.
+        Whom to follow for a while if the store serves neither this instance nor
+        those of its zone that it may follow: all others where each watches the
+        store, else those that may be followed in other zones.
     is_source : bool
         Whether others may follow this instance.
     is_known : bool
@@ -74,8 +75,13 @@
                 item for item in instances if item.name != self._own.name
             ]
             return
-        zone = [item for item in instances if self.is_near(item)]
-        first = sorted(zone, key=strongest_first)[:_SOURCES]
+        by_zone: dict[str, list[InstanceEntry]] = {}
+        for item in sorted(instances, key=strongest_first):
+            by_zone.setdefault(item.zone, []).append(item)
+        first = by_zone.pop(self._own.zone, [])[:_SOURCES]
+        self.neighbours = [
+            item for others in by_zone.values() for item in others[:_SOURCES]
+        ]
         names = [item.name for item in first]
         self.is_source = self._own.name in names
         self.sources = first
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -233,14 +233,14 @@
         while True:
             if source is None:
                 source = await self._watch_until_found()
-            elif self._relays.sources:
+            elif self._relays.sources and source.is_near:
                 await self._follow(source)
                 source = await self._look()
             else:
                 with self._clock.timeout_ms(_FOLLOW_NEIGHBOUR_MS):
                     await self._follow(source)
                 self._mode = _Mode.SEEKING
-                source = None
+                source = await self._look() if self._relays.sources else None
 
     async def _ask_seeds(self) -> None:
         """Take what other instances know while the store is away at the start.
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 
 import msgspec
@@ -197,6 +198,29 @@
             await trio.sleep(10.0 + 0.173 * (turn % 11))  # another phase of the watch
         self.assertLess(longest_s, 4.0)
 
+    @functools.partial(in_zone, instances=45)
+    async def test_blind_zone_hears_from_another(self, zone, nursery):
+        """A zone refuses every query for seconds, and its callers come again in vain.
+
+        The store turns away all that watch it for a zone. They asked only each other
+        and kept the old version. Those that gather the zone's queries were among
+        them, while those that follow had the new one from the store.
+        """
+        for number, instance in enumerate(zone.instances):
+            instance.move_to(f"z{number % 3}")
+        zone.start(nursery)
+        await trio.sleep(8.0)
+        blind = [item for item in zone.instances if item.entry.zone == "z0"][:3]
+        for turn in range(12):
+            for instance in blind:
+                instance.is_turned_away = True
+            for _ in range(2):
+                zone.put(zone.version + 1)
+                self.assertLess(await self.heard_after_s(zone, 0), 5.0)
+            for instance in blind:
+                instance.is_turned_away = False
+            await trio.sleep(10.0 + 0.173 * turn)
+
     async def heard_after_s(self, zone, turned_away):
         """Return after how long all that the store serves have its version."""
         started_s = trio.current_time()
