Queries outlive the instance that gathers them

After two objectives the query was given up as lost (502, all_silent), while the other was at work on it and answered others; its caller had three quarters of its time left. Where the other was lost indeed, the query was lost with it, at each of forty followers in turn, and parts asked of a lost instance in another zone were missing from queries of all zones.

Change: while an answer is overdue the other instance is asked whether it is there (one small exchange in 200 ms, replied to at once). One that lives is waited for to the end. One that does not is left alone, its query is gathered by another, once, as extra sub-requests and only where that cannot reach more servers than the route allows attempts; parts of other zones are asked from here. Up to four gatherers may refuse a query for another version before it is refused.

Ruled out: interim responses of the gatherer (each would cost it a write for each late query); hedging the whole query at a second gatherer (doubles the load when servers are slow).

A query followed elsewhere has a class of its own now (followed_query.py).

Red before: the late one of a living instance (502), the one of a lost instance (502 twice); now 200, and under 0.5 s of the first and 0.1 s of the second.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -16,7 +16,6 @@
 from ibisfront.gateway.budget import ExtraBudgets
 from ibisfront.gateway.configuration import CallerLimits, RouteTable
 from ibisfront.gateway.configuration_change import changed_configuration
-from ibisfront.gateway.delegated_query import delegated_from
 from ibisfront.gateway.delegation import Delegation
 from ibisfront.gateway.gateway import Gateway
 from ibisfront.gateway.gatherers import Gatherers
@@ -243,10 +242,7 @@
             counters = self.observer.counters
             counters.add(CounterKind.PEER_BYTES, "state_sent", len(state))
             return CallerReply(200, [], state, "state")
-        query = delegated_from(request)
-        if query is None:
-            return CallerReply(400, [], b"", "not_delegated")
-        return await self.gateway.answer_delegated(query)
+        return await self.gateway.answer_instance(request)
 
     async def answer_metrics(self, request: InboundRequest) -> CallerReply:
         """Answer with the counters, latencies and gauges as text."""
--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -97,7 +97,9 @@
         self.states.keep(table.route_names)
         self._observer.latencies.keep(table.route_names)
 
-    def context(self, request: InboundRequest, route: Route) -> CallContext:
+    def context(
+        self, request: InboundRequest, route: Route, *, is_repeat: bool = False
+    ) -> CallContext:
         """Return what all sub-requests of a request share."""
         encode_for = self.wire.encode_request(request)
         until_ms = caller_until_ms(request, route)
@@ -118,6 +120,7 @@
             clock=self.clock,
             trace=RequestTrace(request.arrived_at_ms),
             counters=self._observer.counters,
+            is_repeat=is_repeat,
         )
 
     def not_run(self, reason: str, retry_after_ms: float | None = None) -> CallerReply:
--- a/ibisfront/gateway/delegated_query.py
+++ b/ibisfront/gateway/delegated_query.py
@@ -28,6 +28,7 @@
 _OBJECTIVE = b"x-ibisfront-objective-ms"
 _WHOLE = b"x-ibisfront-whole"
 _MINIMUM = b"x-ibisfront-minimum"
+_REPEAT = b"x-ibisfront-repeat"
 _SIGNATURES = b"x-ibisfront-signatures"
 _OUT_OF_REACH = b"x-ibisfront-out-of-reach"
 
@@ -52,6 +53,9 @@
     minimum_parts : int
         Without how many of these parts the query fails even if all others
         come: they are gathered past the objective if need be.
+    is_repeat : bool
+        Whether another instance may have asked servers for these parts already,
+        so that each of them is an extra sub-request.
     """
 
     request: InboundRequest
@@ -60,6 +64,7 @@
     objective_left_ms: float
     is_whole: bool = False
     minimum_parts: int = 0
+    is_repeat: bool = False
 
     def chosen(self, names: Sequence[str]) -> tuple[str, ...]:
         """Return the services asked for, given the route's list."""
@@ -71,7 +76,7 @@
 def delegated_from(request: InboundRequest) -> DelegatedQuery | None:
     """Return what another instance asks for; None if it is malformed."""
     values = {name.lower(): value for name, value in request.headers}
-    own = (_GATHERING, _SERVICES, _OBJECTIVE, _WHOLE, _MINIMUM)
+    own = (_GATHERING, _SERVICES, _OBJECTIVE, _WHOLE, _MINIMUM, _REPEAT)
     kept = [item for item in request.headers if item[0].lower() not in own]
     try:
         return DelegatedQuery(
@@ -81,6 +86,7 @@
             objective_left_ms=float(values[_OBJECTIVE]),
             is_whole=_WHOLE in values,
             minimum_parts=int(values.get(_MINIMUM, b"0")),
+            is_repeat=_REPEAT in values,
         )
     except (KeyError, ValueError):
         return None
@@ -113,6 +119,8 @@
         headers.append((_WHOLE, b"1"))
     if query.minimum_parts:
         headers.append((_MINIMUM, b"%d" % query.minimum_parts))
+    if query.is_repeat:
+        headers.append((_REPEAT, b"1"))
     return msgspec.structs.replace(query.request, headers=headers)
 
 
--- a/ibisfront/gateway/delegation.py
+++ b/ibisfront/gateway/delegation.py
@@ -111,8 +111,20 @@
             return None
         return RemotePlan(peer, by_zone[peer.entry.zone], usual)
 
+    def may_ask_twice(self, route: Route, gathering: Gathering) -> bool:
+        """Return whether a query may be gathered again after an instance was lost.
+
+        The two could together reach more servers of a service than the route allows
+        attempts, unless it has no more of them.
+        """
+        askable = sum(
+            len(self._book.of_service(service)) <= route.attempts
+            for service in gathering.services
+        )
+        return askable >= gathering.needed_parts
+
     def plan_whole(
-        self, route: Route, gathering: Gathering, *, tried: Sequence[Server] = ()
+        self, route: Route, gathering: Gathering, tried: Sequence[Server] = ()
     ) -> RemotePlan | None:
         """Return a gatherer for a whole query, of the own zone if there is one."""
         now_ms = self._clock.now_ms()
--- /dev/null
+++ b/ibisfront/gateway/followed_query.py
@@ -0,0 +1,214 @@
+"""A query that another instance gathers whole."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, TypeAlias
+
+import trio
+
+if TYPE_CHECKING:
+    from ibisfront.gateway.configuration import Gathering
+    from ibisfront.gateway.life_check import CheckLife
+    from ibisfront.gateway.remote_call import RemoteCall, RemotePlan
+    from ibisfront.gateway.server import Server
+    from ibisfront.gateway.service_call import CallContext, ServiceCall
+
+__all__ = ["AskGatherer", "FollowedQuery", "NextGatherer"]
+
+_MOST_REFUSALS = 4
+"""Gatherers that may refuse one query: both of the own zone may be behind with the
+configuration, and so may one of another."""
+
+AskGatherer: TypeAlias = "Callable[[RemotePlan, bool, Callable[[], None]], RemoteCall]"
+"""Asks an instance, told whether another one may have gathered the query already."""
+
+NextGatherer: TypeAlias = "Callable[[Sequence[Server]], RemotePlan | None]"
+"""Returns an instance to ask that was not tried yet."""
+
+
+class FollowedQuery:
+    """One query while another instance gathers it; used once.
+
+    An instance that refuses the query is replaced at once. One that is lost with it
+    is replaced once, if servers may be asked a second time; otherwise the caller is
+    told while there is time to come again.
+
+    Parameters
+    ----------
+    gathering : Gathering
+        Which services, and how many are enough.
+    context : CallContext
+        What answering the request takes.
+    check_life : callable
+        Returns what finds out whether an instance is lost.
+    plan : RemotePlan
+        Whom to ask first.
+    ask : callable
+        Asks an instance.
+    next_plan : callable
+        Finds another one.
+    give_up_at_ms : float
+        When the query is given up.
+    may_ask_twice : bool
+        Whether servers may be asked again after an instance was lost.
+
+    Attributes
+    ----------
+    remote : RemoteCall
+        The instance that was asked last.
+    found_silence : bool
+        Whether it was given up since that one showed no life.
+    """
+
+    __slots__ = (
+        "_ask",
+        "_check_life",
+        "_context",
+        "_gathering",
+        "_give_up_at_ms",
+        "_has_asked_twice",
+        "_may_ask_twice",
+        "_may_have_run",
+        "_next_plan",
+        "_plan",
+        "_tried",
+        "_woken",
+        "found_silence",
+        "remote",
+    )
+
+    def __init__(
+        self,
+        gathering: Gathering,
+        context: CallContext,
+        *,
+        check_life: CheckLife,
+        plan: RemotePlan,
+        ask: AskGatherer,
+        next_plan: NextGatherer,
+        give_up_at_ms: float,
+        may_ask_twice: bool,
+    ) -> None:
+        self._gathering = gathering
+        self._context = context
+        self._check_life = check_life
+        self._plan = plan
+        self._ask = ask
+        self._next_plan = next_plan
+        self._give_up_at_ms = give_up_at_ms
+        self._may_ask_twice = may_ask_twice
+        self._has_asked_twice = False
+        self._may_have_run = False
+        self._tried: list[Server] = []
+        self._woken = trio.Event()
+        self.found_silence = False
+        self.remote: RemoteCall | None = None
+
+    @property
+    def total(self) -> int:
+        """How many parts the answer would have."""
+        return len(self._gathering.services)
+
+    @property
+    def answered(self) -> int:
+        """How many parts are in."""
+        return 0 if self.remote is None else len(self.remote.signatures)
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether the parts that are in make an answer."""
+        return self.answered >= self._gathering.needed_parts
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether any part may have run."""
+        is_running = self.remote is not None and self.remote.may_have_run
+        return self._may_have_run or is_running
+
+    @property
+    def is_open(self) -> bool:
+        """Whether an answer may still come."""
+        return self.remote is not None and self.remote.is_open
+
+    @property
+    def missing(self) -> list[ServiceCall]:
+        """The services asked from here that have no answer: none is asked."""
+        return []
+
+    def answer(self) -> tuple[list[bytes], list[bytes]]:
+        """Return the signatures of the parts that are in, and their records."""
+        if self.remote is None:
+            return [], []
+        return self.remote.signatures, [self.remote.records]
+
+    async def run(self) -> None:
+        """Have the query gathered, until there is an answer or none can come."""
+        remote = self._start(self._plan)
+        while True:
+            is_lost = await self._wait_for(remote)
+            has_time = self._context.clock.now_ms() < self._give_up_at_ms
+            if remote.has_answered or not has_time:
+                return
+            plan = self._plan_after(remote)
+            if plan is None:
+                self.found_silence = is_lost
+                return
+            remote.end(at_once=True)
+            remote = self._start(plan)
+
+    def end(self, *, at_once: bool) -> None:
+        """Wait for no answer any more.
+
+        Closing tells the other instance to stop its work, whatever ``at_once`` says;
+        its parts cannot be waited for one by one.
+        """
+        if self.remote is not None:
+            self.remote.end(at_once=True)
+
+    def _start(self, plan: RemotePlan) -> RemoteCall:
+        remote = self._ask(plan, self._may_have_run, self._wake)
+        self.remote = remote
+        return remote
+
+    def _plan_after(self, remote: RemoteCall) -> RemotePlan | None:
+        """Return whom to ask after an instance that brought no answer."""
+        self._tried.append(remote.peer)
+        if remote.may_have_run:
+            self._may_have_run = True
+            if self._has_asked_twice or not self._may_ask_twice:
+                return None
+            self._has_asked_twice = True
+        if len(self._tried) >= _MOST_REFUSALS:
+            return None
+        plan = self._next_plan(self._tried)
+        if plan is not None:
+            why = "refused" if remote.is_refused else "lost"
+            name = plan.peer.entry.server_id
+            now_ms = self._context.clock.now_ms()
+            self._context.trace.note(now_ms, "gathered_again", "", name, why)
+        return plan
+
+    async def _wait_for(self, remote: RemoteCall) -> bool:
+        """Wait for an instance's answer; return whether it was found lost."""
+        clock = self._context.clock
+        check = self._check_life(remote, self._wake)
+        try:
+            while remote.is_open:
+                now_ms = clock.now_ms()
+                if now_ms >= self._give_up_at_ms:
+                    return False
+                if check.is_lost(now_ms):
+                    remote.peer.note_unreachable(now_ms)
+                    return True
+                until_ms = min(check.next_at_ms, self._give_up_at_ms)
+                with clock.timeout_ms(until_ms - now_ms):
+                    await self._woken.wait()
+                if self._woken.is_set():
+                    self._woken = trio.Event()
+        finally:
+            check.end()
+        return False
+
+    def _wake(self) -> None:
+        self._woken.set()
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -11,7 +11,9 @@
     GATEWAY_TIMEOUT,
     Answering,
 )
+from ibisfront.gateway.delegated_query import delegated_from
 from ibisfront.gateway.forwarding import ForwardRun
+from ibisfront.gateway.life_check import answer_life_check
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries import Queries
 from ibisfront.gateway.reach import Reach
@@ -20,7 +22,6 @@
 
 if TYPE_CHECKING:
     from ibisfront.gateway.configuration import Route, RouteTable
-    from ibisfront.gateway.delegated_query import DelegatedQuery
     from ibisfront.gateway.delegation import Delegation
     from ibisfront.gateway.messages import BackendReply, InboundRequest
 
@@ -105,8 +106,14 @@
             return await self._queries.answer(request, route, route.gathering)
         return await self._forward(request, route)
 
-    async def answer_delegated(self, query: DelegatedQuery) -> CallerReply:
-        """Return the parts of a query that another instance asks for."""
+    async def answer_instance(self, request: InboundRequest) -> CallerReply:
+        """Return the answer to another instance: a query's parts, or a sign of life."""
+        alive = answer_life_check(request, self._answering.wire)
+        if alive is not None:
+            return alive
+        query = delegated_from(request)
+        if query is None:
+            return CallerReply(400, [], b"", "not_delegated")
         return await self._queries.answer_delegated(query)
 
     async def _forward(self, request: InboundRequest, route: Route) -> CallerReply:
--- a/ibisfront/gateway/gather_plan.py
+++ b/ibisfront/gateway/gather_plan.py
@@ -45,11 +45,6 @@
 """Share of the objective for which an instance's answer may be overdue: one
 that is just late brings all of its parts."""
 
-_WHOLE_GRACE_SHARE = 1.0
-"""The same for an instance that gathers the whole query: it answers only when
-it has enough parts, which may be late. An estimate that leaves the caller time for
-another attempt."""
-
 
 class GatherPlan(msgspec.Struct, frozen=True):
     """When a query acts.
@@ -82,10 +77,8 @@
     give_up_at_ms: float,
     usual: UsualLatency,
     objective_ms: float,
-    is_gathered_elsewhere: bool = False,
 ) -> GatherPlan:
     """Return when a query acts that ends at a given time."""
-    grace_share = _WHOLE_GRACE_SHARE if is_gathered_elsewhere else _REMOTE_GRACE_SHARE
     return GatherPlan(
         hedge_at_ms=now_ms + _hedge_after_ms(end_at_ms - now_ms, usual),
         end_at_ms=end_at_ms,
@@ -96,7 +89,7 @@
             _SILENCE_SHARE * objective_ms,
             _SILENCE_LEAST_MS,
         ),
-        remote_silent_at_ms=end_at_ms + grace_share * objective_ms,
+        remote_silent_at_ms=end_at_ms + _REMOTE_GRACE_SHARE * objective_ms,
     )
 
 
--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/gathering.py
@@ -11,10 +11,12 @@
 from ibisfront.gateway.service_call import ServiceCall
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from ibisfront.gateway.configuration import Gathering
+    from ibisfront.gateway.followed_query import AskGatherer
     from ibisfront.gateway.gather_plan import GatherPlan
+    from ibisfront.gateway.life_check import CheckLife, LifeCheck
     from ibisfront.gateway.messages import BackendReply
     from ibisfront.gateway.remote_call import RemoteCall, RemotePlan
     from ibisfront.gateway.service_call import CallContext
@@ -44,11 +46,9 @@
         Which services another instance is asked for.
     start_remote : callable, optional
         Asks it.
-    next_remote : callable, optional
-        Returns another instance to ask for the same, given the last one.
-    may_ask_twice : bool
-        Whether parts that another instance may have asked for are asked for
-        from here if it fails.
+    check_life : callable, optional
+        Returns what finds out whether that instance is lost, given it and what to
+        call. Without it the parts are asked from here as soon as it is late.
 
     Attributes
     ----------
@@ -62,6 +62,7 @@
 
     __slots__ = (
         "_all_calls",
+        "_check_life",
         "_context",
         "_failed",
         "_fallback_parts",
@@ -69,9 +70,8 @@
         "_has_lost_parts",
         "_hedge_at_ms",
         "_is_falling_back",
-        "_may_ask_twice",
+        "_life_check",
         "_needed",
-        "_next_remote",
         "_own_parts",
         "_plan",
         "_remote_calls",
@@ -93,13 +93,11 @@
         plan: GatherPlan,
         *,
         remote_plan: RemotePlan | None = None,
-        start_remote: Callable[[RemotePlan, Callable[[], None]], RemoteCall]
-        | None = None,
-        next_remote: Callable[[RemoteCall], RemotePlan | None] | None = None,
-        may_ask_twice: bool = True,
+        start_remote: AskGatherer | None = None,
+        check_life: CheckLife | None = None,
     ) -> None:
-        self._next_remote = next_remote
-        self._may_ask_twice = may_ask_twice
+        self._check_life = check_life
+        self._life_check: LifeCheck | None = None
         self._gathering = gathering
         self._context = context
         self._plan = plan
@@ -151,11 +149,6 @@
             return True
         return any(call.may_have_run for call in self._all_calls)
 
-    @property
-    def is_gathered_elsewhere(self) -> bool:
-        """Whether the whole query is another instance's to gather."""
-        return self._next_remote is not None
-
     @property
     def is_open(self) -> bool:
         """Whether any part may still come."""
@@ -216,6 +209,8 @@
         for call in self._all_calls:
             if call.is_open:
                 call.end(at_once=at_once)
+        if self._life_check is not None:
+            self._life_check.end()
         if self.remote is not None:
             # Closing tells the other instance to stop its work; its parts
             # cannot be waited for one by one.
@@ -258,7 +253,7 @@
             if now_ms < at_ms
         ]
         if self._waits_for_remote:
-            moments_ms.append(self._fall_back_at_ms())
+            moments_ms.append(self._remote_due_at_ms())
         self._wake_at_ms = min(moments_ms)
         with self._context.clock.timeout_ms(self._wake_at_ms - now_ms):
             await self._woken.wait()
@@ -298,11 +293,23 @@
             if not call.is_settled and call.is_open:
                 call.send_extra()
 
-    def _fall_back_at_ms(self) -> float:
+    def _remote_due_at_ms(self) -> float:
+        """Return when the other instance is to be looked at next."""
         if self.remote is None:
             return math.inf
+        if self._life_check is not None:
+            return self._life_check.next_at_ms
         return self._remote_started_ms + self.remote.late_ms
 
+    def _is_given_up(self, remote: RemoteCall, now_ms: float) -> bool:
+        """Return whether the parts of an open remote call are asked from here."""
+        if self._life_check is None:
+            return now_ms >= self._remote_due_at_ms()
+        if not self._life_check.is_lost(now_ms):
+            return False
+        remote.peer.note_unreachable(now_ms)
+        return True
+
     def _must_replace_remote(self) -> bool:
         """Return whether the other instance has failed and was not replaced."""
         if self.remote is None or self._is_falling_back or self.remote.is_open:
@@ -312,18 +319,9 @@
     def _ask_remote(self, plan: RemotePlan) -> None:
         assert self._start_remote is not None
         self._remote_started_ms = self._context.clock.now_ms()
-        self.remote = self._start_remote(plan, self._wake)
-
-    def _ask_next_remote(self, remote: RemoteCall) -> bool:
-        """Ask another instance if the last one fails; return whether it was."""
-        if self._next_remote is None or remote.may_have_run:
-            return False
-        plan = self._next_remote(remote)
-        if plan is None:
-            return False
-        remote.end(at_once=True)
-        self._ask_remote(plan)
-        return True
+        self.remote = self._start_remote(plan, False, self._wake)
+        if self._check_life is not None:
+            self._life_check = self._check_life(self.remote, self._wake)
 
     def _check_remote(self, now_ms: float) -> None:
         """Ask from here if the other instance refuses, fails or is silent.
@@ -335,18 +333,10 @@
         remote = self.remote
         if remote is None or self._is_falling_back:
             return
-        is_late = remote.is_open and now_ms >= self._fall_back_at_ms()
-        if not is_late and not self._must_replace_remote():
-            return
-        if self._ask_next_remote(remote):
+        is_given_up = remote.is_open and self._is_given_up(remote, now_ms)
+        if not is_given_up and not self._must_replace_remote():
             return
         self._is_falling_back = True
-        if self._next_remote is not None:
-            # Whole queries are gathered elsewhere since there are too few
-            # connections for every instance. Asking from here now would take
-            # them from those that gather, and could reach more servers of a
-            # service than the route allows.
-            return
         # The first choice may be a server that has fallen silent together with
         # the instance; these parts are hedged in their turn.
         self._hedge_at_ms = now_ms + self._context.usual.late_ms
@@ -359,8 +349,6 @@
             remote.end(at_once=True)
             self._start(self._remote_calls)
             return
-        if not self._may_ask_twice:
-            return
         for call in self._remote_calls:
             if call.has_no_more_servers_than_attempts:
                 call.send_extra()
@@ -368,7 +356,7 @@
     def _is_silent(self, now_ms: float) -> bool:
         """Return whether no server that was asked has replied anything.
 
-        An instance that gathers for us replies only once, near the end; until
+        An instance that was asked for parts replies only once, near the end; until
         then its silence says nothing.
         """
         if self.answered or now_ms < self._plan.silent_at_ms:
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -11,8 +12,10 @@
 
 from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.delegated_query import out_of_reach_header, signatures_header
+from ibisfront.gateway.followed_query import FollowedQuery
 from ibisfront.gateway.gather_plan import gather_plan
 from ibisfront.gateway.gathering import GatherRun
+from ibisfront.gateway.life_check import life_checker
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.records import greatest_records
 from ibisfront.gateway.remote_call import RemoteCall
@@ -23,11 +26,10 @@
     from ibisfront.gateway.configuration import Gathering, Route
     from ibisfront.gateway.delegated_query import DelegatedQuery
     from ibisfront.gateway.delegation import Delegation
-    from ibisfront.gateway.gather_plan import GatherPlan
+    from ibisfront.gateway.followed_query import AskGatherer
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.reach import Reach
     from ibisfront.gateway.remote_call import RemotePlan
-    from ibisfront.gateway.server import Server
     from ibisfront.gateway.service_call import CallContext
 
 __all__ = ["Queries"]
@@ -37,9 +39,6 @@
 """How far apart instances may be with a new version: the pause before a source
 passes a change on, and the ways."""
 
-_MOST_GATHERERS = 2
-"""How many instances are asked in turn to gather one query."""
-
 _OUT_OF_REACH_MS = 1_500.0
 """How long an instance stays not ready after one that gathers for it found the
 ways to the servers cut: it hears of it again about once a second as long as
@@ -49,6 +48,40 @@
 """Services without an answer that a log line names."""
 
 
+class _Asked(msgspec.Struct, frozen=True):
+    """A query that is to be gathered.
+
+    Attributes
+    ----------
+    request : InboundRequest
+        The request.
+    route : Route
+        Its route.
+    gathering : Gathering
+        Which services, and how many are enough.
+    context : CallContext
+        What its sub-requests share.
+    end_at_ms : float
+        When it ends with the parts that are in, if they suffice.
+    """
+
+    request: InboundRequest
+    route: Route
+    gathering: Gathering
+    context: CallContext
+    end_at_ms: float
+
+    @property
+    def give_up_at_ms(self) -> float:
+        """When it gets its final answer at the latest."""
+        return give_up_at_ms(self.request, self.route)
+
+    @property
+    def end_or_give_up_at_ms(self) -> float:
+        """When it ends if the parts that are in suffice, with time to answer."""
+        return min(self.end_at_ms, self.give_up_at_ms)
+
+
 class Queries:
     """Gathers the parts of queries.
 
@@ -62,12 +95,19 @@
         Which routes can be served.
     """
 
-    __slots__ = ("_answering", "_delegation", "_out_of_reach_until_ms", "_reach")
+    __slots__ = (
+        "_answering",
+        "_check_life",
+        "_delegation",
+        "_out_of_reach_until_ms",
+        "_reach",
+    )
 
     def __init__(
         self, answering: Answering, delegation: Delegation | None, reach: Reach
     ) -> None:
         self._answering = answering
+        self._check_life = life_checker(answering.wire, answering.clock)
         self._delegation = delegation
         self._reach = reach
         self._out_of_reach_until_ms = -math.inf
@@ -115,13 +155,12 @@
             return answering.refuse(request, reply)
         gathering = _delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_left_ms
-        context = answering.context(request, route)
+        context = answering.context(request, route, is_repeat=query.is_repeat)
+        asked = _Asked(request, route, gathering, context, end_at_ms)
         remote_plan = None
         if query.is_whole and self._delegation is not None:
             remote_plan = self._delegation.plan_far(route, gathering)
-        run = await self._run(
-            request, route, gathering, end_at_ms, context, remote_plan
-        )
+        run = await self._run(asked, remote_plan)
         reply = self._delegated(run, gathering)
         answering.note(request, route, reply, context, parts=_parts_text(run))
         # The other instance tells by it that the reply is to this query.
@@ -133,13 +172,16 @@
     ) -> CallerReply:
         answering = self._answering
         end_at_ms = answering.states.of(route).objective_at_ms(request, route)
+        context = answering.context(request, route)
+        asked = _Asked(request, route, gathering, context, end_at_ms)
         remote_plan = None
         if self._delegation is not None:
             remote_plan = self._delegation.plan(route, gathering)
-        context = answering.context(request, route)
-        run = await self._run(
-            request, route, gathering, end_at_ms, context, remote_plan
-        )
+        run: GatherRun | FollowedQuery
+        if remote_plan is not None and remote_plan.is_whole:
+            run = await self._follow(asked, remote_plan)
+        else:
+            run = await self._run(asked, remote_plan)
         if run.remote is not None and run.remote.is_out_of_reach:
             self.note_out_of_reach()
         reply = self._gathered(run, gathering)
@@ -160,40 +202,25 @@
             return answering.refuse(request, answering.not_run(_NO_GATHERER))
         return await self._gather(request, route, route.gathering)
 
-    async def _run(
-        self,
-        request: InboundRequest,
-        route: Route,
-        gathering: Gathering,
-        end_at_ms: float,
-        context: CallContext,
-        remote_plan: RemotePlan | None,
-    ) -> GatherRun:
-        until_ms = give_up_at_ms(request, route)
-        is_whole = remote_plan is not None and remote_plan.is_whole
+    async def _run(self, asked: _Asked, remote_plan: RemotePlan | None) -> GatherRun:
+        """Gather a query from here."""
+        context = asked.context
         plan = gather_plan(
             self._answering.clock.now_ms(),
-            end_at_ms=min(end_at_ms, until_ms),
-            give_up_at_ms=until_ms,
+            end_at_ms=asked.end_or_give_up_at_ms,
+            give_up_at_ms=asked.give_up_at_ms,
             usual=context.usual,
-            objective_ms=route.objective_ms,
-            is_gathered_elsewhere=is_whole,
+            objective_ms=asked.route.objective_ms,
         )
         run = GatherRun(
-            gathering,
+            asked.gathering,
             context,
             plan,
             remote_plan=remote_plan,
-            start_remote=self._remote_starter(request, route, gathering, plan),
-            next_remote=self._next_gatherer(route, gathering) if is_whole else None,
-            may_ask_twice=self._may_ask_twice,
+            start_remote=self._remote_starter(asked),
+            check_life=self._check_life if self._is_concentrated else None,
         )
-        try:
-            await run.run()
-        except trio.Cancelled:
-            run.end(at_once=True)
-            self._answering.note_left(request, route, context)
-            raise
+        await self._run_until_left(run, asked)
         # Servers drop a request when its connection closes. Under load that
         # frees slots for requests that are waited for: with a zone cut off
         # under high load the mean worth of an answer, as a share of its full
@@ -201,55 +228,74 @@
         run.end(at_once=context.usual.is_loaded)
         return run
 
-    def _remote_starter(
-        self,
-        request: InboundRequest,
-        route: Route,
-        gathering: Gathering,
-        plan: GatherPlan,
-    ) -> Callable[[RemotePlan, Callable[[], None]], RemoteCall]:
+    async def _follow(self, asked: _Asked, remote_plan: RemotePlan) -> FollowedQuery:
+        """Have a query gathered by another instance.
+
+        Nothing is asked from here: with too few connections for every instance it
+        would take them from those that gather.
+        """
+        assert self._delegation is not None
+        run = FollowedQuery(
+            asked.gathering,
+            asked.context,
+            check_life=self._check_life,
+            plan=remote_plan,
+            ask=self._remote_starter(asked),
+            next_plan=partial(
+                self._delegation.plan_whole, asked.route, asked.gathering
+            ),
+            give_up_at_ms=asked.give_up_at_ms,
+            may_ask_twice=self._delegation.may_ask_twice(asked.route, asked.gathering),
+        )
+        await self._run_until_left(run, asked)
+        run.end(at_once=True)
+        return run
+
+    async def _run_until_left(
+        self, run: GatherRun | FollowedQuery, asked: _Asked
+    ) -> None:
+        """Run a query; stop its work if its asker leaves."""
+        try:
+            await run.run()
+        except trio.Cancelled:
+            run.end(at_once=True)
+            self._answering.note_left(asked.request, asked.route, asked.context)
+            raise
+
+    def _remote_starter(self, asked: _Asked) -> AskGatherer:
         """Return what asks another instance for parts of a query."""
         answering = self._answering
 
-        def start(remote_plan: RemotePlan, on_change: Callable[[], None]) -> RemoteCall:
+        def start(
+            remote_plan: RemotePlan, is_repeat: bool, on_change: Callable[[], None]
+        ) -> RemoteCall:
             remote = RemoteCall(remote_plan, clock=answering.clock, on_change=on_change)
             remote.start(
-                request,
+                asked.request,
                 wire=answering.wire,
-                gathering=gathering,
-                rank=route.rank,
-                end_at_ms=plan.end_at_ms,
-                give_up_at_ms=plan.give_up_at_ms,
-                objective_ms=route.objective_ms,
+                gathering=asked.gathering,
+                rank=asked.route.rank,
+                end_at_ms=asked.end_or_give_up_at_ms,
+                give_up_at_ms=asked.give_up_at_ms,
+                objective_ms=asked.route.objective_ms,
+                is_repeat=is_repeat or asked.context.is_repeat,
             )
             return remote
 
         return start
 
-    def _next_gatherer(
-        self, route: Route, gathering: Gathering
-    ) -> Callable[[RemoteCall], RemotePlan | None]:
-        """Return what finds another gatherer for a query, after the last one."""
-        tried: list[Server] = []
-
-        def next_remote(last: RemoteCall) -> RemotePlan | None:
-            tried.append(last.peer)
-            if self._delegation is None or len(tried) >= _MOST_GATHERERS:
-                return None
-            return self._delegation.plan_whole(route, gathering, tried=tried)
-
-        return next_remote
-
     @property
-    def _may_ask_twice(self) -> bool:
-        """Whether a part may be asked for here that another instance asked for.
+    def _is_concentrated(self) -> bool:
+        """Whether only some instances gather.
 
-        With many servers of a service that come and go, the two could reach
-        more of them than the route allows.
+        They have little room for work that is done twice: parts that another one
+        was asked for are asked from here only if it is lost.
         """
-        return self._delegation is None or not self._delegation.is_concentrated
+        return self._delegation is not None and self._delegation.is_concentrated
 
-    def _gathered(self, run: GatherRun, gathering: Gathering) -> CallerReply:
+    def _gathered(
+        self, run: GatherRun | FollowedQuery, gathering: Gathering
+    ) -> CallerReply:
         if not run.is_enough:
             return self._no_answer(run)
         signatures, bodies = run.answer()
@@ -266,14 +312,14 @@
         headers = [signatures_header(signatures)]
         return CallerReply(200, headers, records, "delegated_parts")
 
-    def _not_run(self, run: GatherRun) -> CallerReply:
+    def _not_run(self, run: GatherRun | FollowedQuery) -> CallerReply:
         """Return the refusal of a query that no server was asked for."""
         if run.remote is not None and run.remote.is_out_of_reach:
             return self._answering.out_of_reach()
-        reason = _NO_GATHERER if run.is_gathered_elsewhere else "no_server"
+        reason = _NO_GATHERER if isinstance(run, FollowedQuery) else "no_server"
         return self._answering.not_run(reason)
 
-    def _no_answer(self, run: GatherRun) -> CallerReply:
+    def _no_answer(self, run: GatherRun | FollowedQuery) -> CallerReply:
         if not run.was_sent:
             return self._not_run(run)
         if run.found_silence:
@@ -314,7 +360,7 @@
     return msgspec.structs.replace(whole, services=services, minimum_coverage=coverage)
 
 
-def _parts_text(run: GatherRun) -> str:
+def _parts_text(run: GatherRun | FollowedQuery) -> str:
     missing = run.missing[:_SHOWN_SERVICES]
     names = ", ".join(f"{call.service} ({call.last_error})" for call in missing)
     text = f"{run.answered}/{run.total} {names}"
--- a/ibisfront/gateway/remote_call.py
+++ b/ibisfront/gateway/remote_call.py
@@ -127,6 +127,14 @@
         """Whether an answer may still come."""
         return self._exchange is not None and not self._exchange.has_ended
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether it took the query and has said what came of it."""
+        exchange = self._exchange
+        if exchange is None or exchange.reply is None:
+            return False
+        return not self.is_refused
+
     @property
     def is_silent(self) -> bool:
         """Whether the instance has replied to nothing since it was asked."""
@@ -157,6 +165,7 @@
         end_at_ms: float,
         give_up_at_ms: float,
         objective_ms: float,
+        is_repeat: bool = False,
     ) -> None:
         """Ask.
 
@@ -180,6 +189,8 @@
             When it is given up.
         objective_ms : float
             How long to wait for parts if the objective is past already.
+        is_repeat : bool
+            Whether servers may have been asked for these parts already.
         """
         bits = service_bits(gathering, self.services)
         return_ms = _RETURN_MS + _RETURN_PART_MS * len(self.services)
@@ -193,6 +204,7 @@
                 objective_left_ms=left_ms - return_ms,
                 is_whole=self._plan.is_whole,
                 minimum_parts=self._minimum_parts(gathering),
+                is_repeat=is_repeat,
             )
             encode_for = wire.encode_request(delegating_request(query))
             return encode_for(self.peer_name, give_up_at_ms - at_ms)
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -309,7 +309,7 @@
 
     def note_reply(self, now_ms: float, *, took_ms: float, usual_ms: float) -> None:
         """Take in a reply that shows how fast it works."""
-        self._note_life(now_ms)
+        self.note_alive(now_ms)
         self._lost_in_row = 0
         self.not_before_ms = -math.inf
         ratio = min(took_ms / usual_ms, _LARGEST_RATIO)
@@ -336,7 +336,7 @@
 
     def note_refused(self, now_ms: float, retry_after_ms: float | None) -> None:
         """Take in a reply that says that the request did not run."""
-        self._note_life(now_ms)
+        self.note_alive(now_ms)
         self._lost_in_row = 0
         self._note_failing(now_ms)
         if retry_after_ms is not None:
@@ -345,7 +345,7 @@
 
     def note_failed(self, now_ms: float) -> None:
         """Take in a reply that is a failure."""
-        self._note_life(now_ms)
+        self.note_alive(now_ms)
         self._note_failing(now_ms)
 
     def note_connected(self, now_ms: float) -> None:
@@ -381,7 +381,8 @@
             wait_ms = min(_FIRST_BACK_OFF_MS * 2**doublings, _LONGEST_BACK_OFF_MS)
             self.not_before_ms = max(self.not_before_ms, now_ms + wait_ms)
 
-    def _note_life(self, now_ms: float) -> None:
+    def note_alive(self, now_ms: float) -> None:
+        """Take in a reply that says only that it is there."""
         self.last_reply_at_ms = now_ms
         if self.way is not None:
             self.way.note_life()
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -69,6 +69,9 @@
         Where decisions are noted.
     counters : Counters
         Where sub-requests and what came of them are counted.
+    is_repeat : bool
+        Whether another instance may have sent the request to servers already:
+        each sub-request is an extra one then.
     """
 
     request_id: bytes
@@ -83,6 +86,7 @@
     clock: Clock
     trace: RequestTrace
     counters: Counters
+    is_repeat: bool = False
 
 
 def choose_server(
@@ -196,6 +200,10 @@
     def start(self) -> bool:
         """Send the first exchange; return False if no server may be asked."""
         now_ms = self._context.clock.now_ms()
+        if self._context.is_repeat:
+            # The servers that were asked are not known here. With more of them
+            # than the route allows attempts this could be one too many.
+            return self.has_no_more_servers_than_attempts and self.send_extra()
         self._context.budgets.of_service(self.service).note_first(now_ms)
         return self._send(now_ms)
 
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -1,4 +1,4 @@
-"""Two gateways in two zones that ask each other, in any clock."""
+"""Gateways in two zones that ask each other, in any clock."""
 
 from __future__ import annotations
 
@@ -83,6 +83,8 @@
 class TwoZones:
     """Two instances in two zones; every other service stands in each.
 
+    A third one, in a zone without servers, gathers too for one that follows.
+
     Parameters
     ----------
     route : Route
@@ -113,6 +115,7 @@
         follows: bool = False,
     ) -> None:
         self._follows = follows
+        self._zones = ("z0", "z1", "z2") if follows else ("z0", "z1")
         self.clock = _CountingClock()
         self.delegated = 0
         self.frozen = False
@@ -134,7 +137,7 @@
         """Run both instances for the length of the block."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            self.gateways = {zone: self._gateway(zone) for zone in ("z0", "z1")}
+            self.gateways = {zone: self._gateway(zone) for zone in self._zones}
             self.put(1, self._route)
             yield
             nursery.cancel_scope.cancel()
@@ -169,6 +172,7 @@
             listed = [
                 InstanceEntry("instance-z0", "z0", "z0"),
                 InstanceEntry("instance-z1", "z1", "z1"),
+                InstanceEntry("instance-z2", "z2", "z2"),
                 InstanceEntry("away", "z0", "away", 2.0),
             ]
             names = self._route.service_names
@@ -233,8 +237,9 @@
         peers = ServerBook(
             clock=self.clock, make_pool=partial(self._pool, self._open_peer), zone=zone
         )
-        other = "z1" if zone == "z0" else "z0"
-        peers.put(ServerEntry(f"instance-{other}", other, other, other))
+        for other in self._zones:
+            if other != zone:
+                peers.put(ServerEntry(f"instance-{other}", other, other, other))
         return Gateway(
             Answering(
                 book=book,
@@ -313,12 +318,10 @@
         request = WIRE.decode_request(
             reader.messages.pop(), self._zones.clock.now_ms(), 0.0
         )
-        query = delegated_from(request)
-        assert query is not None
-        self._zones.delegated += 1
-        if self._zones.frozen:
+        self._zones.delegated += delegated_from(request) is not None
+        if self._zones.frozen and self._gateway is self._zones.gateways["z1"]:
             await trio.sleep_forever()
-        reply = await self._gateway.answer_delegated(query)
+        reply = await self._gateway.answer_instance(request)
         replies = ReplyReader(65_536)
         replies.feed(WIRE.encode_reply(reply, True))
         self._exchange = None
--- a/ibisfront/tests/test_gateway_delegation.py
+++ b/ibisfront/tests/test_gateway_delegation.py
@@ -171,6 +171,60 @@
             reply = await zones.ask("z0")
         self.assertEqual((reply.status, zones.delegated), (200, 1))
 
+    @trio_test
+    async def test_instance_that_is_late_and_alive_is_waited_for(self):
+        """Searches fail with most of their time left while servers are slow.
+
+        An instance has its queries gathered by another one, which it asks once in
+        seconds: no reply to anything else says that the other one is at work. Its
+        answer was given up after two objectives and would have come.
+        """
+        zones = TwoZones(route(minimum=0.9, timeout_ms=2000.0), follows=True)
+        async with zones.running():
+            await zones.ask("z0")
+            await trio.sleep(5.0)
+            for service in ("part-0", "part-1", "part-2", "part-3"):
+                zones.slow_down(service, 600.0)
+            reply = await zones.ask("z0")
+        self.assertEqual((reply.status, zones.delegated), (200, 2))
+
+    @trio_test
+    async def test_query_of_a_lost_instance_is_gathered_by_another(self):
+        """Each instance of a zone loses a search when the one they follow hangs.
+
+        It took their queries and says nothing more. Each of them has to find that
+        out by itself, and its caller comes again to one that has not yet.
+        """
+        zones = TwoZones(route(minimum=0.9, timeout_ms=2000.0), follows=True)
+        async with zones.running():
+            for _ in range(40):
+                await zones.ask("z0")
+            zones.frozen = True
+            started_ms = zones.clock.now_ms()
+            reply = await zones.ask("z0")
+            took_ms = zones.clock.now_ms() - started_ms
+            again = await zones.ask("z0")
+            took_again_ms = zones.clock.now_ms() - started_ms - took_ms
+        self.assertEqual((reply.status, again.status), (200, 200))
+        # Half of the caller's time; the next query knows.
+        self.assertLess(took_ms, 500.0)
+        self.assertLess(took_again_ms, 100.0)
+
+    @trio_test
+    async def test_servers_are_not_asked_beyond_the_attempts_of_the_route(self):
+        """A part runs on three servers although the route allows two.
+
+        Each service has more servers than the route allows attempts. The instance
+        that gathered the query was lost with it, and may have asked any of them.
+        """
+        zones = TwoZones(route(timeout_ms=2000.0, attempts=1), follows=True)
+        async with zones.running():
+            await zones.ask("z0")
+            zones.frozen = True
+            reply = await zones.ask("z0")
+        self.assertEqual((reply.status, reply.closes), (502, True))
+        self.assertEqual(zones.delegated, 2)
+
     @trio_test
     async def test_instance_that_others_gather_for_sees_that_its_zone_is_cut(self):
         """A zone cut off from the servers keeps taking callers.
