Ask again for needed parts that were turned away, while there is time

Cause: a gathered query ended at its last failed part: 122 of 129 parts after 301 ms of 2,018, 123 needed, one server of the missing service crashed and the other full (not_run_503). A forwarded request ended where its second server was left alone for a quarter of a second, with eight seconds left. And both sends that a refusal gives back were spent within two milliseconds, on the server that had just refused.

Change: a query that lacks parts asks for them again when a server may be asked, 50 ms later at the earliest, as far as attempts and budget allow; one that cannot have enough in time ends at once. Forwarded requests do the same.

Tests: servers of a service turn work away for 0.1 s (a query 502 and a forwarded request 503 before, 200 now); two of four services fail for good and three are needed: ends within 100 ms.

--- a/ibisfront/gateway/forwarding.py
+++ b/ibisfront/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -38,6 +39,7 @@
         "_context",
         "_give_up_at_ms",
         "_hedge_at_ms",
+        "_resend_at_ms",
         "_woken",
         "call",
     )
@@ -53,6 +55,7 @@
         self._context = context
         self._hedge_at_ms = hedge_at_ms
         self._give_up_at_ms = give_up_at_ms
+        self._resend_at_ms = -math.inf
         self._woken = trio.Event()
         self.call = ServiceCall(service, context, self._changed)
 
@@ -68,13 +71,15 @@
             if now_ms >= self._give_up_at_ms:
                 return
             if not call.is_open:
-                if not self._may_repeat() or not call.send_extra():
+                if not self._send_again(now_ms):
                     return
             elif not is_hedged and now_ms >= self._hedge_at_ms:
                 is_hedged = True
                 call.send_extra()
             wake_at_ms = self._give_up_at_ms
-            if not is_hedged:
+            if not call.is_open:
+                wake_at_ms = self._resend_at_ms
+            elif not is_hedged:
                 wake_at_ms = min(wake_at_ms, self._hedge_at_ms)
             with clock.timeout_ms(wake_at_ms - now_ms):
                 await self._woken.wait()
@@ -85,6 +90,22 @@
         """Wait for no more replies."""
         self.call.end(at_once=at_once)
 
+    def _send_again(self, now_ms: float) -> bool:
+        """Send once more, now or later; return False if that is of no use.
+
+        Load pattern: the servers turn work away or are left alone for a moment. A
+        request that ended then would fail with most of its time left.
+        """
+        if now_ms < self._resend_at_ms:
+            return True
+        if not self._may_repeat():
+            return False
+        if self.call.send_extra():
+            return True
+        self._resend_at_ms = self.call.may_send_again_at_ms(now_ms)
+        latest_ms = self._give_up_at_ms - self._context.usual.median_ms
+        return self._resend_at_ms <= latest_ms
+
     def _may_repeat(self) -> bool:
         """Return whether sending once more cannot run the request twice."""
         return self._context.is_idempotent or not self.call.may_have_run
--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/gathering.py
@@ -71,12 +71,14 @@
         "_hedge_at_ms",
         "_is_falling_back",
         "_life_check",
+        "_lost",
         "_needed",
         "_own_parts",
         "_plan",
         "_remote_calls",
         "_remote_plan",
         "_remote_started_ms",
+        "_resend_at_ms",
         "_start_remote",
         "_started_ms",
         "_wake_at_ms",
@@ -103,6 +105,8 @@
         self._plan = plan
         self._woken = trio.Event()
         self._failed: list[ServiceCall] = []
+        self._lost: list[ServiceCall] = []
+        self._resend_at_ms = math.inf
         self._remote_calls: list[ServiceCall] = []
         self._is_falling_back = False
         self._has_lost_parts = False
@@ -193,8 +197,11 @@
                 await self._context.clock.sleep_ms(_READ_FIRST_MS)
                 continue
             self._check_remote(now_ms)
+            if now_ms >= self._resend_at_ms:
+                self._failed += self._lost
+                self._lost = []
             if self._failed:
-                self._retry_failed()
+                self._retry_failed(now_ms)
             if now_ms >= self._hedge_at_ms:
                 self._hedge_at_ms = math.inf
                 self._hedge(now_ms)
@@ -240,11 +247,13 @@
             return True
         if self._failed or self._must_replace_remote():
             return False
+        if self._resend_at_ms < math.inf:
+            return False
         return not self.is_open or self.answered == self.total
 
     async def _wait(self, now_ms: float) -> None:
         plan = self._plan
-        moments_ms = [plan.give_up_at_ms, self._hedge_at_ms]
+        moments_ms = [plan.give_up_at_ms, self._hedge_at_ms, self._resend_at_ms]
         if now_ms < plan.end_at_ms:
             moments_ms.append(plan.end_at_ms)
         moments_ms += [
@@ -277,13 +286,34 @@
         if late or self._has_lost_parts or self.answered == self.total:
             self._wake()
 
-    def _retry_failed(self) -> None:
+    def _retry_failed(self, now_ms: float) -> None:
         failed, self._failed = self._failed, []
         for call in failed:
             if call.is_settled or call.is_open:
                 continue
             if not call.send_extra():
                 self._has_lost_parts = True
+                self._lost.append(call)
+        self._resend_at_ms = self._next_resend_ms(now_ms)
+
+    def _next_resend_ms(self, now_ms: float) -> float:
+        """Return when to ask again for parts without which the query fails.
+
+        Load pattern: servers turn work away, or have crashed and are back in a
+        moment. A query that ended with its last failed part would lose all others
+        with most of its time left. One that cannot have enough in time ends at once.
+        """
+        open_parts = sum(call.is_open for call in self._all_calls)
+        if self.remote is not None and self.remote.is_open:
+            open_parts += len(self.remote.services)
+        lacking = self._needed - self.answered - open_parts
+        if lacking <= 0:
+            return math.inf
+        latest_ms = self._plan.give_up_at_ms - self._context.usual.median_ms
+        moments_ms = [call.may_send_again_at_ms(now_ms) for call in self._lost]
+        if sum(at_ms <= latest_ms for at_ms in moments_ms) < lacking:
+            return math.inf
+        return min(moments_ms)
 
     def _hedge(self, now_ms: float) -> None:
         usual_ms = self._context.usual.median_ms
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -27,6 +28,10 @@
 _NOT_RUN_RETRIES = 2
 """Sends beyond the route's attempts after replies that say "not run"."""
 
+_RESEND_PAUSE_MS = 50.0
+"""The least pause before a part that failed is asked for again: some requests of a
+server's queue end meanwhile."""
+
 _SLOW = 2.0
 """Slowness from which on work that is not waited for is stopped."""
 
@@ -142,6 +147,7 @@
     """
 
     __slots__ = (
+        "_again_at_ms",
         "_context",
         "_has_run",
         "_on_change",
@@ -168,6 +174,7 @@
         self._open: list[Exchange] = []
         self._tried: list[Server] = []
         self._refunded = 0
+        self._again_at_ms = -math.inf
         self.reply: BackendReply | None = None
         self.failure: BackendReply | None = None
         self.last_error = ""
@@ -230,6 +237,20 @@
         self._submit(server, now_ms)
         return True
 
+    def may_send_again_at_ms(self, now_ms: float) -> float:
+        """Return when a server may be asked again; infinite for never."""
+        context = self._context
+        if self.sends >= context.attempts + min(self._refunded, _NOT_RUN_RETRIES):
+            return math.inf
+        at_ms = now_ms + _RESEND_PAUSE_MS
+        server = self._best(self._tried, now_ms)
+        if server is None and self._refunded:
+            server = self._best([], now_ms)
+            at_ms = max(at_ms, self._again_at_ms)
+        if server is None:
+            return math.inf
+        return max(server.not_before_ms, at_ms)
+
     @property
     def has_no_more_servers_than_attempts(self) -> bool:
         """Whether asking each server once stays within the route's attempts."""
@@ -251,14 +272,18 @@
             exchange.give_up(at_once=at_once or is_slow)
 
     def _choose(self, now_ms: float) -> Server | None:
+        chosen = self._best(self._tried, now_ms)
+        if chosen is None and self._refunded and now_ms >= self._again_at_ms:
+            # Every server was asked and some said "not run": ask one again.
+            return self._best([], now_ms)
+        return chosen
+
+    def _best(self, tried: list[Server], now_ms: float) -> Server | None:
+        """Return the server to ask that was not tried."""
         context = self._context
         servers = context.book.of_service(self.service)
         usual_ms = context.usual.median_ms
-        chosen = choose_server(servers, self._tried, now_ms=now_ms, usual_ms=usual_ms)
-        if chosen is None and self._refunded:
-            # Every server was asked and some said "not run": ask one again.
-            return choose_server(servers, [], now_ms=now_ms, usual_ms=usual_ms)
-        return chosen
+        return choose_server(servers, tried, now_ms=now_ms, usual_ms=usual_ms)
 
     def _send(self, now_ms: float) -> bool:
         server = self._choose(now_ms)
@@ -314,6 +339,7 @@
         server = exchange.server
         if reply.not_run:
             self._refunded += 1
+            self._again_at_ms = now_ms + _RESEND_PAUSE_MS
             self.last_error = f"not_run_{reply.status}"
             self.retry_after_ms = reply.retry_after_ms
             server.note_refused(now_ms, reply.retry_after_ms)
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -354,6 +354,15 @@
         )
         return await self.gateway.answer(request)
 
+    def make_room_after(self, service: str, delay_s: float) -> None:
+        """Let the servers of a service take work again after a while."""
+        self._nursery.start_soon(self._make_room, service, delay_s)
+
+    async def _make_room(self, service: str, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        for server in self.servers[service]:
+            server.not_run = False
+
     def all_servers(self) -> list[StandInServer]:
         """Return every stand-in."""
         return [server for servers in self.servers.values() for server in servers]
--- a/ibisfront/tests/test_gateway_runs.py
+++ b/ibisfront/tests/test_gateway_runs.py
@@ -69,6 +69,56 @@
         self.assertEqual(headers[b"X-Shards-Missing"], b"1")
         self.assertEqual(headers[b"X-Shard-Stamps"].count(b","), 18)
 
+    @trio_test
+    async def test_part_that_was_turned_away_is_asked_for_again(self):
+        """Searches fail with most of their time left while servers are full.
+
+        Both servers of one service turn the part away. No other part is missing, and
+        a moment later there is room again; the caller would have waited for it.
+        """
+        fixture = GatewayFixture(gather_route(4, minimum=1.0, timeout_ms=2000.0))
+        async with fixture.running():
+            for _ in range(10):
+                await fixture.ask()
+            for server in fixture.servers["part-3"]:
+                server.not_run = True
+            fixture.make_room_after("part-3", 0.1)
+            reply = await fixture.ask()
+        self.assertEqual((reply.status, reply.reason), (200, "whole"))
+
+    @trio_test
+    async def test_forwarded_request_waits_for_room_while_there_is_time(self):
+        """A caller is refused twice within milliseconds, with seconds left.
+
+        Both servers of the service are full for a moment.
+        """
+        fixture = GatewayFixture(forward_route(kind=RequestKind.NON_IDEMPOTENT))
+        async with fixture.running():
+            for server in fixture.servers["archive"]:
+                server.not_run = True
+            fixture.make_room_after("archive", 0.1)
+            reply = await fixture.ask("/fetch/a")
+        self.assertEqual(reply.status, 200)
+
+    @trio_test
+    async def test_query_that_cannot_have_enough_parts_ends_at_once(self):
+        """A caller waits for its whole time and is refused all the same.
+
+        Two of four services have no server that may be asked again, and three parts
+        are needed: one that is about to come back does not help.
+        """
+        fixture = GatewayFixture(gather_route(4, minimum=0.75, timeout_ms=2000.0))
+        async with fixture.running():
+            for _ in range(10):
+                await fixture.ask()
+            for server in fixture.servers["part-3"] + fixture.servers["part-2"]:
+                server.status = 500
+            started_ms = fixture.clock.now_ms()
+            reply = await fixture.ask()
+            took_ms = fixture.clock.now_ms() - started_ms
+        self.assertEqual(reply.status, 502)
+        self.assertLess(took_ms, 100.0)
+
     @trio_test
     async def test_too_few_parts_are_no_answer(self):
         fixture = GatewayFixture(gather_route(4, minimum=1.0))
