Keep no connection where not every instance may have one

Cause: test requests for one service of 129 go to it from each of 195 instances, and each kept its connection; its server accepts 120.

Change: an instance that gathers nothing closes its connection to a server of a gathered service after the reply. Before, it closed idle ones only when the list of instances changed.

Ruled out: sending such requests by an instance that gathers (one more hop, and a request that must not run twice could be lost between the two); one connection for a share of the instances (a request at the others has to open one all the same).

--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -85,27 +85,25 @@
 
     def server_pool(self, server: Server) -> ServerPool:
         """Return the connections of a new backend server."""
-        return self._pool(server, self._maximum(server.entry.service))
+        service = server.entry.service
+        pool = self._pool(server, self._maximum(service))
+        pool.keeps_idle = self._keeps_idle(service)
+        return pool
 
     def peer_pool(self, peer: Server) -> ServerPool:
         """Return the connections of another instance."""
         return self._pool(peer, _PEER_CONNECTIONS)
 
     def share(self, book: ServerBook) -> None:
-        """Share out what servers accept, and give back what is not ours.
-
-        Connections that are kept by an instance that does not gather would
-        count against those that do, and theirs would be reset.
-        """
-        table = self._find_table()
+        """Share out what servers accept, and give back what is not ours."""
         for server in book.servers():
             pool = server.pool
             if pool is None:
                 continue
             service = server.entry.service
             pool.maximum = self._maximum(service)
-            is_gathered = table is not None and service in table.gathered_services
-            if is_gathered and not self._gatherers.is_gatherer:
+            pool.keeps_idle = self._keeps_idle(service)
+            if not pool.keeps_idle:
                 pool.close_idle()
 
     def warm_up(self, book: ServerBook) -> None:
@@ -136,6 +134,18 @@
             return True
         return self._clock.now_ms() - self._started_ms > _ALONE_AFTER_MS
 
+    def _keeps_idle(self, service: str) -> bool:
+        """Return whether connections to a service are kept open while idle.
+
+        A server accepts fewer connections than there are instances. Kept by each
+        that forwards a request now and then, they use up what it accepts; those of
+        the instances that gather are reset, and their parts are missing.
+        """
+        table = self._find_table()
+        if table is None or self._gatherers.is_gatherer:
+            return True
+        return service not in table.gathered_services
+
     def _maximum(self, service: str) -> int:
         """Return this instance's share of what a server accepts."""
         table = self._find_table()
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -70,6 +70,11 @@
         How many connections there may be.
     news : ServerNews, optional
         Logs that the server cannot be reached.
+
+    Attributes
+    ----------
+    keeps_idle : bool
+        Whether a connection that carries nothing is kept for the next exchange.
     """
 
     __slots__ = (
@@ -83,6 +88,7 @@
         "_opening",
         "_server",
         "_waiting",
+        "keeps_idle",
         "maximum",
     )
 
@@ -102,6 +108,7 @@
         self._nursery = nursery
         self._clock = clock
         self.maximum = maximum
+        self.keeps_idle = True
         self._connections: set[ServerConnection] = set()
         self._idle: list[ServerConnection] = []
         self._opening = 0
@@ -239,7 +246,7 @@
                 return
         if not connection.is_idle:
             return
-        if self._is_closed:
+        if self._is_closed or not self.keeps_idle:
             connection.close()
         else:
             self._idle.append(connection)
