Followers leave a store that serves nobody alone

Cause: while the store is down, every instance finds its sources without it and tries the store itself, two calls at a time, up to three seconds apart; as soon as it is back many list all servers (some ten calls each) before their next look at a source.

Change: an instance that is not followed asks its sources and some of other zones; if four or more answer that they do not hear the store, and none does, it only looks for a source, every 0.7 s and for six seconds, before it tries the store. Instances turned away singly find one that hears it, as before.

Ruled out: longer back-offs (who is turned away alone must be up to date within the bound); holding on the word of the own zone's three alone (all three may be turned away).

--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -61,6 +61,13 @@
 """Neighbours that are asked at once whether they hear the store: with a third of
 the instances turned away, one in eighty such looks finds none."""
 
+_DEAF_INSTANCES = 4
+"""So many instances that answer and do not hear the store, and none that does, mean
+that the store serves nobody: three of the own zone may be turned away together."""
+
+_OUTLAST_MS = 6_000.0
+"""How long an instance that others do not follow leaves such a store alone."""
+
 _FOLLOW_NEIGHBOUR_MS = 5_000.0
 """How long a neighbour is followed before the store is tried again. Outages of
 single instances last seconds, and each refused call has a price."""
@@ -133,6 +140,7 @@
     __slots__ = (
         "_clock",
         "_connect",
+        "_deaf",
         "_kinds",
         "_known_version",
         "_listed",
@@ -174,6 +182,8 @@
         self._listed = trio.Event()
         self._watch_started_ms = -math.inf
         self._kinds = 0
+        # Who answered the last look without hearing the store.
+        self._deaf: set[str] = set()
         self.away: set[str] = set()
         # Entries lapse while the store is away: servers that are missing from
         # the next list may live.
@@ -231,6 +241,8 @@
     async def _keep_up(self) -> None:
         source = await self._look_at_start()
         while True:
+            if source is None:
+                source = await self._outlast_outage()
             if source is None:
                 source = await self._watch_until_found()
             elif self._relays.sources and source.is_near:
@@ -274,14 +286,32 @@
 
     async def _look(self) -> _Source | None:
         """Return the first source that hears the store; None if none does."""
+        self._deaf.clear()
         for entry in self._relays.sources:
             source = await self._ask(entry.name, entry.address, is_near=True)
             if source is not None:
                 return source
-        if self.away:
+        if self.away or self._mode is not _Mode.WATCHING:
             return await self._look_around()
         return None
 
+    async def _outlast_outage(self) -> _Source | None:
+        """Look for a source without the store, while it seems to serve nobody.
+
+        Nearly all instances are followers. Each would try the store again and again,
+        and list all servers as soon as it is back, although those that watch it for
+        the others know them a moment later.
+        """
+        until_ms = self._clock.now_ms() + _OUTLAST_MS
+        while len(self._deaf) >= _DEAF_INSTANCES and not self._relays.is_source:
+            if self._clock.now_ms() >= until_ms:
+                return None
+            await self._clock.sleep_ms(_LOOK_IN_OUTAGE_MS)
+            source = await self._look()
+            if source is not None:
+                return source
+        return None
+
     async def _look_around(self) -> _Source | None:
         """Return a neighbour that hears the store; None if none that is asked does.
 
@@ -332,6 +362,7 @@
             self._on_cut_off(state.is_cut_off)
         if not state.is_fresh:
             _LOG.info("%s does not hear the store.", name)
+            self._deaf.add(name)
             self._store_was_away = True
             if self._knows_nothing:
                 self._take(state)
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -306,6 +306,30 @@
         await trio.sleep(2.5)
         self.assertEqual({item.version for item in zone.instances}, {7})
 
+    @functools.partial(in_zone, instances=45)
+    async def test_followers_leave_a_store_that_serves_nobody_alone(
+        self, zone, nursery
+    ):
+        """The store is called by all instances at once the moment it is back.
+
+        It was down for five seconds. Each of 45 instances tried it again and again,
+        and then listed all servers, although three instances a zone do so for the
+        others.
+        """
+        for number, instance in enumerate(zone.instances):
+            instance.move_to(f"z{number % 3}")
+        zone.start(nursery)
+        await trio.sleep(8.0)
+        zone.take_calls()
+        zone.store_refuses = True
+        zone.put(2)
+        await trio.sleep(5.0)
+        zone.store_refuses = False
+        followers = zone.instances[9:]
+        self.assertLess(await self.heard_after_s(zone, 0), 2.0)
+        calls = sum(item.calls for item in followers)
+        self.assertEqual(calls, 0)
+
     @in_zone
     async def test_watcher_that_stands_in_for_a_lost_one_is_kept(self, zone, nursery):
         """The links of a zone are full for hours after one machine was removed.
