--- a/ibisfront/core/bounded_log.py
+++ b/ibisfront/core/bounded_log.py
@@ -20,10 +20,8 @@
     logging.WARNING: 40.0,
     logging.ERROR: 40.0,
 }
-"""Lines a second that a process may write of each level. A line costs 16 us of
-processor time, a dropped one 6 us (2,000 lines each): 15 ordinary ones are 0.02%
-of a core. Warnings, which tell of failures, keep their own share however many
-ordinary ones come."""
+"""Lines a second that a process may write of each level. Warnings, which tell of
+failures, keep their own share however many ordinary ones come."""
 
 _BURST_S = 4.0
 """How many seconds' lines may come at once, at a start or a change."""
--- a/ibisfront/core/spread.py
+++ b/ibisfront/core/spread.py
@@ -40,8 +40,7 @@
 _ASK_AGAIN_MS = 1_000.0
 """After how long a question without a reply is asked again; each time it takes
 twice as long. A large reply on a slow link would be asked for, and queue on that
-link, once a second: eight copies of 256 KiB where one takes eight seconds, four
-with this (counted in mock time)."""
+link, once a second."""
 
 _LONGEST_ASK_AGAIN_MS = 8_000.0
 """The longest such wait: a table of the largest size, 1 MB, takes 1.2 s on a link
--- a/ibisfront/gateway/configuration.py
+++ b/ibisfront/gateway/configuration.py
@@ -45,7 +45,7 @@
 
 @functools.lru_cache(maxsize=64)
 def _digest(services: tuple[str, ...], top_count: int) -> str:
-    """Return a digest; kept, as hashing ninety names takes 4 us, a look-up 1."""
+    """Return a digest; kept, as hashing takes longer than a look-up."""
     data = msgspec.json.encode((services, top_count))
     return hashlib.blake2b(data, digest_size=8).hexdigest()
 
--- a/ibisfront/gateway/configuration_change.py
+++ b/ibisfront/gateway/configuration_change.py
@@ -95,9 +95,8 @@
 class ConfigurationHistory:
     """The last versions, for telling others what has changed since theirs.
 
-    Sent whole, one route more of 4,200 is 0.8 MB to each follower and fills the
-    links on which answers travel; as a change it is 0.6 KB (twenty instances
-    counted in mock time).
+    Sent whole to each follower, one route more of thousands would fill the links on
+    which answers travel.
 
     Attributes
     ----------
--- a/ibisfront/gateway/gather_plan.py
+++ b/ibisfront/gateway/gather_plan.py
@@ -19,8 +19,7 @@
 """Usual latencies for which late parts are waited for while there is time. Most
 replies that are just late come a moment later; what is left after this mostly
 stands still. Hedging each late part at once loads the servers and the ways
-between zones: with a zone cut off under high load the mean worth of an answer
-rose from 0.883 to 0.925 of its full worth by waiting (one run each)."""
+between zones."""
 
 _HEDGE_TIME_FACTOR = 2.5
 """Usual latencies that a hedged request needs: a late reply, and a connection."""
--- a/ibisfront/gateway/gatherers.py
+++ b/ibisfront/gateway/gatherers.py
@@ -21,8 +21,7 @@
 _MOST_ALONE = 12
 """Up to so many instances each gather for themselves, if the connections allow
 it. Beyond, each meets a server too rarely to keep a connection to it warm or to
-know how it does: 31 instances served 0.773 of their requests when all gathered
-and 0.900 when eight did (one run each)."""
+know how it does."""
 
 _CONNECTIONS = 4
 """Connections to each server that a gatherer is given."""
@@ -36,14 +35,11 @@
 gather use; the rest is for those that forward a request to it or find no gatherer."""
 
 _LEAST_PER_ZONE = 2
-"""Gatherers of a zone, so that one is left when one is lost. Fewer keep their
-connections warm and know more of each server: with two in place of three the
-mean worth of an answer on a day of faults rose from 0.766 to 0.875 of its full
-worth, and connections opened fell by a quarter."""
+"""Gatherers of a zone, so that one is left when one is lost. Few keep their
+connections warm and know more of each server."""
 
 _INSTANCES_PER_GATHERER = 20
-"""Instances for which one more gatherer is there. Two for seventeen used 0.06 of
-a core at the most on a day of faults, at 0.4 queries a second an instance."""
+"""Instances for which one more gatherer is there."""
 
 
 class Gatherers:
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -222,9 +222,8 @@
         )
         await self._run_until_left(run, asked)
         # Servers drop a request when its connection closes. Under load that
-        # frees slots for requests that are waited for: with a zone cut off
-        # under high load the mean worth of an answer, as a share of its full
-        # worth, rose from 0.868 to 0.914. In calm it only costs a connection.
+        # frees slots for requests that are waited for; in calm it only costs a
+        # connection.
         run.end(at_once=context.usual.is_loaded)
         return run
 
--- a/ibisfront/gateway/reach.py
+++ b/ibisfront/gateway/reach.py
@@ -79,8 +79,8 @@
         A service that is down everywhere must not look like this: every
         instance would report itself not ready at once.
 
-        One route of each target is looked at, 0.2 ms of a core for 4,200 routes
-        in place of 12: this is told with each answer to a follower.
+        One route of each target is looked at, as there may be thousands of routes and
+        this is told with each answer to a follower.
         """
         if all(self.can_serve(route) for route in table.distinct_routes):
             return False
--- a/ibisfront/gateway/remote_call.py
+++ b/ibisfront/gateway/remote_call.py
@@ -225,9 +225,8 @@
         """Return without how many of its parts the query fails for certain.
 
         The other instance gathers at least these. One that ended at the
-        objective with one part too few made the whole query fail with most of
-        its time left: on seven simulated days, paired, unserved requests fell
-        from 1.41 to 1.31%.
+        objective with one part too few would make the whole query fail with most
+        of its time left.
         """
         elsewhere = len(gathering.services) - len(self.services)
         return max(gathering.needed_parts - elsewhere, 0)
--- a/ibisfront/gateway/rotation.py
+++ b/ibisfront/gateway/rotation.py
@@ -12,8 +12,8 @@
 once a second and needs two misses."""
 
 _OUT_AFTER_MS = NOTICED_AFTER_MS + 200.0
-"""When a new connection reaches another zone: an estimate of what the other
-instances of the zone take longer to know."""
+"""When a new connection reaches another zone: the other instances of the zone know a
+little later."""
 
 _LEAST_WAIT_MS = 20.0
 """The shortest wait that is told: the caller's next connection goes elsewhere
@@ -24,8 +24,7 @@
 found, or a server that has failed is tried again."""
 
 _SPREAD_MS = 200.0
-"""Over how long those are spread that would all come back at the same moment: an
-estimate, not measured apart."""
+"""Over how long those are spread that would all come back at the same moment."""
 
 
 class Rotation:
--- a/ibisfront/gateway/route_cache.py
+++ b/ibisfront/gateway/route_cache.py
@@ -16,8 +16,8 @@
     """Keeps the routes of the last version that was read.
 
     Routes that are written as in the version before are taken from there, and both
-    versions share them. One route more of 4,200 takes 2.2 ms in place of 11.8, in
-    which queries wait (processor time, ``benchmarks.configuration_cost``).
+    versions share them: queries wait while thousands are read anew
+    (``benchmarks.configuration_cost``).
     """
 
     __slots__ = ("_by_text",)
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -18,8 +18,7 @@
 
 _SLOWNESS_WEIGHT = 0.15
 """Weight of one reply in the smoothed slowness: ten replies turn a healthy server
-into a slow one in the choice, one pause does not. Without the slowness 5.0% of the
-answers were late in place of 4.5% (three simulated days with slow servers)."""
+into a slow one in the choice, one pause does not."""
 
 _LARGEST_RATIO = 5.0
 """One reply counts as at most this many times the route's usual latency, so
@@ -30,12 +29,12 @@
 that is avoided is measured no more and has to be tried again."""
 
 _FAILURE_WEIGHT = 0.25
-"""Weight of one exchange in the smoothed share of failures: an estimate, four
-failures in a row make a server cost more than one that is paused."""
+"""Weight of one exchange in the smoothed share of failures: four failures in a row
+make a server cost more than one that is paused."""
 
 _FAILURE_HALF_LIFE_MS = 1_500.0
-"""How fast failures lose half of their weight: an estimate, a little longer than the
-longest time for which a server is left alone."""
+"""How fast failures lose half of their weight: a little longer than the longest time
+for which a server is left alone."""
 
 _FIRST_BACK_OFF_MS = 250.0
 """How long a server is left alone at first; doubled with each loss."""
@@ -47,25 +46,22 @@
 """Connections lost or refused in a row after which a server is left alone."""
 
 _UNREACHABLE_MS = 400.0
-"""The least silence after which a server counts as cut off: longer than the pauses
-of a quarter of a second that were seen."""
+"""The least silence after which a server counts as cut off: longer than a pause."""
 
 _UNREACHABLE_FACTOR = 3.0
 """The least silence in units of the time after which a reply is late: a server
 at work on one long request replies to nothing meanwhile."""
 
 _OVERDUE_FACTOR = 2.5
-"""Silence of this many usual latencies counts as a pause: an estimate, twice the
-time after which a healthy reply would already be hedged at the earliest."""
+"""Silence of this many usual latencies counts as a pause: twice the time after which
+a healthy reply would already be hedged at the earliest."""
 
 _OVERDUE_FLOOR_MS = 8.0
 """Added to that silence: what a busy process takes to read a reply."""
 
 _OVERDUE_PENALTY = 4.0
-"""Cost, in usual latencies, of a server that seems to stand still. This and the
-following costs are estimates of what a request there loses. Each of them at nothing
-changed the mean worth of a simulated day by less than 0.02 (docs/design/worst-load.md),
-but for the way between zones (0.075 where bytes are dear)."""
+"""Cost, in usual latencies, of a server that seems to stand still: what a request
+there loses, as the costs that follow."""
 
 _FAILURE_PENALTY = 6.0
 """Cost, in usual latencies, of a server all of whose exchanges fail."""
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -37,12 +37,11 @@
 
 _COST_JITTER = 0.1
 """Share by which costs are varied at random, so that instances that see equal
-servers do not all choose the same one: an estimate, less than any of the
-penalties."""
+servers do not all choose the same one; less than any of the penalties."""
 
 _NO_ROOM_COST = 1.0
 """What a server costs more, in usual latencies, if the request has to wait for
-a connection to it: an estimate, a usual request that ends first."""
+a connection to it: that of a usual request that ends first."""
 
 
 class CallContext(msgspec.Struct):
--- a/ibisfront/gateway/state_codec.py
+++ b/ibisfront/gateway/state_codec.py
@@ -16,8 +16,7 @@
 """Below this a message fits in a packet or so as it is."""
 
 _LEVEL = 1
-"""The quickest: 4,200 routes are 376 KB, and 64 KB in 3 ms (processor time,
-``benchmarks.configuration_cost``)."""
+"""The quickest; thousands of routes become a sixth (``benchmarks.configuration_cost``)."""
 
 _COMPRESSED_MARK = b"\x78"
 """First byte of a compressed message (RFC 1950); an encoded one, which is a map,
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -46,9 +46,8 @@
 _FOLLOWER_BACK_OFF_MS = 3_000.0
 """Longest wait between tries of the store for an instance that others do not
 follow. It finds out by those that are tried more often; each refused call has a
-price, and nearly all instances are such: 20 of a zone made 4.9 calls a second
-each in an outage without this and 1.9 with it, counted in mock time. It stays
-below the contact bound, in case all of those are lost."""
+price, and nearly all instances are such. It stays below the contact bound, in case
+all of those are lost."""
 
 _START_PATIENCE_MS = 1_000.0
 """How long a starting instance looks for one to follow: after a loss of power
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state_relay.py
@@ -127,9 +127,7 @@
     known_version : int
         The version of the configuration that it has in force; 0 for none. The
         state of one that does not hear the store is of use only then: sent at
-        every look while the store is away, it would fill the links. 20 instances
-        passed on 6.6 MB in ten seconds of an outage, counted in mock time with
-        300 servers.
+        every look while the store is away, it would fill the links.
     """
 
     known_revision: int
@@ -319,8 +317,8 @@
     def _encoded_for(self, asked: AskedState) -> bytes:
         """Return the encoded answer.
 
-        All followers ask for the same change at once. Encoded for each of
-        twenty, 4,200 routes took a source from 32 to 63 MB.
+        All followers ask for the same change at once; encoded for each, it would take
+        a source's memory and time that many times over.
         """
         is_fresh = self._is_fresh()
         is_cut_off = self._is_cut_off()
--- a/ibisfront/gateway/usual_latency.py
+++ b/ibisfront/gateway/usual_latency.py
@@ -10,11 +10,10 @@
 """Latencies that are looked at: a dozen queries over twenty services."""
 
 _REFRESH_EVERY = 32
-"""Latencies between two looks: sorting them takes 4 us, a sixth of a sub-request."""
+"""Latencies between two looks: sorting them costs less than a sub-request."""
 
 _LATE_QUANTILE = 0.92
-"""Share of latencies that are in time; at 0.94 the mean worth in calm fell
-from 0.857 to 0.823 of its full worth, beside a dearer way between zones."""
+"""Share of latencies that are in time; the rest is worth a hedged request."""
 
 _LEAST_LATE_FACTOR = 1.4
 """A reply is not late before this many medians: work varies by a third."""
--- a/ibisfront/gateway/zone_watch.py
+++ b/ibisfront/gateway/zone_watch.py
@@ -24,8 +24,7 @@
 
 _CHECK_MS = 25.0
 """How often the ways are looked at: a fifth of the time that a suspicion and its
-probes take. 40 looks a second took 0.9% of a core, for 2 ways and for 17 alike
-(six seconds each on a busy machine): nearly all of it is the waking."""
+probes take. Waking for it costs more than the look, however many ways there are."""
 
 _PROBED_INSTANCES = 3
 """Instances of a zone that are probed: their connections cost servers nothing."""
--- a/ibisfront/gateway/zone_ways.py
+++ b/ibisfront/gateway/zone_ways.py
@@ -21,12 +21,12 @@
 time."""
 
 _DUE_LEAST_MS = 40.0
-"""The least time that a reply is given: an estimate, above the lateness with which a
-busy process reads replies."""
+"""The least time that a reply is given: above the lateness with which a busy process
+reads replies."""
 
 _PROBE_MS = 60.0
-"""How long probes of a suspect zone may take: an estimate, several times the two
-ways of 1.4 ms at the most and the 6 ms that a server takes for a connection."""
+"""How long probes of a suspect zone may take: several times what the ways between
+zones and a server's accepting take."""
 
 _PROBE_AGAIN_MS = 150.0
 """Pause between probes of a zone that is cut off: it is in use again this long
