--- a/ibisfront/gateway/state_codec.py
+++ b/ibisfront/gateway/state_codec.py
@@ -16,7 +16,7 @@
 """Below this a message fits in a packet or so as it is."""
 
 _LEVEL = 1
-"""The quickest; thousands of routes become a sixth (``benchmarks.configuration_cost``)."""
+"""The quickest: links are short, and so is the processor time."""
 
 _COMPRESSED_MARK = b"\x78"
 """First byte of a compressed message (RFC 1950); an encoded one, which is a map,
