A zone that is cut off refuses queries at once again

Change: two instances that say that they cannot reach the servers end the search for another one. Test: 4 instances asked before, 2 now; where they refuse for another version, 4 still.

--- a/ibisfront/gateway/followed_query.py
+++ b/ibisfront/gateway/followed_query.py
@@ -20,6 +20,11 @@
 """Gatherers that may refuse one query: both of the own zone may be behind with the
 configuration, and so may one of another."""
 
+_MOST_OUT_OF_REACH = 2
+"""Gatherers that may say that they cannot reach the servers: two of a zone mean that the
+zone is cut off. Others are behind the cut too, and asking them would only hold up the
+caller, who has little time to come again elsewhere."""
+
 AskGatherer: TypeAlias = "Callable[[RemotePlan, bool, Callable[[], None]], RemoteCall]"
 """Asks an instance, told whether another one may have gathered the query already."""
 
@@ -71,6 +76,7 @@
         "_may_ask_twice",
         "_may_have_run",
         "_next_plan",
+        "_out_of_reach",
         "_plan",
         "_tried",
         "_woken",
@@ -100,6 +106,7 @@
         self._may_ask_twice = may_ask_twice
         self._has_asked_twice = False
         self._may_have_run = False
+        self._out_of_reach = 0
         self._tried: list[Server] = []
         self._woken = trio.Event()
         self.found_silence = False
@@ -179,6 +186,9 @@
             if self._has_asked_twice or not self._may_ask_twice:
                 return None
             self._has_asked_twice = True
+        self._out_of_reach += remote.is_out_of_reach
+        if self._out_of_reach >= _MOST_OUT_OF_REACH:
+            return None
         if len(self._tried) >= _MOST_REFUSALS:
             return None
         plan = self._next_plan(self._tried)
--- /dev/null
+++ b/ibisfront/tests/test_gateway_followed_query.py
@@ -0,0 +1,91 @@
+"""Tests of queries that other instances gather, in mock time."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+import trio
+
+from ibisfront.gateway.followed_query import FollowedQuery
+from ibisfront.gateway.messages import InboundRequest
+from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
+from ibisfront.tests import trio_test
+
+
+class RefusingRemote:
+    """A call to an instance that has refused the query."""
+
+    is_open = has_answered = may_have_run = False
+    is_refused = True
+    signatures = ()
+
+    def __init__(self, plan, *, is_out_of_reach):
+        self.peer = plan.peer
+        self.is_out_of_reach = is_out_of_reach
+
+    def end(self, *, at_once):
+        pass
+
+
+PLAN = SimpleNamespace(
+    peer=SimpleNamespace(entry=SimpleNamespace(server_id="gatherer"))
+)
+
+
+class FollowedQueryTest(unittest.TestCase):
+    """Whom a query goes on to when instances refuse it."""
+
+    async def asked(self, *, is_out_of_reach):
+        """Return how many instances are asked if all refuse."""
+        route = gather_route(4)
+        fixture = GatewayFixture(route)
+        async with fixture.running():
+            request = InboundRequest(b"GET", b"/", "h", "r", 900.0, [], b"", 0.0)
+            context = fixture.answering.context(request, route)
+            asked = []
+
+            def ask(plan, is_repeat, on_change):
+                asked.append(is_repeat)
+                return RefusingRemote(plan, is_out_of_reach=is_out_of_reach)
+
+            query = FollowedQuery(
+                route.gathering,
+                context,
+                check_life=lambda remote, on_change: Check(),
+                plan=PLAN,
+                ask=ask,
+                next_plan=lambda tried: PLAN,
+                give_up_at_ms=trio.current_time() * 1000.0 + 900.0,
+                may_ask_twice=True,
+            )
+            await query.run()
+        self.assertFalse(query.was_sent)
+        self.assertFalse(any(asked))
+        return len(asked)
+
+    @trio_test
+    async def test_query_goes_on_while_instances_are_behind(self):
+        """A zone refuses its queries while both that gather for it are behind."""
+        self.assertEqual(await self.asked(is_out_of_reach=False), 4)
+
+    @trio_test
+    async def test_zone_that_is_cut_off_refuses_at_once(self):
+        """Callers of a zone that is cut off are refused when their time is over.
+
+        Both instances that gather for it say that they reach no servers. The query
+        went on to those of other zones, behind the cut, and waited for each.
+        """
+        self.assertEqual(await self.asked(is_out_of_reach=True), 2)
+
+
+class Check:
+    """Finds every instance alive."""
+
+    next_at_ms = 0.0
+
+    def is_lost(self, now_ms):
+        return False
+
+    def end(self):
+        pass
