--- a/ibisfront/gateway/followed_query.py
+++ b/ibisfront/gateway/followed_query.py
@@ -21,8 +21,8 @@
 configuration, and so may one of another."""
 
 _MOST_OUT_OF_REACH = 2
-"""Gatherers that may say that they cannot reach the servers: two of a zone mean that the
-zone is cut off. Others are behind the cut too, and asking them would only hold up the
+"""Gatherers that may say that they cannot reach the servers: two of a zone mean that
+the zone is cut off. Others are behind the cut too; asking them would only hold up the
 caller, who has little time to come again elsewhere."""
 
 AskGatherer: TypeAlias = "Callable[[RemotePlan, bool, Callable[[], None]], RemoteCall]"
