A laboratory: the decisions under modelled load, in virtual time

The first floor: gathering instances with the product's own decisions against modelled servers and callers, seeded; patterns in TOML, checked whole; lab run and lab compare with a bootstrap over paired seeds.

Not modelled: delegation between instances, cut zones, the store, bytes.

--- a/ibisfront/cli/application.py
+++ b/ibisfront/cli/application.py
@@ -14,6 +14,7 @@
 from ibisfront.cli.counters import ShowCounters
 from ibisfront.cli.exits import ExitCode, exit_code_help
 from ibisfront.cli.explain import Explain
+from ibisfront.cli.lab import LabCompare, LabRun
 from ibisfront.cli.purpose import PurposeRemove, PurposeSet
 from ibisfront.cli.query import Query
 from ibisfront.cli.service import ServiceAdd, ServiceDrain, ServiceList, ServiceRemove
@@ -37,6 +38,8 @@
     Causes,
     CheckSettings,
     Explain,
+    LabCompare,
+    LabRun,
     PurposeRemove,
     PurposeSet,
     Query,
--- /dev/null
+++ b/ibisfront/tests/test_lab.py
@@ -0,0 +1,181 @@
+"""Tests of the laboratory: patterns, the model, and what comparing says."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+import numpy as np
+
+from ibisfront.cli.exits import CommandError
+from ibisfront.cli.lab import seeds_of
+from ibisfront.gateway.gathering import GatherRun
+from ibisfront.gateway.server import ServerEntry
+from ibisfront.lab import PatternError, RunResult, compare, read_pattern, run_pattern
+from ibisfront.lab.agenda import Agenda
+from ibisfront.lab.pattern import Fault, FaultKind, Pattern, Queries
+from ibisfront.lab.servers import Job, ModelServer
+
+_PATTERNS = Path(__file__).parent.parent / "lab" / "patterns"
+
+
+def pattern(**changes):
+    """Return a small pattern."""
+    queries = Queries(
+        "search", per_s=20.0, work_ms=10.0, objective_ms=100.0, deadline_ms=1000.0
+    )
+    fields = {"duration_s": 3.0, "shards": 12, "gatherers": 2, "zones": 2}
+    return Pattern(**{"title": "small", "queries": [queries], **fields, **changes})
+
+
+class PatternTest(unittest.TestCase):
+    """What a pattern file may say."""
+
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "pattern.toml"
+            path.write_text(text)
+            return read_pattern(path)
+
+    def test_patterns_that_come_along_are_sound(self):
+        titles = {read_pattern(path).title for path in _PATTERNS.glob("*.toml")}
+        self.assertEqual(len(titles), len(list(_PATTERNS.glob("*.toml"))))
+
+    def test_all_faults_are_named_at_once(self):
+        text = (
+            'title = "x"\n[[queries]]\nname = "a"\nper_s = 1\nwork_ms = 1\n'
+            "objective_ms = 20\ndeadline_ms = 10\n"
+            '[[faults]]\nkind = "down"\nfrom_s = 1\nfor_s = 1\nshards = 0.1\n'
+            "copies = 3\n"
+        )
+        with self.assertRaises(PatternError) as caught:
+            self.read(text)
+        self.assertIn("lower it", str(caught.exception))
+        self.assertIn("lower copies", str(caught.exception))
+
+    def test_unknown_fields_and_wrong_values_are_refused(self):
+        for text in ("title = 1", 'title = "x"\nqueries = []', "slot = 2", "= 1"):
+            with self.subTest(text), self.assertRaises(PatternError):
+                self.read(text)
+        with self.assertRaises(PatternError):
+            read_pattern("no such file")
+
+
+class ModelTest(unittest.TestCase):
+    """The modelled server."""
+
+    def server(self, **changes):
+        entry = ServerEntry("a", "s", "a", "z0", 2)
+        self.replies = []
+        return ModelServer(
+            entry,
+            pattern(**changes),
+            random=np.random.default_rng(1),
+            agenda=Agenda(),
+        )
+
+    def job(self):
+        return Job(0, 1000.0, self.replies.append)
+
+    def test_full_server_turns_work_away(self):
+        server = self.server(slots=2, queue=1)
+        for _ in range(5):
+            server.take(self.job(), 0.0)
+        self.assertEqual((server.arrivals, server.shed), (5, 2))
+        self.assertTrue(all(reply.not_run for reply in self.replies))
+
+    def test_dropped_work_frees_its_slot(self):
+        server = self.server(slots=1, queue=0)
+        first = self.job()
+        server.take(first, 0.0)
+        server.drop(first, 1.0)
+        server.take(self.job(), 1.0)
+        self.assertEqual(server.shed, 0)
+
+    def test_work_waits_for_the_end_of_a_pause(self):
+        server = self.server(pause_ms=250.0, pause_every_s=1.0)
+        ends = [server._end_ms(start, 10.0) - start for start in range(1000)]
+        self.assertEqual(min(ends), 10.0)
+        self.assertAlmostEqual(max(ends), 260.0, delta=1.0)
+
+
+class RunTest(unittest.TestCase):
+    """Whole runs."""
+
+    def test_same_seed_gives_the_same_run(self):
+        faulty = pattern(faults=[Fault(FaultKind.SLOW, 1.0, 1.0, 0.3, factor=6.0)])
+        first, second, other = (run_pattern(faulty, seed=n) for n in (1, 1, 2))
+        self.assertEqual(msgspec.json.encode(first), msgspec.json.encode(second))
+        self.assertNotEqual(first.queries, other.queries)
+
+    def test_calm_load_is_served_in_time(self):
+        result = run_pattern(pattern(), seed=3)
+        self.assertGreater(result.worth, 0.98)
+        self.assertEqual((result.unserved, result.shed), (0.0, 0))
+
+    def test_silent_servers_are_worked_round(self):
+        silent = Fault(FaultKind.SILENT, 1.0, 1.0, 0.5)
+        result = run_pattern(pattern(faults=[silent]), seed=4)
+        self.assertEqual(result.unserved, 0.0)
+
+    def test_parts_that_were_turned_away_are_asked_for_again(self):
+        """Searches fail with most of their time left while servers are full.
+
+        One server each of a third of the shards is down, and the other one, with a slot
+        and a place to wait, turns work away in waves. All parts are needed; a caller
+        has ten objectives' time.
+        """
+        queries = Queries(
+            "search",
+            per_s=40.0,
+            work_ms=10.0,
+            objective_ms=100.0,
+            deadline_ms=1000.0,
+            minimum_coverage=1.0,
+            retries=0,
+        )
+        down = Fault(FaultKind.DOWN, 1.0, 1.5, 0.3)
+        full = pattern(queries=[queries], faults=[down], slots=1, queue=1)
+        seeds = range(4)
+        unserved = sum(run_pattern(full, seed=seed).unserved for seed in seeds)
+        with mock.patch.object(
+            GatherRun, "_next_resend_ms", lambda self, now_ms: float("inf")
+        ):
+            without = sum(run_pattern(full, seed=seed).unserved for seed in seeds)
+        self.assertLess(unserved, 0.5 * without)
+
+
+class CompareTest(unittest.TestCase):
+    """What may be said of two sets of runs."""
+
+    def runs(self, worths):
+        return [
+            RunResult("p", seed, worth, 0.0, 0.0, 0, {}, [])
+            for seed, worth in enumerate(worths)
+        ]
+
+    def verdict(self, before, after):
+        (found,) = compare(self.runs(before), self.runs(after))
+        return found.verdict
+
+    def test_difference_is_claimed_only_where_the_pairs_show_it(self):
+        before = [0.50, 0.60, 0.70, 0.80, 0.90]
+        better = [0.53, 0.62, 0.73, 0.82, 0.93]
+        mixed = [0.53, 0.57, 0.73, 0.77, 0.90]
+        self.assertEqual(self.verdict(before, better), "better")
+        self.assertEqual(self.verdict(better, before), "worse")
+        self.assertEqual(self.verdict(before, mixed), "no difference seen")
+
+    def test_runs_without_a_seed_in_common_are_refused(self):
+        with self.assertRaises(PatternError):
+            compare(self.runs([0.5]), [])
+
+    def test_seeds_are_a_number_or_two(self):
+        self.assertEqual(list(seeds_of("3-5")), [3, 4, 5])
+        self.assertEqual(list(seeds_of("7")), [7])
+        for text in ("", "a", "5-1", "1-x"):
+            with self.subTest(text), self.assertRaises(CommandError):
+                seeds_of(text)
