One cut zone has the others probed, and so has an instance that shows no life

Change: a zone that is found cut makes the ways to all others suspect, and so does an instance that shows no life the way to its zone; suspects are probed and decided in 60 ms, as before. Any sign of life opens the way.

Ruled out: keeping count of replies owed across signs of life (servers that are slow would be probed five times a second).

--- a/ibisfront/gateway/followed_query.py
+++ b/ibisfront/gateway/followed_query.py
@@ -209,7 +209,7 @@
                 if now_ms >= self._give_up_at_ms:
                     return False
                 if check.is_lost(now_ms):
-                    remote.peer.note_unreachable(now_ms)
+                    remote.peer.note_no_life(now_ms)
                     return True
                 until_ms = min(check.next_at_ms, self._give_up_at_ms)
                 with clock.timeout_ms(until_ms - now_ms):
--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/gathering.py
@@ -337,7 +337,7 @@
             return now_ms >= self._remote_due_at_ms()
         if not self._life_check.is_lost(now_ms):
             return False
-        remote.peer.note_unreachable(now_ms)
+        remote.peer.note_no_life(now_ms)
         return True
 
     def _must_replace_remote(self) -> bool:
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -358,6 +358,12 @@
         self._is_unreachable = True
         self.note_lost(now_ms)
 
+    def note_no_life(self, now_ms: float) -> None:
+        """Take in that it did not even reply whether it is there."""
+        self.note_unreachable(now_ms)
+        if self.way is not None:
+            self.way.suspect()
+
     def note_silent(self, now_ms: float, exchange: Exchange) -> None:
         """Take in that a reply was waited for in vain, long past its use."""
         if now_ms - self.last_seen_ms > _silence_limit_ms(exchange):
--- a/ibisfront/gateway/zone_watch.py
+++ b/ibisfront/gateway/zone_watch.py
@@ -92,6 +92,9 @@
                 way.note_probed(self._probe(way.zone), now_ms)
             case WayStep.CUT:
                 self._let_go(way.zone)
+                # Perhaps it is this zone that is cut off.
+                for other in self._ways.all():
+                    other.suspect()
                 self._on_change()
             case WayStep.OPENED:
                 self._take_back(way.zone)
--- a/ibisfront/gateway/zone_ways.py
+++ b/ibisfront/gateway/zone_ways.py
@@ -104,6 +104,15 @@
             self._was_cut = self._state is _State.CUT
             self._state = _State.OPEN
 
+    def suspect(self) -> None:
+        """Have the zone probed, on a sign from elsewhere that its way may be cut.
+
+        An instance that asks rarely would find a cut by nothing else, and one that
+        is itself cut off would find it zone by zone.
+        """
+        if self._state is _State.OPEN:
+            self._state = _State.SUSPECT
+
     def note_probed(self, probes: int, now_ms: float) -> None:
         """Take in that connections were begun to endpoints of the zone."""
         if self._state is _State.SUSPECT and probes:
--- a/ibisfront/tests/test_gateway_zones.py
+++ b/ibisfront/tests/test_gateway_zones.py
@@ -8,9 +8,15 @@
 import msgspec
 import trio
 
+from ibisfront.core.clock import Clock
 from ibisfront.gateway.configuration import RequestKind
+from ibisfront.gateway.observing import Observer
+from ibisfront.gateway.pool import ServerPool
 from ibisfront.gateway.rotation import Rotation
-from ibisfront.gateway.zone_ways import WayStep, ZoneWay
+from ibisfront.gateway.server import ServerEntry
+from ibisfront.gateway.server_book import ServerBook
+from ibisfront.gateway.zone_watch import ZoneWatch
+from ibisfront.gateway.zone_ways import WayStep, ZoneWay, ZoneWays
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     forward_route,
@@ -75,6 +81,30 @@
         self.assertIsNone(way.step(120.0))
         self.assertEqual(way.step(125.0), WayStep.PROBE)
 
+    def test_zone_is_probed_on_a_sign_from_elsewhere(self):
+        """Each query of an instance that is cut off waits for another zone.
+
+        It asks no servers itself and has its queries gathered elsewhere, one at a
+        time: three overdue replies never come together.
+        """
+        way = ZoneWay("z1")
+        way.suspect()
+        self.assertEqual(way.step(0.0), WayStep.PROBE)
+        way.note_probed(2, 0.0)
+        self.assertIsNone(way.step(59.0))
+        self.assertEqual(way.step(60.0), WayStep.CUT)
+        way.suspect()
+        self.assertTrue(way.is_cut)
+
+    def test_sound_zone_that_is_suspected_stays_open(self):
+        way = ZoneWay("z1")
+        way.suspect()
+        way.step(0.0)
+        way.note_probed(2, 0.0)
+        way.note_life()
+        self.assertIsNone(way.step(60.0))
+        self.assertFalse(way.is_cut)
+
     def test_cut_stays_until_life_is_shown_and_is_probed_meanwhile(self):
         way = asked_way(3)
         way.step(50.0)
@@ -89,6 +119,57 @@
         self.assertIsNone(way.step(2_225.0))
 
 
+class ZoneWatchTest(unittest.TestCase):
+    """What is done about the ways."""
+
+    @trio_test
+    async def test_cut_of_one_zone_has_all_others_probed(self):
+        """A zone that is cut off finds that out zone by zone, for half a second.
+
+        Its instances send the queries of their callers to one silent zone after the
+        other, and stay in rotation meanwhile.
+        """
+        clock = Clock()
+        ways = ZoneWays("z0")
+        opened = []
+
+        async def open_connection(address):
+            opened.append(address)
+            await trio.sleep_forever()
+
+        async with trio.open_nursery() as nursery:
+            peers = ServerBook(
+                clock=clock,
+                make_pool=lambda server: ServerPool(
+                    server,
+                    open_connection=open_connection,
+                    nursery=nursery,
+                    clock=clock,
+                    maximum=2,
+                ),
+                zone="z0",
+                ways=ways,
+            )
+            for zone in ("z1", "z2", "z3"):
+                peers.put(ServerEntry(f"i-{zone}", zone, f"i-{zone}", zone))
+            servers = ServerBook(clock=clock, make_pool=lambda _: None, zone="z0")
+            watch = ZoneWatch(
+                ways=ways,
+                servers=servers,
+                peers=peers,
+                counters=Observer().counters,
+                on_change=lambda: None,
+                clock=clock,
+            )
+            nursery.start_soon(watch.run)
+            for number in range(3):
+                ways.to("z1").note_asked(f"e{number}", clock.now_ms(), late_ms=30.0)
+            await trio.sleep(0.3)
+            cut = [way.zone for way in ways.all() if way.is_cut]
+            nursery.cancel_scope.cancel()
+        self.assertEqual(sorted(cut), ["z1", "z2", "z3"])
+
+
 class RotationTest(unittest.TestCase):
     """When refused callers are told to come back."""
 
