Keep a whole zone out of rotation for the length of its cut

Cause: the balancer uses all of a zone's instances unless none of them is ready. Those that follow ask three instances of their zone in an outage; two gather and say that they are cut off, the third gathers nothing and says that it is not, and whoever asks it is ready again.

Change: the end of a cut is taken from an instance that gathers only; what is told lasts 4 s; a look ends where its zone says that it is cut off. Each change of what the balancer is told has a line with its reasons.

In the tests' zone an instance that the store turns away was also cut off from servers; the test of a blind zone says now that it is not.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -50,7 +50,7 @@
 __all__ = ["FrontProcess"]
 
 _TABLE_LOG = part_logger(LogPart.TABLE)
-_BACKEND_LOG = part_logger(LogPart.BACKEND)
+_BALANCER_LOG = part_logger(LogPart.INSTANCE)
 
 _PEER_HEADER_BYTES = 1_024
 """What an instance adds to a caller's headers: four short ones, and a bit for
@@ -103,6 +103,7 @@
     __slots__ = (
         "_clock",
         "_news",
+        "_was_ready",
         "book",
         "budgets",
         "connections",
@@ -203,6 +204,7 @@
             ),
         )
         self.is_stopping = False
+        self._was_ready = False
 
     @property
     def is_ready(self) -> bool:
@@ -211,7 +213,18 @@
 
     def tell_readiness(self) -> bool:
         """Return what the balancer is told, and note when that changes."""
-        return self.gateway.tell_readiness() and not self.is_stopping
+        is_ready = self.gateway.tell_readiness() and not self.is_stopping
+        if is_ready is not self._was_ready:
+            self._was_ready = is_ready
+            word = "ready" if is_ready else "not ready"
+            fields = {
+                "version": self._version,
+                "stopping": self.is_stopping,
+                "found_cut_off": self.gateway.is_cut_off,
+                "told_cut_off": self.gateway.is_told_cut_off,
+            }
+            _BALANCER_LOG.info("The balancer is told %s.", word, extra=fields)
+        return is_ready
 
     def limits(self) -> CallerLimits:
         """Return what callers may send."""
@@ -276,9 +289,16 @@
             self.connections.warm_up(self.book)
         self.source.note_change()
 
-    def _note_cut_off(self, is_cut_off: bool) -> None:
-        """Take in whether another instance of the zone is cut off."""
-        if not self.gatherers.is_gatherer:
+    def _note_cut_off(self, name: str, is_cut_off: bool) -> None:
+        """Take in whether another instance of the zone is cut off.
+
+        One that gathers nothing asks no servers, and does not know that the cut goes
+        on. Taken at its word, an instance would be in rotation again, and with it the
+        whole zone: the balancer uses all of a zone as long as any of it is ready.
+        """
+        if self.gatherers.is_gatherer:
+            return
+        if is_cut_off or name in self.gatherers.of_zone(self.own.zone):
             self.gateway.note_cut_off(is_cut_off)
 
     def _note_peer_lost(self, name: str) -> None:
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -84,10 +84,15 @@
         """Whether this instance itself has found the ways to the servers cut."""
         return self.table is not None and self._reach.is_isolated(self.table)
 
+    @property
+    def is_told_cut_off(self) -> bool:
+        """Whether others have found the ways to the servers cut."""
+        return self._queries.is_out_of_reach
+
     def note_cut_off(self, is_cut_off: bool) -> None:
         """Take in whether an instance that gathers for this one is cut off."""
         if is_cut_off:
-            self._queries.note_out_of_reach()
+            self._queries.note_told_out_of_reach()
         else:
             self._queries.note_within_reach()
 
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries.py
@@ -44,6 +44,10 @@
 ways to the servers cut: it hears of it again about once a second as long as
 that is so."""
 
+_TOLD_OUT_OF_REACH_MS = 4_000.0
+"""The same after it was told so with the state: in an outage it looks for a source
+every second or two, while others restart. The end of a cut is told at once."""
+
 _SHOWN_SERVICES = 4
 """Services without an answer that a log line names."""
 
@@ -121,9 +125,17 @@
         return self._answering.clock.now_ms() < self._out_of_reach_until_ms
 
     def note_out_of_reach(self) -> None:
-        """Take in that those that gather cannot reach the servers."""
+        """Take in that one that gathers has refused, as it reaches no servers."""
+        self._stay_out_of_reach(_OUT_OF_REACH_MS)
+
+    def note_told_out_of_reach(self) -> None:
+        """Take in that those that gather say that they reach no servers."""
+        self._stay_out_of_reach(_TOLD_OUT_OF_REACH_MS)
+
+    def _stay_out_of_reach(self, duration_ms: float) -> None:
         now_ms = self._answering.clock.now_ms()
-        self._out_of_reach_until_ms = now_ms + _OUT_OF_REACH_MS
+        until_ms = max(self._out_of_reach_until_ms, now_ms + duration_ms)
+        self._out_of_reach_until_ms = until_ms
         self._answering.rotation.note(is_ready=False, now_ms=now_ms)
 
     def note_within_reach(self) -> None:
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -119,8 +119,8 @@
     take : callable
         Takes in a state that another instance passed on.
     on_cut_off : callable
-        Told with each answer whether another instance of the zone is cut off
-        from the servers.
+        Told with each answer of an instance of the zone its name, and whether it is
+        cut off from the servers.
     on_lost : callable
         Told the name of an instance that does not answer any more.
     known_version : callable
@@ -140,6 +140,7 @@
         "_clock",
         "_connect",
         "_deaf",
+        "_is_told_cut_off",
         "_kinds",
         "_known_version",
         "_listed",
@@ -162,7 +163,7 @@
         connect: Callable[[Address], StateClient],
         watch: Callable[[trio.Nursery, FollowOptions], None],
         take: Callable[[RelayedState], None],
-        on_cut_off: Callable[[bool], None],
+        on_cut_off: Callable[[str, bool], None],
         on_lost: Callable[[str], None],
         known_version: Callable[[], int],
         seeds: Sequence[Address],
@@ -181,6 +182,7 @@
         self._listed = trio.Event()
         self._watch_started_ms = -math.inf
         self._kinds = 0
+        self._is_told_cut_off = False
         # Who answered the last look without hearing the store.
         self._deaf: set[str] = set()
         self.away: set[str] = set()
@@ -286,10 +288,15 @@
     async def _look(self) -> _Source | None:
         """Return the first source that hears the store; None if none does."""
         self._deaf.clear()
+        self._is_told_cut_off = False
         for entry in self._relays.sources:
             source = await self._ask(entry.name, entry.address, is_near=True)
             if source is not None:
                 return source
+        if self._is_told_cut_off:
+            # Nobody elsewhere can be reached; asking them would put off the next
+            # look, and with it what keeps this instance out of rotation.
+            return None
         if self.away or self._mode is not _Mode.WATCHING:
             return await self._look_around()
         return None
@@ -358,7 +365,8 @@
             self._on_lost(name)
             return
         if is_near:
-            self._on_cut_off(state.is_cut_off)
+            self._on_cut_off(name, state.is_cut_off)
+            self._is_told_cut_off = state.is_cut_off or self._is_told_cut_off
         if not state.is_fresh:
             _LOG.info("%s does not hear the store.", name)
             self._deaf.add(name)
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -149,7 +149,7 @@
             connect=lambda address: Seed(),
             watch=watch,
             take=taken.append,
-            on_cut_off=lambda is_cut_off: None,
+            on_cut_off=lambda name, is_cut_off: None,
             on_lost=lambda name: None,
             known_version=lambda: 0,
             seeds=("i1",),
@@ -213,7 +213,7 @@
         blind = [item for item in zone.instances if item.entry.zone == "z0"][:3]
         for turn in range(12):
             for instance in blind:
-                instance.is_turned_away = True
+                instance.is_turned_away = instance.reaches_servers = True
             for _ in range(2):
                 zone.put(zone.version + 1)
                 self.assertLess(await self.heard_after_s(zone, 0), 5.0)
--- a/ibisfront/tests/test_gateway_state_relay.py
+++ b/ibisfront/tests/test_gateway_state_relay.py
@@ -78,7 +78,7 @@
             connect=lambda address: DirectClient(self),
             watch=self.watch,
             take=self.taken.append,
-            on_cut_off=lambda is_cut_off: None,
+            on_cut_off=lambda name, is_cut_off: None,
             on_lost=lambda name: None,
             known_version=lambda: int(bool(self.taken)),
             seeds=(),
--- a/ibisfront/tests/zone_of_instances.py
+++ b/ibisfront/tests/zone_of_instances.py
@@ -36,6 +36,8 @@
         self.version = 0
         self.calls = 0
         self.is_turned_away = False
+        # The store alone turns it away; else it is cut off from all.
+        self.reaches_servers = False
         self.is_down = False
         self.cut_off_at_s = -1e9
         self.is_told_cut_off = False
@@ -55,7 +57,7 @@
             state=self.state,
             is_fresh=lambda: self.feed.is_fresh,
             may_become_fresh=lambda: self.feed.may_become_fresh,
-            is_cut_off=lambda: self.is_turned_away,
+            is_cut_off=lambda: self.is_turned_away and not self.reaches_servers,
             clock=zone.clock,
         )
 
@@ -76,7 +78,7 @@
             if told is not None:
                 self.version = max(self.version, told.version)
 
-    def note_cut_off(self, is_cut_off):
+    def note_cut_off(self, name, is_cut_off):
         self.is_told_cut_off = is_cut_off
         if is_cut_off:
             self.cut_off_at_s = trio.current_time()
