--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -282,7 +282,6 @@
         )
         self.relays.update(listed)
         self.gatherers.update(listed, self.gateway.table)
-        self.budgets.sharers = self.gatherers.sharers
         after = (self.budgets.instances, self.gatherers.is_gatherer)
         if is_first or after != before:
             self.connections.share(self.book)
--- a/ibisfront/gateway/budget.py
+++ b/ibisfront/gateway/budget.py
@@ -5,8 +5,6 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ibisfront.gateway.settings import Bounds
 
 __all__ = ["ExtraBudget", "ExtraBudgets"]
@@ -76,7 +74,7 @@
         self._firsts[self._bucket % len(self._firsts)] += 1
         self.firsts += 1
 
-    def try_spend(self, now_ms: float, *, instances: float) -> bool:
+    def try_spend(self, now_ms: float, *, instances: int) -> bool:
         """Take one extra sub-request; return False if none is left.
 
         Parameters
@@ -122,18 +120,14 @@
     ----------
     instances : int
         How many instances share the allowances.
-    sharers : callable or None
-        Returns among how many the allowance of a service is split, where that is
-        not the same for all.
     """
 
-    __slots__ = ("_bounds", "_budgets", "instances", "sharers")
+    __slots__ = ("_bounds", "_budgets", "instances")
 
     def __init__(self, bounds: Bounds, *, instances: int) -> None:
         self._bounds = bounds
         self._budgets: dict[str, ExtraBudget] = {}
         self.instances = instances
-        self.sharers: Callable[[str], float] | None = None
 
     def use(self, bounds: Bounds, now_ms: float) -> None:
         """Go by other bounds from now on."""
@@ -150,5 +144,4 @@
 
     def try_spend(self, service: str, now_ms: float) -> bool:
         """Take one extra sub-request of a service, if one is left."""
-        sharers = self.instances if self.sharers is None else self.sharers(service)
-        return self.of_service(service).try_spend(now_ms, instances=sharers)
+        return self.of_service(service).try_spend(now_ms, instances=self.instances)
--- a/ibisfront/gateway/gatherers.py
+++ b/ibisfront/gateway/gatherers.py
@@ -30,10 +30,6 @@
 """Share of the connections that a server accepts which the instances use
 together; the rest is for probes and for connections that are closing."""
 
-_ALLOWANCE_SHARE = 0.8
-"""Share of the allowance of extra sub-requests to a gathered service which those that
-gather use; the rest is for those that forward a request to it or find no gatherer."""
-
 _LEAST_PER_ZONE = 2
 """Gatherers of a zone, so that one is left when one is lost. Few keep their
 connections warm and know more of each server."""
@@ -64,12 +60,11 @@
         All instances, this one included.
     """
 
-    __slots__ = ("_accepted", "_by_zone", "_gathered", "_own", "instances")
+    __slots__ = ("_accepted", "_by_zone", "_own", "instances")
 
     def __init__(self, own: InstanceEntry) -> None:
         self._own = own
         self._accepted = 0
-        self._gathered: frozenset[str] = frozenset()
         self._by_zone: dict[str, tuple[str, ...]] = {}
         self.instances: Sequence[InstanceEntry] = (own,)
 
@@ -99,20 +94,6 @@
         """Return the names of a zone's gatherers, the first choice first."""
         return self._by_zone.get(zone, ())
 
-    def sharers(self, service: str) -> float:
-        """Return among how many an allowance of a service is split, seen from here.
-
-        All of them together stay within it. Split evenly, nearly all of it would lie
-        with instances that send nothing to the service, and those that gather could
-        not ask again for a part in an hour of trouble.
-        """
-        instances = max(len(self.instances), 1)
-        if not self._by_zone or service not in self._gathered:
-            return instances
-        if self.is_gatherer:
-            return self.count / _ALLOWANCE_SHARE
-        return instances / (1.0 - _ALLOWANCE_SHARE)
-
     def update(
         self, instances: Sequence[InstanceEntry], table: RouteTable | None
     ) -> None:
@@ -129,7 +110,6 @@
         self.instances = instances
         if table is not None:
             self._accepted = _accepted(table)
-            self._gathered = frozenset(table.gathered_services)
         usable = self._accepted * CONNECTIONS_SHARE
         has_connections = len(instances) * _LEAST_CONNECTIONS <= usable
         if not usable or (has_connections and len(instances) <= _MOST_ALONE):
--- a/ibisfront/tests/test_gateway_gatherers.py
+++ b/ibisfront/tests/test_gateway_gatherers.py
@@ -69,23 +69,6 @@
         gatherers.update(listed, table(300))
         self.assertEqual(len(gatherers.of_zone("z0")), 5)
 
-    def test_allowance_lies_with_those_that_gather(self):
-        """Parts that were lost are not asked for again: the budget is spent.
-
-        The allowance of 430 extra sub-requests was split evenly over 195 instances,
-        183 of which ask these servers for nothing.
-        """
-        listed = instances(195, zones=5)
-        shares = {}
-        for own in listed:
-            gatherers = Gatherers(own)
-            gatherers.update(listed, table(120))
-            share = 430.0 / gatherers.sharers("part-0")
-            shares.setdefault(gatherers.is_gatherer, []).append(share)
-            self.assertEqual(gatherers.sharers("elsewhere"), 195)
-        self.assertLessEqual(sum(shares[True]) + sum(shares[False]), 430.0)
-        self.assertGreater(sum(shares[True]), 0.75 * 430.0)
-
     def test_every_instance_works_out_the_same(self):
         listed = instances(68)
         found = set()
