Refuse at once what the budget does not let be sent again

A call to an instance that shows no life is ended: counted as open, it held up queries whose other parts had failed.

--- a/ibisfront/core/server_choice.py
+++ b/ibisfront/core/server_choice.py
@@ -67,7 +67,7 @@
     The load is this instance's own sub-requests at the server and the smoothed
     latency that it saw. A server of another zone is taken only if the own one
     has many more of this instance's sub-requests, or is many times slower.
-    Comparing expected waits alone was measured and let work go to and fro
+    Comparing expected waits alone would let work go to and fro
     between the zones; see ``docs/design/query-path.md`` for the rules weighed.
 
     Parameters
--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/gathering.py
@@ -338,6 +338,9 @@
         if not self._life_check.is_lost(now_ms):
             return False
         remote.peer.note_no_life(now_ms)
+        # Nothing comes any more; counted as open it would hold up a query whose
+        # other parts have failed.
+        remote.end(at_once=True)
         return True
 
     def _must_replace_remote(self) -> bool:
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -149,6 +149,7 @@
         "_again_at_ms",
         "_context",
         "_has_run",
+        "_is_out_of_budget",
         "_on_change",
         "_open",
         "_refunded",
@@ -174,6 +175,7 @@
         self._tried: list[Server] = []
         self._refunded = 0
         self._again_at_ms = -math.inf
+        self._is_out_of_budget = False
         self.reply: BackendReply | None = None
         self.failure: BackendReply | None = None
         self.last_error = ""
@@ -228,6 +230,7 @@
         if not context.budgets.try_spend(self.service, now_ms):
             context.counters.add(CounterKind.RETRIES_WITHHELD, "budget")
             context.trace.note(now_ms, "budget_spent", self.service, "", why)
+            self._is_out_of_budget = True
             return False
         context.counters.add(CounterKind.RETRIES, why)
         context.trace.extras += 1
@@ -237,7 +240,13 @@
         return True
 
     def may_send_again_at_ms(self, now_ms: float) -> float:
-        """Return when a server may be asked again; infinite for never."""
+        """Return when a server may be asked again; infinite for never.
+
+        Where the budget was spent it is never: it comes back over seconds, and the
+        caller is told at once in place of being held for them.
+        """
+        if self._is_out_of_budget:
+            return math.inf
         context = self._context
         if self.sends >= context.attempts + min(self._refunded, _NOT_RUN_RETRIES):
             return math.inf
--- a/ibisfront/tests/test_gateway_runs.py
+++ b/ibisfront/tests/test_gateway_runs.py
@@ -100,6 +100,23 @@
             reply = await fixture.ask("/fetch/a")
         self.assertEqual(reply.status, 200)
 
+    @trio_test
+    async def test_request_without_budget_is_refused_at_once(self):
+        """A caller is held for eight seconds, and refused all the same.
+
+        Both servers of the service are full, and the budget of extra sub-requests is
+        spent. It comes back over ten seconds; the caller may come again at once.
+        """
+        fixture = GatewayFixture(forward_route(), allowance=0.0)
+        async with fixture.running():
+            for server in fixture.servers["archive"]:
+                server.not_run = True
+            started_ms = fixture.clock.now_ms()
+            reply = await fixture.ask("/fetch/a", deadline_ms=8000.0)
+            took_ms = fixture.clock.now_ms() - started_ms
+        self.assertEqual(reply.status, 503)
+        self.assertLess(took_ms, 50.0)
+
     @trio_test
     async def test_query_that_cannot_have_enough_parts_ends_at_once(self):
         """A caller waits for its whole time and is refused all the same.
