Send nothing to the servers of an evacuated zone

Cause: evacuations were read nowhere in the product; a zone that operators emptied went on getting its share of all requests.

Change: evacuated zones are state like the servers: watched by the sources, passed on to followers with a revision, kept over an outage of the store, known before an instance serves, in force wherever a server is chosen (gathered, forwarded, delegated work, hedges, retries, warm-up, probes). What waits for a connection to such a server is asked elsewhere. At its end each instance begins with each server at a random moment of the warm-up, and counts it as cold.

Also: an entry that tells of a new cold start of a running server is heeded; the settings and configuration bring the warm-up's length and rate.

Tests (red without the change, the product had nothing to heed): 3 and 200 instances in mock time within the bound, an outage, a start, an unknown zone, waiting requests, servers listed meanwhile, the return in steps.

--- a/ibisfront/front/feeding.py
+++ b/ibisfront/front/feeding.py
@@ -5,10 +5,15 @@
 from contextlib import closing
 from typing import TYPE_CHECKING
 
-from ibisfront.front.targets import configuration_target, servers_target
+from ibisfront.front.targets import (
+    configuration_target,
+    evacuations_target,
+    servers_target,
+)
 from ibisfront.gateway.feed import follow
 from ibisfront.platform.store import (
     CONFIGURATION_KIND,
+    EVACUATIONS_KIND,
     SERVERS_KIND,
     PlatformKindFeed,
 )
@@ -30,15 +35,20 @@
     *,
     clock: Clock,
 ) -> None:
-    """Keep up with the configuration and the servers while the nursery runs."""
+    """Keep up with what the store holds while the nursery runs."""
     bounds = process.settings.bounds
     wait_ms = bounds.watch_wait_ms
     if process.relays.is_source:
         wait_ms = bounds.source_watch_wait_ms
-    for kind, target in (
-        (CONFIGURATION_KIND, configuration_target(process)),
-        (SERVERS_KIND, servers_target(process)),
-    ):
+    watched = [
+        (CONFIGURATION_KIND, configuration_target(process), wait_ms),
+        (SERVERS_KIND, servers_target(process), wait_ms),
+    ]
+    if bounds.evacuation_ms is not None:
+        # That the store serves an instance no more shows by the other watches.
+        target = evacuations_target(process)
+        watched.append((EVACUATIONS_KIND, target, bounds.watch_wait_ms))
+    for kind, target, wait_ms in watched:
         feed = PlatformKindFeed(
             process.settings.store_address, kind, watch_wait_ms=wait_ms
         )
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -152,6 +152,7 @@
             zone=zone,
             ways=ways,
             news=self._news,
+            evacuated=None if settings.bounds.evacuation_ms else frozenset(),
         )
         self.peers = ServerBook(
             clock=clock,
@@ -176,7 +177,7 @@
             take=self.take_state,
             on_cut_off=self._note_cut_off,
             on_lost=self._note_peer_lost,
-            known_version=lambda: self._version,
+            known_version=lambda: self._version if self.gateway.is_informed else 0,
             seeds=settings.seeds,
             clock=clock,
         )
@@ -314,6 +315,8 @@
             self.use_configuration(state.configuration)
         if state.configuration_change is not None:
             self._change_configuration(state.configuration_change)
+        if state.evacuated is not None:
+            self.use_evacuations(frozenset(state.evacuated))
         if state.is_whole:
             self.book.replace(state.servers, after_outage=state.may_lack_servers)
         else:
@@ -359,6 +362,7 @@
             instances=list(self.gatherers.instances) if self.relays.is_known else [],
             lapsed=lapsed,
             may_lack_servers=self.book.may_lack_servers,
+            evacuated=self.book.evacuated,
         )
 
     async def keep_up(self) -> None:
@@ -371,6 +375,22 @@
             self.book.probe_unreachable()
             self.peers.probe_unreachable()
 
+    def use_evacuations(self, zones: frozenset[str]) -> None:
+        """Send nothing more to the servers of these zones."""
+        if zones == self.book.evacuated:
+            return
+        counters = self.observer.counters
+        released = self.book.evacuate(zones)
+        counters.add(CounterKind.MEMBER_CHANGES, "evacuations")
+        table = self.gateway.table
+        services = {} if table is None else table.configuration.services
+        now_ms = self._clock.now_ms()
+        for server in released:
+            service = services.get(server.entry.service)
+            if service is not None:
+                server.return_cold(now_ms, warm_up_ms=service.warm_up_ms)
+        self.connections.warm_up(self.book)
+
     def use_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force if it is newer than the one that is."""
         counters = self.observer.counters
@@ -400,6 +420,11 @@
             ),
             Gauge("configuration_version", "The version in force.", self._version),
             Gauge("servers", "Backend servers listed.", len(servers)),
+            Gauge(
+                "evacuated_zones",
+                "Zones whose servers get nothing.",
+                len(self.book.evacuated or ()),
+            ),
             Gauge("servers_out_of_reach", "Of these, silent or refusing.", lost),
             Gauge("instances", "Instances listed.", self.budgets.instances),
         ]
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -1,4 +1,4 @@
-"""Taking in what the platform's store lists: configuration and servers."""
+"""Taking in what the platform's store lists: configuration, servers, evacuations."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     from ibisfront.gateway.server import ServerEntry
     from ibisfront.gateway.store import Listing, ObjectChange, StoredObject
 
-__all__ = ["configuration_target", "servers_target"]
+__all__ = ["configuration_target", "evacuations_target", "servers_target"]
 
 _TABLE_LOG = part_logger(LogPart.TABLE)
 _BACKEND_LOG = part_logger(LogPart.BACKEND)
@@ -95,6 +95,36 @@
     return _target(process, "servers", replace, change)
 
 
+def evacuations_target(process: FrontProcess) -> FeedTarget:
+    """Return what takes in which zones are evacuated.
+
+    An object's name is the zone, and its being there is all that it says.
+    """
+    zones: set[str] = set()
+
+    def add(item: StoredObject) -> None:
+        if item.name in process.settings.zones:
+            zones.add(item.name)
+            return
+        _BACKEND_LOG.error("The evacuated zone %.80s is not known here.", item.name)
+
+    def replace(listing: Listing, after_outage: bool) -> None:
+        zones.clear()
+        for item in listing.objects:
+            add(item)
+        process.use_evacuations(frozenset(zones))
+
+    def change(changes: Sequence[ObjectChange]) -> None:
+        for item in changes:
+            if item.is_removed:
+                zones.discard(item.object.name)
+            else:
+                add(item.object)
+        process.use_evacuations(frozenset(zones))
+
+    return _target(process, "evacuations", replace, change)
+
+
 def _note_reported(reported: dict[str, int], item: StoredObject) -> None:
     """Note that an entry was reported; the oldest notes are dropped."""
     reported.pop(item.name, None)
--- a/ibisfront/gateway/configuration.py
+++ b/ibisfront/gateway/configuration.py
@@ -145,10 +145,16 @@
         Its name.
     maximum_connections : int
         How many connections one of its servers accepts from all callers.
+    warm_up_ms : float
+        How long one of its servers is slow after it has become cold.
+    cold_per_s : float
+        How many requests a second a cold server bears; 0 for no bound.
     """
 
     name: str
     maximum_connections: int
+    warm_up_ms: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -65,10 +65,18 @@
         if self._delegation is not None:
             self._delegation.keep(table.route_names)
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether the configuration and the evacuated zones are known.
+
+        One that has just started would else ask servers that must get nothing.
+        """
+        return self.table is not None and self._answering.book.evacuated is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        if self.table is None or self._queries.is_out_of_reach:
+        if not self.is_informed or self._queries.is_out_of_reach:
             return False
         return not self.is_cut_off
 
@@ -99,7 +107,7 @@
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
         answering = self._answering
-        if self.table is None:
+        if self.table is None or not self.is_informed:
             return answering.refuse(request, answering.not_run("no_configuration"))
         route = self.table.find(request.host, request.path)
         if route is None:
@@ -119,6 +127,9 @@
         query = delegated_from(request)
         if query is None:
             return CallerReply(400, [], b"", "not_delegated")
+        if not self.is_informed:
+            reply = self._answering.not_run("no_configuration")
+            return self._answering.refuse(request, reply)
         return await self._queries.answer_delegated(query)
 
     async def _forward(self, request: InboundRequest, route: Route) -> CallerReply:
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -172,6 +172,10 @@
         """Note that an exchange has ended."""
         self._server.in_flight.pop(exchange, None)
 
+    def release_waiting(self) -> None:
+        """Give up what waits for a connection; none of it was sent."""
+        self._fail_waiting(ExchangeErrorKind.SERVER_GONE)
+
     def close(self) -> None:
         """Take no more exchanges; those under way are left to end."""
         self._is_closed = True
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -146,6 +147,8 @@
         Its connections.
     is_gone : bool
         Whether it must get nothing more.
+    is_evacuated : bool
+        Whether its zone is evacuated, so that it must get nothing.
     is_lapsed : bool
         Whether its entry was missing from the first list after an outage of the
         store: it may be gone, or live and not have written its entry again.
@@ -169,6 +172,7 @@
         "connected_at_ms",
         "entry",
         "in_flight",
+        "is_evacuated",
         "is_gone",
         "is_lapsed",
         "is_near",
@@ -192,6 +196,7 @@
         self.is_near = is_near
         self.pool: ServerPool | None = None
         self.is_gone = False
+        self.is_evacuated = False
         self.is_lapsed = False
         self.in_flight: dict[Exchange, None] = {}
         self.last_reply_at_ms = -math.inf
@@ -208,7 +213,7 @@
     @property
     def is_usable(self) -> bool:
         """Whether it may get new requests."""
-        return not self.is_gone and not self.entry.is_draining
+        return not (self.is_gone or self.is_evacuated or self.entry.is_draining)
 
     @property
     def is_behind_cut(self) -> bool:
@@ -282,6 +287,33 @@
             cost += _LAPSED_PENALTY
         return cost
 
+    def use_entry(self, entry: ServerEntry, now_ms: float) -> None:
+        """Take in what the store says now of this incarnation.
+
+        A server may become cold while it runs. An entry that is read again says what
+        it said before, and is not a new cold start.
+        """
+        if entry.warm_up_left_ms != self.entry.warm_up_left_ms:
+            self.warm_at_ms = now_ms + entry.warm_up_left_ms
+        self.entry = entry
+
+    def evacuate(self) -> None:
+        """Send it nothing more; what waits for a connection is asked elsewhere."""
+        self.is_evacuated = True
+        if self.pool is not None:
+            self.pool.release_waiting()
+
+    def return_cold(self, now_ms: float, *, warm_up_ms: float) -> None:
+        """Use it again after an evacuation, at a moment of its warm-up.
+
+        Load pattern: all servers of a zone are to be used again at once, and are cold.
+        Each instance begins with each server at a moment of its own, so that the work
+        comes back over the warm-up.
+        """
+        self.warm_at_ms = max(self.warm_at_ms, now_ms + warm_up_ms)
+        begins_ms = now_ms + random.random() * warm_up_ms
+        self.not_before_ms = max(self.not_before_ms, begins_ms)
+
     def note_submitted(self, exchange: Exchange, now_ms: float) -> None:
         """Take in an exchange that is sent, or waits for a connection."""
         self.in_flight[exchange] = None
--- a/ibisfront/gateway/server_book.py
+++ b/ibisfront/gateway/server_book.py
@@ -51,6 +51,8 @@
         The ways to other zones, which the books of an instance share.
     news : ServerNews, optional
         Logs what befalls servers; without it nothing is told.
+    evacuated : frozenset of str or None, optional
+        The zones whose servers get nothing; None if that is yet to be learnt.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "_by_service",
         "_clock",
         "_complete_at_ms",
+        "_evacuated",
         "_gone_born_ms",
         "_lapsed",
         "_make_pool",
@@ -74,6 +77,7 @@
         zone: str,
         ways: ZoneWays | None = None,
         news: ServerNews | None = None,
+        evacuated: frozenset[str] | None = frozenset(),
     ) -> None:
         self._news = ServerNews(clock) if news is None else news
         self._ways = ZoneWays(zone) if ways is None else ways
@@ -85,6 +89,39 @@
         self._lapsed: dict[str, float] = {}
         self._complete_at_ms = -math.inf
         self._gone_born_ms: dict[str, int] = {}
+        self._evacuated = evacuated
+
+    @property
+    def evacuated(self) -> frozenset[str] | None:
+        """The zones whose servers get nothing; None until that is known."""
+        return self._evacuated
+
+    def evacuate(self, zones: frozenset[str]) -> list[Server]:
+        """Send nothing more to the servers of these zones, and of no others.
+
+        Returns
+        -------
+        list of Server
+            The servers that may be asked again.
+        """
+        before = self._evacuated or frozenset()
+        self._evacuated = zones
+        for zone in sorted(zones - before):
+            servers = self._of_zone(zone)
+            for server in servers:
+                server.evacuate()
+            _LOG.warning("Zone %s is evacuated: %d servers.", zone, len(servers))
+        released: list[Server] = []
+        for zone in sorted(before - zones):
+            servers = self._of_zone(zone)
+            for server in servers:
+                server.is_evacuated = False
+            _LOG.info("Zone %s is evacuated no more: %d servers.", zone, len(servers))
+            released += servers
+        return released
+
+    def _of_zone(self, zone: str) -> list[Server]:
+        return [item for item in self._by_id.values() if item.entry.zone == zone]
 
     def of_service(self, service: str) -> list[Server]:
         """Return the servers of a service that are not gone."""
@@ -136,7 +173,7 @@
         if known is not None and known.entry.is_same_server(entry):
             if entry.is_draining and not known.entry.is_draining:
                 self._news.note("Draining", server_id, entry.service)
-            known.entry = entry
+            known.use_entry(entry, self._clock.now_ms())
             return
         if known is not None:
             is_reborn = entry.born_ms > known.entry.born_ms
@@ -153,6 +190,7 @@
             way=self._ways.to(entry.zone),
         )
         server.pool = self._make_pool(server)
+        server.is_evacuated = entry.zone in (self._evacuated or ())
         self._by_id[entry.server_id] = server
         self._by_service.setdefault(entry.service, []).append(server)
         self._news.note("Listed", entry.server_id, entry.service)
--- a/ibisfront/gateway/settings.py
+++ b/ibisfront/gateway/settings.py
@@ -44,6 +44,13 @@
     extra_allowance : float
         Extra sub-requests allowed in a window besides, from all instances
         together.
+    evacuation_ms : float or None
+        How soon the servers of a zone that is evacuated must get nothing more;
+        None where zones are never evacuated.
+    cold_excess : float
+        How many times its warm-up rate a cold server may get in a second.
+    cold_slack : float
+        Requests that it may get besides.
     """
 
     stop_grace_ms: float = 6_000.0
@@ -52,6 +59,9 @@
     extra_ratio: float = 0.2
     extra_window_ms: float = 10_000.0
     extra_allowance: float = 50.0
+    evacuation_ms: float | None = None
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
     @property
     def watch_wait_ms(self) -> float:
@@ -93,6 +103,8 @@
         The platform's store.
     bounds : Bounds
         The deployment's bounds.
+    zones : frozenset of str
+        All availability zones.
     capacity : float
         How many cores the process has.
     is_first_start : bool
@@ -108,5 +120,6 @@
     metrics_address: Address | None = None
     seeds: tuple[Address, ...] = ()
     bounds: Bounds = Bounds()
+    zones: frozenset[str] = frozenset()
     capacity: float = 1.0
     is_first_start: bool = False
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state_relay.py
@@ -98,6 +98,8 @@
     may_lack_servers : bool
         Whether servers that live may be missing from ``servers``: the store was
         away, and they may not have written their entries again.
+    evacuated : list of str or None
+        All zones whose servers must get nothing, if that is new to the asker.
     """
 
     revision: int
@@ -110,6 +112,7 @@
     is_cut_off: bool = False
     configuration_change: ConfigurationChange | None = None
     may_lack_servers: bool = False
+    evacuated: list[str] | None = None
 
     @property
     def brings_configuration(self) -> bool:
@@ -150,6 +153,8 @@
         case they have not written their entries again after an outage.
     may_lack_servers : bool
         Whether servers that live may be missing from ``servers``.
+    evacuated : frozenset of str or None
+        The zones whose servers must get nothing; None if that is not known.
     """
 
     configuration: Configuration | None
@@ -157,6 +162,7 @@
     instances: list[InstanceEntry]
     lapsed: frozenset[str] = frozenset()
     may_lack_servers: bool = False
+    evacuated: frozenset[str] | None = None
 
 
 class StateSource:
@@ -184,6 +190,8 @@
         "_changed",
         "_clock",
         "_encoded",
+        "_evacuated",
+        "_evacuated_revision",
         "_first",
         "_history",
         "_instances",
@@ -227,6 +235,8 @@
         self._history = ConfigurationHistory()
         self._encoded: dict[tuple[AskedState, bool, bool], bytes] = {}
         self._instances_revision = self._revision
+        self._evacuated: frozenset[str] | None = None
+        self._evacuated_revision = self._revision
         self._first = self._revision
 
     def wake_askers(self) -> None:
@@ -252,6 +262,9 @@
         if state.instances != self._instances:
             self._instances, self._instances_revision = state.instances, revision
             changed = True
+        if state.evacuated != self._evacuated:
+            self._evacuated, self._evacuated_revision = state.evacuated, revision
+            changed = True
         changed = self._note_servers(state, revision) or changed
         self._forget_removed()
         if changed:
@@ -346,6 +359,9 @@
         instances = None
         if self._instances_revision > since:
             instances = self._instances
+        evacuated = None
+        if self._evacuated is not None and self._evacuated_revision > since:
+            evacuated = sorted(self._evacuated)
         return RelayedState(
             revision=self._revision,
             is_fresh=self._is_fresh(),
@@ -365,6 +381,7 @@
             instances=instances,
             is_cut_off=self._is_cut_off(),
             may_lack_servers=self._may_lack_servers,
+            evacuated=evacuated,
         )
 
     def _configuration_since(
--- /dev/null
+++ b/ibisfront/http1/fields.py
@@ -0,0 +1,95 @@
+"""The header fields of HTTP/1.1 that concern a connection or a message's length."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ibisfront.gateway.messages import CallerReply, Header
+
+__all__ = [
+    "OF_ONE_CONNECTION",
+    "encode_reply",
+    "idle_timeout_ms",
+    "named_by_connection",
+    "number",
+]
+
+_MILLISECONDS_PER_SECOND = 1000.0
+
+OF_ONE_CONNECTION = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+"""Fields that are not passed on."""
+
+_REASONS = {
+    200: b"OK",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    400: b"Bad Request",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def encode_reply(reply: CallerReply, keeps_open: bool) -> bytes:
+    """Return the bytes of an answer to a caller."""
+    reason = _REASONS.get(reply.status, b"Status")
+    lines = [b"HTTP/1.1 %d %b" % (reply.status, reason)]
+    lines += [name + b": " + value for name, value in reply.headers]
+    lines.append(b"Content-Length: %d" % len(reply.body))
+    if not keeps_open:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + reply.body
+
+
+def named_by_connection(headers: Sequence[Header]) -> frozenset[bytes]:
+    """Return the headers that a message says are of its connection only."""
+    names: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            names.update(item.strip().lower() for item in value.split(b","))
+    return frozenset(names)
+
+
+def idle_timeout_ms(value: bytes) -> float | None:
+    """Return how long ``Keep-Alive`` says that a connection may be idle."""
+    for item in value.split(b","):
+        key, _, text = item.strip().partition(b"=")
+        if key.lower() == b"timeout":
+            seconds = number(text)
+            return None if seconds is None else seconds * _MILLISECONDS_PER_SECOND
+    return None
+
+
+def number(value: bytes) -> float | None:
+    """Return a time; None for text that is none.
+
+    "nan" and "inf" are numbers to Python; a deadline of that kind would never
+    come, and the request would be held for ever.
+    """
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0.0 else None
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -57,6 +57,9 @@
     name: str
     # The bound of each backend server, over all instances together.
     max_conns: int
+    # How long a server is cold, and the requests that it bears meanwhile.
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -77,6 +80,8 @@
     limits: _Limits
 
 
+_MILLISECONDS_PER_SECOND = 1000.0
+
 _Readable = Annotated[str, msgspec.Meta(pattern=f"^[^{UNREADABLE}]*$", max_length=256)]
 _Text = Annotated[_Readable, msgspec.Meta(min_length=1)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -127,7 +132,13 @@
         version=raw.version,
         routes=cache.routes((bytes(item) for item in raw.routes), _route),
         services={
-            item.name: RoutedService(item.name, item.max_conns) for item in raw.services
+            item.name: RoutedService(
+                item.name,
+                item.max_conns,
+                warm_up_ms=item.warmup_s * _MILLISECONDS_PER_SECOND,
+                cold_per_s=item.warmup_per_s,
+            )
+            for item in raw.services
         },
         limits=CallerLimits(
             maximum_header_bytes=raw.limits.max_header_bytes,
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -52,6 +52,11 @@
     retry_window_s: float
     # Extra sub-requests that are free in a window, not a count of retries.
     retry_allowance: float
+    # Missing where zones are never evacuated.
+    evacuate_ms: float | None = None
+    # Of the requests to a server that is cold, not of the length of its warm-up.
+    warmup_excess: float = 1.0
+    warmup_slack: float = 0.0
 
 
 class _Store(msgspec.Struct):
@@ -72,6 +77,8 @@
     # The table of the platform's store, not of the whole platform.
     platform: _Store
     seeds: tuple[str, ...] = ()
+    # Each zone and its region.
+    zones: dict[str, str] = {}
     # True at the first start of all instances only, not of this one.
     bootstrap: bool = False
 
@@ -127,5 +134,9 @@
             extra_ratio=bounds.retry_ratio,
             extra_window_ms=bounds.retry_window_s * _MILLISECONDS_PER_SECOND,
             extra_allowance=bounds.retry_allowance,
+            evacuation_ms=bounds.evacuate_ms,
+            cold_excess=bounds.warmup_excess,
+            cold_slack=bounds.warmup_slack,
         ),
+        zones=frozenset(file.zones),
     )
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -28,6 +28,7 @@
 
 __all__ = [
     "CONFIGURATION_KIND",
+    "EVACUATIONS_KIND",
     "SERVERS_KIND",
     "PlatformDirectory",
     "PlatformKindFeed",
@@ -41,6 +42,9 @@
 SERVERS_KIND = "servers"
 """The kind in which backend servers register."""
 
+EVACUATIONS_KIND = "evacuations"
+"""The kind in which an object stands for each zone that is evacuated."""
+
 _INSTANCES_KIND = "ibisfront-instances"
 """A kind of our own: an object for each instance, under its name."""
 
--- a/ibisfront/tests/front_zone.py
+++ b/ibisfront/tests/front_zone.py
@@ -9,7 +9,11 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.front.process import FrontProcess
-from ibisfront.front.targets import configuration_target, servers_target
+from ibisfront.front.targets import (
+    configuration_target,
+    evacuations_target,
+    servers_target,
+)
 from ibisfront.gateway.feed import follow
 from ibisfront.gateway.settings import Bounds, GatewaySettings
 from ibisfront.gateway.store import (
@@ -33,7 +37,7 @@
 WATCH_SLACK_S = 0.6
 """How long the store's client waits for a whole answer."""
 
-BOUNDS = Bounds(contact_ms=5000.0, change_ms=5000.0)
+BOUNDS = Bounds(contact_ms=5000.0, change_ms=5000.0, evacuation_ms=5000.0)
 
 
 class Front:
@@ -53,6 +57,7 @@
             store_address="",
             peers_address=f"i{number}",
             bounds=BOUNDS,
+            zones=frozenset(("z0", "z1")),
             capacity=2.0 if self.is_strong else 0.5,
         )
         self.process = FrontProcess(settings, clock=zone.clock, nursery=nursery)
@@ -75,6 +80,7 @@
         for kind, target in (
             ("config", configuration_target(self.process)),
             ("servers", servers_target(self.process)),
+            ("evacuations", evacuations_target(self.process)),
         ):
             run = functools.partial(follow, clock=self.zone.clock, options=options)
             nursery.start_soon(run, Feed(self, kind), target)
@@ -142,19 +148,39 @@
         pass
 
 
+def _server_spec(number, zone="z0"):
+    return {
+        "service": "elsewhere",
+        "addr": f"10.0.{number // 250}.{number % 250}:8000",
+        "zone": zone,
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "seq": 1,
+    }
+
+
+def two_zones_spec(number):
+    """Return a server's entry; every other one stands in another zone."""
+    return _server_spec(number, f"z{number % 2}")
+
+
 class FrontZone:
     """Twenty front processes, two of them on strong machines, and the store."""
 
-    def __init__(self, nursery, instances=20):
+    def __init__(self, nursery, instances=20, *, servers=SERVERS, spec=_server_spec):
         self.clock = Clock()
         self.changed = trio.Event()
-        self.revisions = {"config": 1, "servers": 1}
+        self.revisions = {"config": 1, "servers": 1, "evacuations": 1}
+        self.evacuated = []
         self.version = 1
         self.routes = 10
         self.spec = configuration_spec(1, self.routes)
         self.fronts = [Front(self, number, nursery) for number in range(instances)]
-        self._servers = [_server(number) for number in range(SERVERS)]
+        self._servers = [_server(number, spec(number)) for number in range(servers)]
         self._removed = []
+        self._evacuation_change = None
 
     def front(self, address):
         return self.fronts[int(address.removeprefix("i"))]
@@ -164,6 +190,8 @@
         revision = self.revisions[kind]
         if kind == "servers":
             return self._servers, revision
+        if kind == "evacuations":
+            return [StoredObject(name, 1, b"{}") for name in self.evacuated], revision
         return [StoredObject("main", revision, self.spec)], revision
 
     def changes(self, kind, revision):
@@ -172,6 +200,8 @@
         if kind == "servers":
             removed = [item for item in self._removed if item.revision > revision]
             return [ObjectChange(item, True) for item in removed], now
+        if kind == "evacuations":
+            return [self._evacuation_change], now
         objects, _ = self.objects(kind)
         return [ObjectChange(item, False) for item in objects], now
 
@@ -184,6 +214,21 @@
         self._wake()
         return gone.name
 
+    def evacuate(self, zone):
+        """Have nothing more sent to a zone's servers."""
+        self.evacuated.append(zone)
+        self._change_evacuations(ObjectChange(StoredObject(zone, 1, b"{}"), False))
+
+    def take_back(self, zone):
+        """Have a zone's servers used again."""
+        self.evacuated.remove(zone)
+        self._change_evacuations(ObjectChange(StoredObject(zone, 1, b"{}"), True))
+
+    def _change_evacuations(self, change):
+        self.revisions["evacuations"] += 1
+        self._evacuation_change = change
+        self._wake()
+
     def may_ask(self, server_id):
         """Return the numbers of the instances that would ask a server."""
         return [
@@ -230,15 +275,5 @@
         return sizes
 
 
-def _server(number):
-    spec = {
-        "service": "elsewhere",
-        "addr": f"10.0.{number // 250}.{number % 250}:8000",
-        "zone": "z0",
-        "version": "v1",
-        "slots": 2,
-        "state": "ready",
-        "warmupLeftMs": 0,
-        "seq": 1,
-    }
+def _server(number, spec):
     return StoredObject(f"i-{number:010}", 1, json.dumps(spec).encode())
--- /dev/null
+++ b/ibisfront/tests/test_gateway_evacuations.py
@@ -0,0 +1,91 @@
+"""Tests of what an instance does about an evacuated zone, in mock time."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.gateway.server import ServerEntry
+from ibisfront.gateway.server_book import ServerBook
+from ibisfront.testing.gateway_fixture import (
+    GatewayFixture,
+    forward_route,
+    gather_route,
+)
+from ibisfront.tests import trio_test
+
+_WARM_UP_MS = 3_000.0
+
+
+def _sent(fixture):
+    return sum(len(server.received) for server in fixture.all_servers())
+
+
+class EvacuatedZoneTest(unittest.TestCase):
+    """Requests while the servers of a zone must get nothing."""
+
+    @trio_test
+    async def test_nothing_is_sent_where_all_servers_are_evacuated(self):
+        """Guards against an evacuated zone that is asked for want of another."""
+        for route, path in (
+            (forward_route(), "/fetch/a"),
+            (gather_route(2), "/search"),
+        ):
+            fixture = GatewayFixture(route)
+            async with fixture.running():
+                fixture.book.evacuate(frozenset(("z0",)))
+                reply = await fixture.ask(f"{path}/a")
+            self.assertEqual((_sent(fixture), reply.status), (0, 503))
+            self.assertIn(b"Retry-After", dict(reply.headers))
+
+    @trio_test
+    async def test_request_that_waits_for_a_connection_is_not_sent_later(self):
+        """Guards against a queue that reaches an evacuated zone seconds later."""
+        fixture = GatewayFixture(forward_route(timeout_ms=5000.0), servers=1)
+        async with fixture.running(), trio.open_nursery() as nursery:
+            for server in fixture.all_servers():
+                server.latency_ms = 1000.0
+            for _ in range(8):
+                nursery.start_soon(fixture.ask, "/fetch/a")
+            await trio.sleep(0.5)
+            sent = _sent(fixture)
+            fixture.book.evacuate(frozenset(("z0",)))
+            await trio.sleep(3.0)
+            self.assertEqual(_sent(fixture), sent)
+            nursery.cancel_scope.cancel()
+
+    @trio_test
+    async def test_server_listed_meanwhile_gets_nothing(self):
+        """Guards against new servers of an evacuated zone."""
+        book = ServerBook(clock=Clock(), make_pool=lambda server: None, zone="z0")
+        book.evacuate(frozenset(("z1",)))
+        book.put(ServerEntry("new", "s", "new:80", "z1"))
+        self.assertFalse(book.is_reachable("s"))
+        (released,) = book.evacuate(frozenset())
+        self.assertTrue(released.is_usable)
+
+    @trio_test
+    async def test_servers_come_back_one_by_one_and_count_as_cold(self):
+        """Guards against a zone's cold servers that get all work at once."""
+        clock = Clock()
+        book = ServerBook(clock=clock, make_pool=lambda server: None, zone="z0")
+        for number in range(40):
+            book.put(ServerEntry(f"i{number}", "s", f"i{number}:80", "z1"))
+        book.evacuate(frozenset(("z1",)))
+        now_ms = clock.now_ms()
+        released = book.evacuate(frozenset())
+        for server in released:
+            server.return_cold(now_ms, warm_up_ms=_WARM_UP_MS)
+        in_use = [
+            sum(
+                server.not_before_ms <= now_ms + share * _WARM_UP_MS
+                for server in released
+            )
+            for share in (0.1, 0.5, 1.0)
+        ]
+        self.assertLess(in_use[0], 12)
+        self.assertLess(in_use[0], in_use[1])
+        self.assertEqual(in_use[2], 40)
+        self.assertTrue(all(item.warm_at_ms > now_ms for item in released))
