Share out what a cold server bears over all that send to it

Cause: a service may give a rate that its cold servers bear (with an excess and a slack in the bounds). It was not read; a cold server only cost a little more in the choice, so that all instances together could send it any number.

No talk is needed. It holds for whatever goes through the choice of a server: first sends, hedges, retries. A server that was lost, or evacuated, counts as cold for its warm-up.

Ruled out: a share as a fraction of a request a second, which instances whose seconds coincide exceed.

--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -1,10 +1,11 @@
-"""How many connections this instance has, to whom."""
+"""How much of each server this instance may use: connections, and cold requests."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ibisfront.gateway.cold_limit import cold_share
 from ibisfront.gateway.gatherers import CONNECTIONS_SHARE
 from ibisfront.gateway.pool import ServerPool
 from ibisfront.http1.backend_connection import backend_connection_opener
@@ -20,6 +21,7 @@
     from ibisfront.gateway.server import Server
     from ibisfront.gateway.server_book import ServerBook
     from ibisfront.gateway.server_news import ServerNews
+    from ibisfront.gateway.settings import Bounds
 
 __all__ = ["Connections"]
 
@@ -43,6 +45,8 @@
         Knows how many instances there are.
     find_table : callable
         Returns the configuration in force, if one is known.
+    find_bounds : callable
+        Returns the bounds of the deployment.
     nursery : trio.Nursery
         Runs the connections.
     clock : Clock
@@ -54,6 +58,7 @@
     __slots__ = (
         "_budgets",
         "_clock",
+        "_find_bounds",
         "_find_table",
         "_gatherers",
         "_news",
@@ -68,6 +73,7 @@
         gatherers: Gatherers,
         budgets: ExtraBudgets,
         find_table: Callable[[], RouteTable | None],
+        find_bounds: Callable[[], Bounds],
         nursery: trio.Nursery,
         clock: Clock,
         news: ServerNews,
@@ -76,6 +82,7 @@
         self._gatherers = gatherers
         self._budgets = budgets
         self._find_table = find_table
+        self._find_bounds = find_bounds
         self._nursery = nursery
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -88,6 +95,7 @@
         service = server.entry.service
         pool = self._pool(server, self._maximum(service))
         pool.keeps_idle = self._keeps_idle(service)
+        self._limit_cold(server)
         return pool
 
     def peer_pool(self, peer: Server) -> ServerPool:
@@ -103,6 +111,7 @@
             service = server.entry.service
             pool.maximum = self._maximum(service)
             pool.keeps_idle = self._keeps_idle(service)
+            self._limit_cold(server)
             if not pool.keeps_idle:
                 pool.close_idle()
 
@@ -158,6 +167,28 @@
             instances = self._gatherers.count
         return max(int(shared / instances), 1)
 
+    def _limit_cold(self, server: Server) -> None:
+        """Give this instance its share of what a cold server bears."""
+        table = self._find_table()
+        service = server.entry.service
+        routed = None if table is None else table.configuration.services.get(service)
+        limit = server.cold_limit
+        limit.share = None
+        if table is None or routed is None:
+            return
+        limit.warm_up_ms = routed.warm_up_ms
+        if not routed.cold_per_s:
+            return
+        senders = [item.name for item in self._gatherers.instances]
+        if self._gatherers.is_concentrated and service in table.gathered_services:
+            senders = self._gatherers.names
+        limit.share = cold_share(
+            server.entry.server_id,
+            own=self._gatherers.own_name,
+            senders=senders,
+            bound_per_s=self._find_bounds().cold_bound_per_s(routed.cold_per_s),
+        )
+
     def _pool(self, server: Server, maximum: int) -> ServerPool:
         return ServerPool(
             server,
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -141,6 +142,7 @@
             gatherers=self.gatherers,
             budgets=self.budgets,
             find_table=lambda: self.gateway.table,
+            find_bounds=lambda: self.settings.bounds,
             nursery=nursery,
             clock=clock,
             news=self._news,
@@ -382,13 +384,9 @@
         counters = self.observer.counters
         released = self.book.evacuate(zones)
         counters.add(CounterKind.MEMBER_CHANGES, "evacuations")
-        table = self.gateway.table
-        services = {} if table is None else table.configuration.services
         now_ms = self._clock.now_ms()
         for server in released:
-            service = services.get(server.entry.service)
-            if service is not None:
-                server.return_cold(now_ms, warm_up_ms=service.warm_up_ms)
+            server.return_cold(now_ms, warm_up_share=random.random())
         self.connections.warm_up(self.book)
 
     def use_configuration(self, configuration: Configuration) -> None:
--- a/ibisfront/gateway/gatherers.py
+++ b/ibisfront/gateway/gatherers.py
@@ -88,7 +88,17 @@
         """How many instances share the connections of a gathered service."""
         if not self._by_zone:
             return max(len(self.instances), 1)
-        return sum(len(names) for names in self._by_zone.values())
+        return len(self.names)
+
+    @property
+    def own_name(self) -> str:
+        """The name of this instance."""
+        return self._own.name
+
+    @property
+    def names(self) -> list[str]:
+        """The names of all that gather, if only some do."""
+        return [name for names in self._by_zone.values() for name in names]
 
     def of_zone(self, zone: str) -> tuple[str, ...]:
         """Return the names of a zone's gatherers, the first choice first."""
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -263,6 +263,7 @@
             return False
         if not connection.send(exchange, now_ms):
             return False
+        self._server.note_sent(now_ms)
 
         def abandon(at_once: bool) -> None:
             if at_once:
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-import random
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.core.types import Address
+from ibisfront.gateway.cold_limit import ColdLimit
 
 if TYPE_CHECKING:
     from ibisfront.gateway.exchange import Exchange
@@ -160,6 +160,10 @@
         When a connection to it was last opened.
     not_before_ms : float
         Until when it is left alone.
+    warm_at_ms : float
+        Until when it is cold.
+    cold_limit : ColdLimit
+        What it may get from here while it is cold.
     """
 
     __slots__ = (
@@ -169,6 +173,7 @@
         "_lost_in_row",
         "_slowness",
         "_slowness_at_ms",
+        "cold_limit",
         "connected_at_ms",
         "entry",
         "in_flight",
@@ -203,6 +208,7 @@
         self.connected_at_ms = -math.inf
         self.not_before_ms = -math.inf
         self.warm_at_ms = now_ms + entry.warm_up_left_ms
+        self.cold_limit = ColdLimit()
         self._slowness = 1.0
         self._slowness_at_ms = now_ms
         self._failing = 0.0
@@ -220,6 +226,22 @@
         """Whether the way to its zone is cut."""
         return self.way is not None and self.way.is_cut
 
+    def is_cold(self, now_ms: float) -> bool:
+        """Return whether it has just started, or has become cold again."""
+        return now_ms < self.warm_at_ms
+
+    def may_take(self, now_ms: float) -> bool:
+        """Return whether it bears one more request from here."""
+        if not self.is_cold(now_ms):
+            return True
+        waiting = sum(item.sent_at_ms is None for item in self.in_flight)
+        return self.cold_limit.has_room(now_ms, waiting=waiting)
+
+    def note_sent(self, now_ms: float) -> None:
+        """Take in that a request was sent to it."""
+        if self.is_cold(now_ms):
+            self.cold_limit.note_sent(now_ms)
+
     @property
     def last_seen_ms(self) -> float:
         """When it last showed life: a reply or a new connection."""
@@ -279,7 +301,7 @@
             cost += _OVERDUE_PENALTY
         if not self.is_near:
             cost += _OTHER_ZONE_PENALTY
-        if now_ms < self.warm_at_ms:
+        if self.is_cold(now_ms):
             cost += _COLD_PENALTY
         if now_ms < self.not_before_ms:
             cost += _AVOIDED_PENALTY
@@ -303,15 +325,16 @@
         if self.pool is not None:
             self.pool.release_waiting()
 
-    def return_cold(self, now_ms: float, *, warm_up_ms: float) -> None:
-        """Use it again after an evacuation, at a moment of its warm-up.
+    def return_cold(self, now_ms: float, *, warm_up_share: float) -> None:
+        """Use it again after an evacuation, from some share of its warm-up on.
 
         Load pattern: all servers of a zone are to be used again at once, and are cold.
         Each instance begins with each server at a moment of its own, so that the work
         comes back over the warm-up.
         """
+        warm_up_ms = self.cold_limit.warm_up_ms
         self.warm_at_ms = max(self.warm_at_ms, now_ms + warm_up_ms)
-        begins_ms = now_ms + random.random() * warm_up_ms
+        begins_ms = now_ms + warm_up_share * warm_up_ms
         self.not_before_ms = max(self.not_before_ms, begins_ms)
 
     def note_submitted(self, exchange: Exchange, now_ms: float) -> None:
@@ -382,6 +405,10 @@
         if self.way is not None:
             self.way.note_life()
         self._lost_in_row = 0
+        if self._is_unreachable and self.cold_limit.share is not None:
+            # It may have started again, which the store says a moment later.
+            warm_up_ms = self.cold_limit.warm_up_ms
+            self.warm_at_ms = max(self.warm_at_ms, now_ms + warm_up_ms)
         self._is_unreachable = False
         self.not_before_ms = -math.inf
 
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -114,6 +114,8 @@
     for server in servers:
         if not server.is_usable or server.is_behind_cut or server in tried:
             continue
+        if not server.may_take(now_ms):
+            continue
         cost = server.cost(now_ms, usual_ms)
         if server.pool is not None and not server.pool.has_room:
             cost += _NO_ROOM_COST
--- a/ibisfront/gateway/settings.py
+++ b/ibisfront/gateway/settings.py
@@ -63,6 +63,10 @@
     cold_excess: float = 1.0
     cold_slack: float = 0.0
 
+    def cold_bound_per_s(self, warm_up_per_s: float) -> float:
+        """Return what a cold server may get in a second from all instances."""
+        return warm_up_per_s * self.cold_excess + self.cold_slack
+
     @property
     def watch_wait_ms(self) -> float:
         """How long a watch of the store may wait for a change.
--- a/ibisfront/tests/test_front_connections.py
+++ b/ibisfront/tests/test_front_connections.py
@@ -56,6 +56,7 @@
                     gatherers=gatherers,
                     budgets=ExtraBudgets(Bounds(), instances=_INSTANCES),
                     find_table=lambda: table,
+                    find_bounds=Bounds,
                     nursery=nursery,
                     clock=clock,
                     news=ServerNews(clock),
--- a/ibisfront/tests/test_gateway_evacuations.py
+++ b/ibisfront/tests/test_gateway_evacuations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 
 import trio
 
@@ -76,8 +77,10 @@
         book.evacuate(frozenset(("z1",)))
         now_ms = clock.now_ms()
         released = book.evacuate(frozenset())
+        draws = Random(1)
         for server in released:
-            server.return_cold(now_ms, warm_up_ms=_WARM_UP_MS)
+            server.cold_limit.warm_up_ms = _WARM_UP_MS
+            server.return_cold(now_ms, warm_up_share=draws.random())
         in_use = [
             sum(
                 server.not_before_ms <= now_ms + share * _WARM_UP_MS
