Read the load that backend servers tell

Cause: some services' servers add to each reply how many requests they run and keep waiting, their slots, and how long work takes on their machine now. It was passed on to nobody. Read in the platform's folder only, as a typed figure of the server with its age; missing, partial, negative, huge or nonsense values are left aside, and those that are there and cannot be read are counted (server_loads). No decision uses it yet: that is measured for itself.

--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -32,6 +32,7 @@
     TABLE_CHANGES = "table_changes"
     OBJECT_CHANGES = "object_changes"
     SERVER_ENTRIES = "server_entries"
+    SERVER_LOADS = "server_loads"
     CLAIMS = "claims"
     SHARES = "shares"
 
@@ -56,6 +57,7 @@
     CounterKind.TABLE_CHANGES: "Versions of the table put in force or refused here.",
     CounterKind.OBJECT_CHANGES: "Changed objects, by where they came from.",
     CounterKind.SERVER_ENTRIES: "Entries of backend servers that name none, by why.",
+    CounterKind.SERVER_LOADS: "Loads that backend servers told, left aside, by why.",
     CounterKind.CLAIMS: "Claims of non-idempotent requests, by what came of them.",
     CounterKind.SHARES: "Shares of limits, by what happened to them.",
 }
--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ibisfront.gateway.server_load import ServerLoad
+
 __all__ = [
     "BackendReply",
     "CallerReply",
@@ -92,6 +94,10 @@
         How long the server keeps the connection open while it is idle.
     retry_after_ms : float or None
         When the server asks to come back.
+    load : ServerLoad or None
+        How busy the server was, if it said so.
+    has_unreadable_load : bool
+        Whether it said so in a way that cannot be.
     """
 
     status: int
@@ -105,6 +111,8 @@
     closes: bool = False
     idle_timeout_ms: float | None = None
     retry_after_ms: float | None = None
+    load: ServerLoad | None = None
+    has_unreadable_load: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from ibisfront.gateway.exchange import Exchange
     from ibisfront.gateway.pool import ServerPool
+    from ibisfront.gateway.server_load import ServerLoad
     from ibisfront.gateway.zone_ways import ZoneWay
 
 __all__ = ["Server", "ServerEntry"]
@@ -160,6 +161,10 @@
         When a connection to it was last opened.
     not_before_ms : float
         Until when it is left alone.
+    load : ServerLoad or None
+        What it last said of its load.
+    load_at_ms : float
+        When it did.
     warm_at_ms : float
         Until when it is cold.
     cold_limit : ColdLimit
@@ -182,6 +187,8 @@
         "is_lapsed",
         "is_near",
         "last_reply_at_ms",
+        "load",
+        "load_at_ms",
         "not_before_ms",
         "pool",
         "warm_at_ms",
@@ -209,6 +216,8 @@
         self.not_before_ms = -math.inf
         self.warm_at_ms = now_ms + entry.warm_up_left_ms
         self.cold_limit = ColdLimit()
+        self.load: ServerLoad | None = None
+        self.load_at_ms = -math.inf
         self._slowness = 1.0
         self._slowness_at_ms = now_ms
         self._failing = 0.0
@@ -358,6 +367,11 @@
         self._failing = 0.0
         self.not_before_ms = -math.inf
 
+    def note_load(self, now_ms: float, load: ServerLoad) -> None:
+        """Take in what it says of its load."""
+        self.load = load
+        self.load_at_ms = now_ms
+
     def note_reply(self, now_ms: float, *, took_ms: float, usual_ms: float) -> None:
         """Take in a reply that shows how fast it works."""
         self.note_alive(now_ms)
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -347,6 +347,10 @@
     def _note_reply(self, exchange: Exchange, reply: BackendReply) -> None:
         now_ms = self._context.clock.now_ms()
         server = exchange.server
+        if reply.load is not None:
+            server.note_load(now_ms, reply.load)
+        elif reply.has_unreadable_load:
+            self._context.counters.add(CounterKind.SERVER_LOADS, "unreadable")
         if reply.not_run:
             self._refunded += 1
             self._again_at_ms = now_ms + _RESEND_PAUSE_MS
--- a/ibisfront/platform/headers.py
+++ b/ibisfront/platform/headers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ibisfront.gateway.messages import BackendReply, InboundRequest
+from ibisfront.gateway.server_load import ServerLoad
 from ibisfront.gateway.wire import EncodeFor, Wire
 from ibisfront.http1.fields import (
     OF_ONE_CONNECTION,
@@ -28,10 +30,14 @@
 _SIGNATURE = b"x-backend-stamp"
 _NOT_RUN = b"x-not-executed"
 _RETRY_AFTER = b"retry-after"
+_LOAD = b"x-backend-load"
+_MOST_LOAD = 1_000_000
+"""Figures of a load beyond which it is not believed."""
 
 _SET_HERE = frozenset((_DEADLINE, _EXPECTED_SERVER))
 _MISDIRECTED = 421
 _MILLISECONDS_PER_SECOND = 1000.0
+_PERCENT = 100.0
 
 
 def _decode_request(
@@ -90,25 +96,68 @@
     reply.is_other_server = reply.not_run = raw.status == _MISDIRECTED
     for name, value in raw.headers:
         lower = name.lower()
-        if lower == _SIGNATURE:
-            reply.signature = value
-        elif lower == _REQUEST_ID:
-            reply.request_id = value
-        elif lower == _NOT_RUN:
-            reply.not_run = True
-        elif lower == _RETRY_AFTER:
-            seconds = number(value)
-            if seconds is not None:
-                reply.retry_after_ms = seconds * _MILLISECONDS_PER_SECOND
-        elif lower == b"content-encoding":
-            reply.is_encoded = value.strip().lower() != b"identity"
-        elif lower == b"keep-alive":
-            reply.idle_timeout_ms = idle_timeout_ms(value)
+        read_field = _REPLY_FIELDS.get(lower)
+        if read_field is not None:
+            read_field(reply, value)
         if lower not in OF_ONE_CONNECTION:
             reply.headers.append((name, value))
     return reply
 
 
+def _read_signature(reply: BackendReply, value: bytes) -> None:
+    reply.signature = value
+
+
+def _read_request_id(reply: BackendReply, value: bytes) -> None:
+    reply.request_id = value
+
+
+def _read_not_run(reply: BackendReply, value: bytes) -> None:
+    reply.not_run = True
+
+
+def _read_retry_after(reply: BackendReply, value: bytes) -> None:
+    seconds = number(value)
+    if seconds is not None:
+        reply.retry_after_ms = seconds * _MILLISECONDS_PER_SECOND
+
+
+def _read_encoding(reply: BackendReply, value: bytes) -> None:
+    reply.is_encoded = value.strip().lower() != b"identity"
+
+
+def _read_keep_alive(reply: BackendReply, value: bytes) -> None:
+    reply.idle_timeout_ms = idle_timeout_ms(value)
+
+
+def _read_load(reply: BackendReply, value: bytes) -> None:
+    reply.load = _load(value)
+    reply.has_unreadable_load = reply.load is None
+
+
+_REPLY_FIELDS: dict[bytes, Callable[[BackendReply, bytes], None]] = {
+    _SIGNATURE: _read_signature,
+    _REQUEST_ID: _read_request_id,
+    _NOT_RUN: _read_not_run,
+    _RETRY_AFTER: _read_retry_after,
+    b"content-encoding": _read_encoding,
+    b"keep-alive": _read_keep_alive,
+    _LOAD: _read_load,
+}
+
+
+def _load(value: bytes) -> ServerLoad | None:
+    """Return running, waiting and slots, and a percentage that may be missing."""
+    texts = [text.strip() for text in value.split(b",")]
+    if not 3 <= len(texts) <= 4 or not all(text.isdigit() for text in texts):
+        return None
+    figures = [int(text) for text in texts if len(text) < len(str(_MOST_LOAD))]
+    if len(figures) < len(texts) or not figures[2]:
+        return None
+    factor = figures[3] / _PERCENT if len(figures) > 3 else None
+    return ServerLoad(figures[0], figures[1], figures[2], factor or None)
+
+
 def _gathered_headers(signatures: Sequence[bytes], missing: int) -> list[Header]:
     # The wire calls a part's signature a stamp and a service of the index a
     # shard; the second header counts the services left out.
--- a/ibisfront/tests/test_platform_headers.py
+++ b/ibisfront/tests/test_platform_headers.py
@@ -82,3 +82,26 @@
     def test_idle_timeout_is_read(self):
         reply = reply_of(200, b"Keep-Alive: max=5, timeout=7")
         self.assertEqual(reply.idle_timeout_ms, 7000.0)
+
+
+class LoadTest(unittest.TestCase):
+    """What backend servers say of their load."""
+
+    def test_load_is_read_with_or_without_the_time_that_work_takes(self):
+        """Guards against figures that are taken for one another."""
+        load = reply_of(200, b"X-Backend-Load: 2,5, 4").load
+        self.assertEqual((load.running, load.waiting, load.slots), (2, 5, 4))
+        self.assertIsNone(load.work_factor)
+        self.assertEqual(
+            reply_of(200, b"X-Backend-Load: 1,0,2,250").load.work_factor, 2.5
+        )
+
+    def test_load_that_cannot_be_is_left_aside(self):
+        """Guards against a choice of servers by nonsense."""
+        for value in (b"", b"1,2", b"-1,0,2", b"1,0,0", b"a,b,c", b"1,0,2,nan"):
+            with self.subTest(value=value):
+                reply = reply_of(200, b"X-Backend-Load: " + value)
+                self.assertIsNone(reply.load)
+                self.assertTrue(reply.has_unreadable_load)
+        self.assertIsNone(reply_of(200, b"X-Backend-Load: 1,0," + b"9" * 40).load)
+        self.assertFalse(reply_of(200, b"X-Other: 1").has_unreadable_load)
