--- a/ibisfront/gateway/server_load.py
+++ b/ibisfront/gateway/server_load.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
-__all__ = ["ServerLoad"]
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["ServerLoad", "told_load"]
+
+_MOST_DIGITS = 6
+"""Longer figures are not believed."""
+
+_PERCENT = 100.0
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
@@ -24,3 +34,26 @@
     waiting: int
     slots: int
     work_factor: float | None = None
+
+
+def told_load(texts: Sequence[bytes]) -> ServerLoad | None:
+    """Return a load from its figures; None if they cannot be.
+
+    Parameters
+    ----------
+    texts : sequence of bytes
+        Running, waiting, slots, and perhaps the time that work takes in percent.
+    """
+    if not 3 <= len(texts) <= 4:
+        return None
+    figures: list[int] = []
+    for text in texts:
+        digits = text.strip()
+        if not digits.isdigit() or len(digits) > _MOST_DIGITS:
+            return None
+        figures.append(int(digits))
+    running, waiting, slots, *percent = figures
+    if not slots:
+        return None
+    factor = percent[0] / _PERCENT if percent and percent[0] else None
+    return ServerLoad(running, waiting, slots, factor)
--- a/ibisfront/platform/headers.py
+++ b/ibisfront/platform/headers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ibisfront.gateway.messages import BackendReply, InboundRequest
-from ibisfront.gateway.server_load import ServerLoad
+from ibisfront.gateway.server_load import told_load
 from ibisfront.gateway.wire import EncodeFor, Wire
 from ibisfront.http1.fields import (
     OF_ONE_CONNECTION,
@@ -31,13 +31,10 @@
 _NOT_RUN = b"x-not-executed"
 _RETRY_AFTER = b"retry-after"
 _LOAD = b"x-backend-load"
-_MOST_LOAD = 1_000_000
-"""Figures of a load beyond which it is not believed."""
 
 _SET_HERE = frozenset((_DEADLINE, _EXPECTED_SERVER))
 _MISDIRECTED = 421
 _MILLISECONDS_PER_SECOND = 1000.0
-_PERCENT = 100.0
 
 
 def _decode_request(
@@ -104,12 +101,8 @@
     return reply
 
 
-def _read_signature(reply: BackendReply, value: bytes) -> None:
-    reply.signature = value
-
-
-def _read_request_id(reply: BackendReply, value: bytes) -> None:
-    reply.request_id = value
+def _kept_as(field: str) -> Callable[[BackendReply, bytes], None]:
+    return lambda reply, value: setattr(reply, field, value)
 
 
 def _read_not_run(reply: BackendReply, value: bytes) -> None:
@@ -131,13 +124,14 @@
 
 
 def _read_load(reply: BackendReply, value: bytes) -> None:
-    reply.load = _load(value)
+    # Running, waiting, slots, and at times how long work takes, in percent.
+    reply.load = told_load(value.split(b","))
     reply.has_unreadable_load = reply.load is None
 
 
 _REPLY_FIELDS: dict[bytes, Callable[[BackendReply, bytes], None]] = {
-    _SIGNATURE: _read_signature,
-    _REQUEST_ID: _read_request_id,
+    _SIGNATURE: _kept_as("signature"),
+    _REQUEST_ID: _kept_as("request_id"),
     _NOT_RUN: _read_not_run,
     _RETRY_AFTER: _read_retry_after,
     b"content-encoding": _read_encoding,
@@ -146,18 +140,6 @@
 }
 
 
-def _load(value: bytes) -> ServerLoad | None:
-    """Return running, waiting and slots, and a percentage that may be missing."""
-    texts = [text.strip() for text in value.split(b",")]
-    if not 3 <= len(texts) <= 4 or not all(text.isdigit() for text in texts):
-        return None
-    figures = [int(text) for text in texts if len(text) < len(str(_MOST_LOAD))]
-    if len(figures) < len(texts) or not figures[2]:
-        return None
-    factor = figures[3] / _PERCENT if len(figures) > 3 else None
-    return ServerLoad(figures[0], figures[1], figures[2], factor or None)
-
-
 def _gathered_headers(signatures: Sequence[bytes], missing: int) -> list[Header]:
     # The wire calls a part's signature a stamp and a service of the index a
     # shard; the second header counts the services left out.
