Keep callers for the moment in which a started process learns its state

Change: within a second of its start a process lets a request wait for the configuration, the servers and the evacuated zones, for a quarter of the caller's time at most; then, and while the store is away, it is refused at once as before. It also waits for the list of servers, which comes by another call than the configuration: without it every route looked out of reach.

Tests: a request that comes 40 ms too early is served on; one that comes in an outage of the store is refused (red before: refused at once).

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -38,7 +38,7 @@
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
     import trio
 
@@ -46,6 +46,7 @@
     from ibisfront.gateway.configuration import Configuration
     from ibisfront.gateway.configuration_change import ConfigurationChange
     from ibisfront.gateway.messages import InboundRequest
+    from ibisfront.gateway.server import ServerEntry
     from ibisfront.gateway.settings import GatewaySettings
 
 __all__ = ["FrontProcess"]
@@ -320,7 +321,7 @@
         if state.evacuated is not None:
             self.use_evacuations(frozenset(state.evacuated))
         if state.is_whole:
-            self.book.replace(state.servers, after_outage=state.may_lack_servers)
+            self.replace_servers(state.servers, after_outage=state.may_lack_servers)
         else:
             for entry in state.servers:
                 self.book.put(entry)
@@ -377,6 +378,18 @@
             self.book.probe_unreachable()
             self.peers.probe_unreachable()
 
+    def replace_servers(
+        self,
+        entries: Sequence[ServerEntry],
+        *,
+        after_outage: bool,
+        unreadable: Collection[str] = (),
+    ) -> None:
+        """Take in a full list of servers; see ``ServerBook.replace``."""
+        self.book.replace(entries, after_outage=after_outage, unreadable=unreadable)
+        self.connections.warm_up(self.book)
+        self.gateway.note_learnt()
+
     def use_evacuations(self, zones: frozenset[str]) -> None:
         """Send nothing more to the servers of these zones."""
         if zones == self.book.evacuated:
@@ -388,6 +401,7 @@
         for server in released:
             server.return_cold(now_ms, warm_up_share=random.random())
         self.connections.warm_up(self.book)
+        self.gateway.note_learnt()
 
     def use_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force if it is newer than the one that is."""
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -76,12 +76,11 @@
 
     def replace(listing: Listing, after_outage: bool) -> None:
         entries = {item.name: read(item) for item in listing.objects}
-        process.book.replace(
+        process.replace_servers(
             [entry for entry in entries.values() if entry is not None],
             after_outage=after_outage,
             unreadable={name for name, entry in entries.items() if entry is None},
         )
-        process.connections.warm_up(process.book)
 
     def change(changes: Sequence[ObjectChange]) -> None:
         for item in changes:
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -27,6 +27,13 @@
 
 __all__ = ["Gateway"]
 
+_START_MS = 1_000.0
+"""How long after its start an instance expects to learn what it needs; later, the
+store is away."""
+
+_START_WAIT_SHARE = 0.25
+"""Share of its time for which a caller waits for that: it can still go elsewhere."""
+
 _PROMISES_NOT_RUN = (408, 421, 429, 503)
 
 
@@ -41,7 +48,15 @@
         Asks other instances for the parts that stand near them.
     """
 
-    __slots__ = ("_answering", "_delegation", "_queries", "_reach", "_turns")
+    __slots__ = (
+        "_answering",
+        "_delegation",
+        "_informed",
+        "_queries",
+        "_reach",
+        "_started_ms",
+        "_turns",
+    )
 
     def __init__(
         self, answering: Answering, *, delegation: Delegation | None = None
@@ -51,6 +66,8 @@
         self._reach = Reach(book=answering.book, clock=answering.clock)
         self._queries = Queries(self._answering, delegation, self._reach)
         self._turns = WeightedTurns()
+        self._informed = trio.Event()
+        self._started_ms = answering.clock.now_ms()
 
     @property
     def table(self) -> RouteTable | None:
@@ -64,14 +81,20 @@
         self._turns.keep(table.route_names)
         if self._delegation is not None:
             self._delegation.keep(table.route_names)
+        self.note_learnt()
 
     @property
     def is_informed(self) -> bool:
-        """Whether the configuration and the evacuated zones are known.
+        """Whether the configuration, the servers and the evacuated zones are known.
 
         One that has just started would else ask servers that must get nothing.
         """
-        return self.table is not None and self._answering.book.evacuated is not None
+        return self.table is not None and self._answering.book.is_known
+
+    def note_learnt(self) -> None:
+        """Go on with the requests that wait, if all that they need is known."""
+        if self.is_informed:
+            self._informed.set()
 
     @property
     def is_ready(self) -> bool:
@@ -107,7 +130,7 @@
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
         answering = self._answering
-        if self.table is None or not self.is_informed:
+        if not await self._is_informed_soon(request) or self.table is None:
             return answering.refuse(request, answering.not_run("no_configuration"))
         route = self.table.find(request.host, request.path)
         if route is None:
@@ -127,11 +150,29 @@
         query = delegated_from(request)
         if query is None:
             return CallerReply(400, [], b"", "not_delegated")
-        if not self.is_informed:
+        if not await self._is_informed_soon(query.request):
             reply = self._answering.not_run("no_configuration")
             return self._answering.refuse(request, reply)
         return await self._queries.answer_delegated(query)
 
+    async def _is_informed_soon(self, request: InboundRequest) -> bool:
+        """Return whether what a request needs is known, now or in a moment.
+
+        Load pattern: all instances restart. Callers are there before the
+        configuration, which follows some ten milliseconds after the start; refused,
+        they would come again to another instance that has just started.
+        """
+        if self.is_informed:
+            return True
+        clock = self._answering.clock
+        deadline_ms = request.deadline_ms
+        wait_ms = self._started_ms + _START_MS - clock.now_ms()
+        if deadline_ms is not None:
+            wait_ms = min(wait_ms, _START_WAIT_SHARE * deadline_ms)
+        with clock.timeout_ms(wait_ms):
+            await self._informed.wait()
+        return self.is_informed
+
     async def _forward(self, request: InboundRequest, route: Route) -> CallerReply:
         answering = self._answering
         service = self._turns.next_service(route)
--- a/ibisfront/gateway/server_book.py
+++ b/ibisfront/gateway/server_book.py
@@ -62,6 +62,7 @@
         "_complete_at_ms",
         "_evacuated",
         "_gone_born_ms",
+        "_is_listed",
         "_lapsed",
         "_make_pool",
         "_news",
@@ -90,6 +91,12 @@
         self._complete_at_ms = -math.inf
         self._gone_born_ms: dict[str, int] = {}
         self._evacuated = evacuated
+        self._is_listed = False
+
+    @property
+    def is_known(self) -> bool:
+        """Whether the servers, and which of them get nothing, were learnt."""
+        return self._is_listed and self._evacuated is not None
 
     @property
     def evacuated(self) -> frozenset[str] | None:
@@ -159,6 +166,7 @@
 
     def put(self, entry: ServerEntry) -> None:
         """Take in a new or changed entry; one of an older incarnation is not."""
+        self._is_listed = True
         server_id = entry.server_id
         if entry.born_ms < self._newest_born_ms(server_id):
             # A stale read, or an instance that is behind, still names the
@@ -235,6 +243,7 @@
             Ids whose entries are there and name no server. They have not
             lapsed, and go at once.
         """
+        self._is_listed = True
         listed = {entry.server_id: entry for entry in entries}
         for entry in listed.values():
             self.put(entry)
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -101,6 +101,11 @@
     is_near: bool
 
 
+def _close_all(sources: list[_Source]) -> None:
+    for source in sources:
+        source.client.close()
+
+
 class _Mode(Enum):
     """What the instance does now."""
 
@@ -319,7 +324,7 @@
         """
         found: list[_Source] = []
         with ExitStack() as stack:
-            stack.callback(lambda: [item.client.close() for item in found])
+            stack.callback(_close_all, found)
             async with trio.open_nursery() as nursery:
 
                 async def ask(entry: InstanceEntry, ended: trio.Event) -> None:
@@ -335,10 +340,7 @@
                     with self._clock.timeout_ms(_NEXT_SOURCE_MS):
                         await ended.wait()
             if found:
-                stack.pop_all()
-                for extra in found[1:]:
-                    extra.client.close()
-                return found[0]
+                return found.pop(0)
         return None
 
     async def _outlast_outage(self) -> _Source | None:
--- a/ibisfront/tests/test_front_evacuations.py
+++ b/ibisfront/tests/test_front_evacuations.py
@@ -101,6 +101,8 @@
             request = InboundRequest(b"GET", b"/a/", "h", "r", 100.0, [], b"", 0.0)
             reply = await process.gateway.answer(request)
             self.assertEqual((reply.status, reply.reason), (503, "no_configuration"))
+            process.replace_servers([], after_outage=False)
+            self.assertFalse(process.gateway.is_informed)
             process.use_evacuations(frozenset())
             self.assertTrue(process.gateway.is_informed)
             nursery.cancel_scope.cancel()
--- a/ibisfront/tests/test_front_start.py
+++ b/ibisfront/tests/test_front_start.py
@@ -5,9 +5,22 @@
 import socket
 import unittest
 
+import trio
+
+from ibisfront.core.clock import Clock
 from ibisfront.front.early_start import is_anyone_up
+from ibisfront.front.process import FrontProcess
+from ibisfront.gateway.configuration import (
+    CallerLimits,
+    Configuration,
+    RoutedService,
+)
+from ibisfront.gateway.messages import InboundRequest
+from ibisfront.gateway.settings import GatewaySettings
 from ibisfront.http1.listening import listening_socket
+from ibisfront.testing.gateway_fixture import HOST, forward_route
 from ibisfront.testing.processes import free_address
+from ibisfront.tests import trio_test
 
 
 class EarlyListeningTest(unittest.TestCase):
@@ -44,3 +57,57 @@
             self.assertFalse(is_anyone_up([f"{host}:{port}"]))
             for sock in keeping:
                 sock.close()
+
+
+class EarlyRequestTest(unittest.TestCase):
+    """Requests that come before what they need is known."""
+
+    async def _answered_after_s(self, *, informed_after_s, deadline_ms, asked_at_s=0.0):
+        """Return the status of a request, and how long it took."""
+        async with trio.open_nursery() as nursery:
+            settings = GatewaySettings(
+                instance="i0",
+                zone="z0",
+                callers_address="",
+                ready_address="",
+                store_address="",
+            )
+            process = FrontProcess(settings, clock=Clock(), nursery=nursery)
+
+            async def inform():
+                await trio.sleep(informed_after_s)
+                services = {"archive": RoutedService("archive", 25)}
+                process.use_configuration(
+                    Configuration(1, (forward_route(),), services, CallerLimits())
+                )
+                process.replace_servers([], after_outage=False)
+
+            nursery.start_soon(inform)
+            await trio.sleep(asked_at_s)
+            asked_s = trio.current_time()
+            request = InboundRequest(
+                b"GET", b"/fetch/a", HOST, "r", deadline_ms, [], b"", 0.0
+            )
+            reply = await process.gateway.answer(request)
+            took_s = trio.current_time() - asked_s
+            nursery.cancel_scope.cancel()
+        return reply.reason, took_s
+
+    @trio_test
+    async def test_request_waits_a_moment_for_the_configuration(self):
+        """Guards against refusing all callers of a restart who come too early."""
+        reason, took_s = await self._answered_after_s(
+            informed_after_s=0.04, deadline_ms=400.0
+        )
+        self.assertEqual(reason, "out_of_reach")
+        self.assertLess(took_s, 0.05)
+
+    @trio_test
+    async def test_request_does_not_wait_for_a_store_that_is_away(self):
+        """Guards against holding callers for an outage."""
+        for asked_at_s, most_s in ((0.0, 0.1), (1.0, 0.0)):
+            reason, took_s = await self._answered_after_s(
+                informed_after_s=9.0, deadline_ms=400.0, asked_at_s=asked_at_s
+            )
+            self.assertEqual(reason, "no_configuration")
+            self.assertLessEqual(took_s, most_s + 1e-6)
