Trial: share the allowances of gathered services out to those that gather

The allowance of 206 in 10 s was split over 83 instances, 2 each, while six send to these services.

Change: those that gather share it; the others, which ask these servers only when nobody gathers for them, go by the ratio alone. A process that has restarted uses half of its share for one window, as it does not know what it had spent.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from functools import partial
 from typing import TYPE_CHECKING
@@ -129,7 +130,11 @@
         self._clock = clock
         zone = settings.zone
         self.observer = Observer()
-        self.budgets = ExtraBudgets(settings.bounds, instances=ASSUMED_INSTANCES)
+        self.budgets = ExtraBudgets(
+            settings.bounds,
+            instances=ASSUMED_INSTANCES,
+            started_ms=-math.inf if settings.is_first_start else clock.now_ms(),
+        )
         own = InstanceEntry(
             settings.instance,
             zone,
@@ -286,6 +291,7 @@
         )
         self.relays.update(listed)
         self.gatherers.update(listed, self.gateway.table)
+        self._share_allowances()
         after = (self.budgets.instances, self.gatherers.is_gatherer)
         if is_first or after != before:
             self.connections.share(self.book)
@@ -419,9 +425,19 @@
         fields = {"version": version, "before": before}
         _TABLE_LOG.info("Configuration %d is in force.", version, extra=fields)
         self.gatherers.update(self.gatherers.instances, self.gateway.table)
+        self._share_allowances()
         self.connections.share(self.book)
         self.connections.warm_up(self.book)
 
+    def _share_allowances(self) -> None:
+        """Have those that gather share the allowances of gathered services."""
+        table = self.gateway.table
+        services: frozenset[str] = frozenset()
+        if table is not None and self.gatherers.is_concentrated:
+            services = table.gathered_services
+        count = self.gatherers.count if self.gatherers.is_gatherer else math.inf
+        self.budgets.use_gatherers(count, services)
+
     def _gauges(self) -> list[Gauge]:
         servers = list(self.book.servers())
         now_ms = self._clock.now_ms()
--- a/ibisfront/gateway/budget.py
+++ b/ibisfront/gateway/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,6 +19,11 @@
 window by a tenth."""
 
 
+_STARTED_SHARE = 0.5
+"""Share of its allowance that an instance uses in the first window after its start:
+it does not know what it had spent before."""
+
+
 class ExtraBudget:
     """Extra sub-requests to one service over a sliding window.
 
@@ -74,19 +80,20 @@
         self._firsts[self._bucket % len(self._firsts)] += 1
         self.firsts += 1
 
-    def try_spend(self, now_ms: float, *, instances: int) -> bool:
+    def try_spend(self, now_ms: float, *, senders: float) -> bool:
         """Take one extra sub-request; return False if none is left.
 
         Parameters
         ----------
         now_ms : float
             The time.
-        instances : int
-            How many instances share the allowance, this one included.
+        senders : float
+            How many instances share the allowance, this one included; infinite if
+            this one has no part in it.
         """
         self._advance(now_ms)
         allowed = self._bounds.extra_ratio * self.firsts
-        allowed += self._bounds.extra_allowance / instances
+        allowed += self._bounds.extra_allowance / senders
         if self.extras + 1 > allowed * _SAFETY:
             return False
         self._extras[self._bucket % len(self._extras)] += 1
@@ -116,19 +123,53 @@
     bounds : Bounds
         The deployment's bounds.
 
+    instances : int
+        How many instances share the allowances.
+    started_ms : float, optional
+        When this instance started.
+
     Attributes
     ----------
     instances : int
         How many instances share the allowances.
     """
 
-    __slots__ = ("_bounds", "_budgets", "instances")
+    __slots__ = (
+        "_bounds",
+        "_budgets",
+        "_gathered",
+        "_gatherers",
+        "_started_ms",
+        "instances",
+    )
 
-    def __init__(self, bounds: Bounds, *, instances: int) -> None:
+    def __init__(
+        self, bounds: Bounds, *, instances: int, started_ms: float = -math.inf
+    ) -> None:
         self._bounds = bounds
         self._budgets: dict[str, ExtraBudget] = {}
+        self._started_ms = started_ms
+        self._gathered: frozenset[str] = frozenset()
+        self._gatherers = math.inf
         self.instances = instances
 
+    def use_gatherers(self, count: float, services: frozenset[str]) -> None:
+        """Share the allowances of gathered services out to those that gather.
+
+        Load pattern: a few instances gather for all. Split over all, the allowance
+        lies idle at those that ask no servers, and parts that are late at the others
+        are not asked for again.
+
+        Parameters
+        ----------
+        count : float
+            How many instances gather; infinite if this one does not.
+        services : frozenset of str
+            The services of which that holds; none if all instances gather.
+        """
+        self._gatherers = count
+        self._gathered = services
+
     def use(self, bounds: Bounds, now_ms: float) -> None:
         """Go by other bounds from now on."""
         self._bounds = bounds
@@ -144,4 +185,7 @@
 
     def try_spend(self, service: str, now_ms: float) -> bool:
         """Take one extra sub-request of a service, if one is left."""
-        return self.of_service(service).try_spend(now_ms, instances=self.instances)
+        senders = self._gatherers if service in self._gathered else self.instances
+        if now_ms < self._started_ms + self._bounds.extra_window_ms:
+            senders /= _STARTED_SHARE
+        return self.of_service(service).try_spend(now_ms, senders=senders)
--- a/ibisfront/tests/test_gateway_budget.py
+++ b/ibisfront/tests/test_gateway_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import msgspec
@@ -15,7 +16,7 @@
 def spend_all(budget, now_ms, *, instances=1):
     """Return how many extra sub-requests a budget gives at once."""
     count = 0
-    while budget.try_spend(now_ms, instances=instances):
+    while budget.try_spend(now_ms, senders=instances):
         count += 1
     return count
 
@@ -58,3 +59,32 @@
         self.assertEqual(spend_all(budget, 6_000.0), 0)
         self.assertEqual(spend_all(budget, 20_000.0), 0)
         self.assertGreater(spend_all(budget, 40_000.0), 0)
+
+
+class GatherersBudgetTest(unittest.TestCase):
+    """Allowances where a few of many instances ask the servers."""
+
+    def spent(self, *, count, **options):
+        """Return how many extras an instance gives at once without firsts."""
+        budgets = ExtraBudgets(BOUNDS, instances=80, **options)
+        budgets.use_gatherers(count, frozenset(("s",)))
+        spent = 0
+        while budgets.try_spend("s", 20_000.0):
+            spent += 1
+        return spent
+
+    def test_those_that_gather_share_the_allowance(self):
+        """Guards against late parts that are not asked again for want of a budget."""
+        spent = 4 * self.spent(count=4)
+        self.assertLessEqual(spent, BOUNDS.extra_allowance)
+        self.assertGreater(spent, BOUNDS.extra_allowance / 2)
+
+    def test_those_that_do_not_gather_have_none(self):
+        """Guards against an allowance that is given out twice."""
+        self.assertEqual(self.spent(count=math.inf), 0)
+
+    def test_started_instance_has_less_for_one_window(self):
+        """Guards against a full allowance at each restart within one window."""
+        started = self.spent(count=4, started_ms=15_000.0)
+        self.assertLess(started, self.spent(count=4, started_ms=5_000.0))
+        self.assertGreater(started, 0)
