--- a/ibisfront/lab/deployment.py
+++ b/ibisfront/lab/deployment.py
@@ -194,17 +194,25 @@
 
     def _plan(self, fault: Fault) -> None:
         """Plan a fault's beginning and its end."""
+        hit = self._hit(fault)
+        start_ms = self._clock.now_ms() + fault.from_s * 1000.0
+        self._agenda.at(start_ms, partial(_begin, fault, hit))
+        self._agenda.at(start_ms + fault.for_s * 1000.0, partial(_finish, fault, hit))
+
+    def _hit(self, fault: Fault) -> list[ModelServer]:
+        """Draw the servers that a fault hits."""
+        if fault.servers:
+            count = round(fault.servers * len(self.servers))
+            chosen = self._random.choice(len(self.servers), count, replace=False)
+            return [self.servers[int(number)] for number in chosen]
         copies = self._pattern.servers_per_shard
         count = round(fault.shards * self._pattern.shards)
         shards = self._random.choice(self._pattern.shards, count, replace=False)
-        hit = [
+        return [
             self.servers[int(shard) * copies + copy]
             for shard in shards
             for copy in range(fault.copies)
         ]
-        start_ms = self._clock.now_ms() + fault.from_s * 1000.0
-        self._agenda.at(start_ms, partial(_begin, fault, hit))
-        self._agenda.at(start_ms + fault.for_s * 1000.0, partial(_finish, fault, hit))
 
 
 def _begin(fault: Fault, servers: list[ModelServer]) -> None:
--- a/ibisfront/lab/pattern.py
+++ b/ibisfront/lab/pattern.py
@@ -95,6 +95,9 @@
         The share of the shards that are hit.
     copies : int
         How many servers of each of these.
+    servers : float
+        The share of all servers that are hit, whatever their shard; in place of the
+        two above.
     factor : float
         How much slower.
     """
@@ -102,8 +105,9 @@
     kind: FaultKind
     from_s: NotNegative
     for_s: Positive
-    shards: Share
+    shards: Share = 0.0
     copies: Count = 1
+    servers: Share = 0.0
     factor: Positive = 4.0
 
 
@@ -134,6 +138,11 @@
         What a connection costs a server, and a way within and between zones takes.
     pause_ms, pause_every_s : float
         How long a server pauses, and how often; 0 for never.
+    noise_share, noise_factor, noise_every_ms : float
+        The share of the time in which others on a server's machine make its work
+        longer, by how much, and for how long at a time.
+    tells_load : bool
+        Whether replies say how busy their server is.
     swing, period_s : float
         How much the load rises and falls, as a share, and in what time.
     extra_ratio, extra_allowance : float
@@ -159,6 +168,10 @@
     way_far_ms: NotNegative = 1.4
     pause_ms: NotNegative = 0.0
     pause_every_s: Positive = 6.0
+    noise_share: Share = 0.0
+    noise_factor: Positive = 1.0
+    noise_every_ms: Positive = 500.0
+    tells_load: bool = False
     swing: Share = 0.0
     period_s: Positive = 11.0
     extra_ratio: NotNegative = 0.2
@@ -208,4 +221,9 @@
         for item in pattern.faults
         if item.copies > pattern.servers_per_shard
     ]
+    found += [
+        f"the fault at {item.from_s:g} s hits both shards and servers: keep one"
+        for item in pattern.faults
+        if item.shards and item.servers
+    ]
     return found
--- a/ibisfront/lab/servers.py
+++ b/ibisfront/lab/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 import msgspec
 
 from ibisfront.gateway.messages import BackendReply
+from ibisfront.gateway.server_load import ServerLoad
 
 if TYPE_CHECKING:
     import numpy as np
@@ -22,6 +24,7 @@
 
 _RECORD = b"0123456789abcdef"
 _OK = 200
+_NOISE_DRAWS = 10_000
 _UNAVAILABLE = 503
 
 
@@ -74,6 +77,7 @@
 
     __slots__ = (
         "_agenda",
+        "_noise_seed",
         "_pattern",
         "_pause_offset_ms",
         "_queries",
@@ -104,6 +108,7 @@
         self._random = random
         self._agenda = agenda
         self._pause_offset_ms = float(random.uniform(0, pattern.pause_every_s)) * 1000.0
+        self._noise_seed = int(random.integers(2**31))
         self._running: set[Job] = set()
         self._waiting: deque[Job] = deque()
         self._reply = entry.server_id.encode()
@@ -151,7 +156,8 @@
 
     def _start(self, job: Job, now_ms: float) -> None:
         self._running.add(job)
-        end_ms = self._end_ms(now_ms, self._work_ms(self._queries[job.kind]))
+        work_ms = self._work_ms(self._queries[job.kind]) * self._noise(now_ms)
+        end_ms = self._end_ms(now_ms, work_ms)
         self._agenda.at(end_ms, lambda: self._end(job, end_ms))
 
     def _end(self, job: Job, now_ms: float) -> None:
@@ -160,9 +166,28 @@
         self._running.remove(job)
         if not self.is_silent:
             reply = BackendReply(_OK, [], _RECORD, signature=self._reply)
+            if self._pattern.tells_load:
+                reply.load = self._load(now_ms)
             job.on_reply(reply)
         self._start_next(now_ms)
 
+    def _load(self, now_ms: float) -> ServerLoad:
+        """Return what it says of its load."""
+        running, waiting = len(self._running), len(self._waiting)
+        factor = self._noise(now_ms)
+        return ServerLoad(running, waiting, self._pattern.slots, factor)
+
+    def _noise(self, now_ms: float) -> float:
+        """Return how much longer others on its machine make its work now."""
+        pattern = self._pattern
+        if not pattern.noise_share:
+            return 1.0
+        spell = int(now_ms / pattern.noise_every_ms)
+        name = f"{self.entry.server_id} {self._noise_seed} {spell}"
+        draw = zlib.crc32(name.encode()) % _NOISE_DRAWS
+        is_disturbed = draw < pattern.noise_share * _NOISE_DRAWS
+        return pattern.noise_factor if is_disturbed else 1.0
+
     def _start_next(self, now_ms: float) -> None:
         while self._waiting and len(self._running) < self._pattern.slots:
             job = self._waiting.popleft()
--- a/ibisfront/tests/test_lab.py
+++ b/ibisfront/tests/test_lab.py
@@ -101,6 +101,16 @@
         self.assertEqual(min(ends), 10.0)
         self.assertAlmostEqual(max(ends), 260.0, delta=1.0)
 
+    def test_noise_takes_its_share_of_the_time_and_is_told(self):
+        """Guards against a model whose servers tell another load than they have."""
+        server = self.server(noise_share=0.2, noise_factor=4.0, tells_load=True)
+        factors = [
+            server._load(spell * server._pattern.noise_every_ms).work_factor
+            for spell in range(2_000)
+        ]
+        self.assertEqual(set(factors), {1.0, 4.0})
+        self.assertAlmostEqual(factors.count(4.0) / len(factors), 0.2, delta=0.04)
+
 
 class RunTest(unittest.TestCase):
     """Whole runs."""
