Stand in early only where callers are waiting, and follow soon after

At the first start of all, sources hear the store after about a second, which cut off the look of those that would follow them; each then listed everything itself, and stand-ins watched for five seconds.

Change: followers end their look as before, after an answer; stand-ins give up early at restarts alone, and look for one to follow again after a second.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -188,6 +188,7 @@
             known_version=lambda: self._version if self.gateway.is_informed else 0,
             seeds=settings.seeds,
             clock=clock,
+            is_first_start=settings.is_first_start,
         )
         self.source = StateSource(
             state=self._state,
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -142,6 +142,8 @@
         Addresses of some other instances, for a start without the store.
     clock : Clock
         The tier's clock.
+    is_first_start : bool, optional
+        Whether all instances start for the first time, and nobody calls yet.
 
     Attributes
     ----------
@@ -153,11 +155,13 @@
         "_clock",
         "_connect",
         "_deaf",
+        "_is_first_start",
         "_is_told_cut_off",
         "_kinds",
         "_known_version",
         "_listed",
         "_mode",
+        "_next_look_ms",
         "_on_cut_off",
         "_on_lost",
         "_relays",
@@ -181,7 +185,10 @@
         known_version: Callable[[], int],
         seeds: Sequence[Address],
         clock: Clock,
+        is_first_start: bool = False,
     ) -> None:
+        self._is_first_start = is_first_start
+        self._next_look_ms = math.inf
         self._relays = relays
         self._connect = connect
         self._watch = watch
@@ -290,15 +297,27 @@
 
     async def _look_at_start(self) -> _Source | None:
         """Look for an instance to follow while all may be starting."""
-        patience_ms = _START_PATIENCE_MS
-        if self._relays.is_source:
-            patience_ms = _STAND_IN_PATIENCE_MS * len(self._relays.sources)
+        if self._relays.is_source and not self._is_first_start:
+            return await self._look_as_stand_in()
+        until_ms = self._clock.now_ms() + _START_PATIENCE_MS
+        while self._relays.sources:
+            source = await self._look()
+            if source is not None or self._clock.now_ms() >= until_ms:
+                return source
+            await self._clock.sleep_ms(_START_PAUSE_MS)
+        return None
+
+    async def _look_as_stand_in(self) -> _Source | None:
+        """Look for one to follow, and give up soon: others wait for this one."""
         source = None
-        with self._clock.timeout_ms(patience_ms):
+        with self._clock.timeout_ms(_STAND_IN_PATIENCE_MS * len(self._relays.sources)):
             while source is None and self._relays.sources:
                 source = await self._look()
                 if source is None:
                     await self._clock.sleep_ms(_START_PAUSE_MS)
+        if source is None:
+            # Those before it may have been slower to start.
+            self._next_look_ms = self._clock.now_ms() + _START_PATIENCE_MS
         return source
 
     async def _look(self) -> _Source | None:
@@ -448,15 +467,18 @@
         async with trio.open_nursery() as nursery:
             self._mode = _Mode.WATCHING
             is_source = self._relays.is_source
-            self._watch_started_ms = looked_ms = self._clock.now_ms()
+            self._watch_started_ms = self._clock.now_ms()
             _LOG.info("The store is watched from here from now on.")
             self._watch(nursery, self._options())
             self._kinds = len(self.away)
+            looked_ms = self._watch_started_ms
             # Others follow this instance now, or no more: it watches anew.
             while source is None and self._relays.is_source is is_source:
                 await self._clock.sleep_ms(_CHECK_MS)
                 pause_ms = _LOOK_IN_OUTAGE_MS if self.away else _LOOK_MS
-                if self._clock.now_ms() - looked_ms >= pause_ms:
+                now_ms = self._clock.now_ms()
+                if now_ms >= min(looked_ms + pause_ms, self._next_look_ms):
+                    self._next_look_ms = math.inf
                     source = await self._look()
                     looked_ms = self._clock.now_ms()
             nursery.cancel_scope.cancel()
