Hedge sooner while the servers have free slots

Load pattern: short work, pauses longer than the objective, three servers a shard that are 5% busy (shifted). A part whose first server stands still is asked again at two usual latencies; if the second stands still too, no time is left for either, and the query waits for its end without the part.

Change: 1.5 usual latencies while requests do not wait at the servers; 2.0 as before while they do.

--- a/ibisfront/gateway/gather_plan.py
+++ b/ibisfront/gateway/gather_plan.py
@@ -15,11 +15,14 @@
 """Share of the time to a query's end by which late parts are hedged, so that
 the second server has time to reply."""
 
-_PATIENT_HEDGE_FACTOR = 2.0
-"""Usual latencies for which late parts are waited for while there is time. Most
-replies that are just late come a moment later; what is left after this mostly
-stands still. Hedging each late part at once loads the servers and the ways
-between zones."""
+_LOADED_HEDGE_FACTOR = 2.0
+"""Usual latencies for which late parts are waited for while there is time and requests
+wait in queues at the servers. Most replies that are just late come a moment later; what
+is left after this mostly stands still."""
+
+_CALM_HEDGE_FACTOR = 1.5
+"""The same while the servers have free slots: a second request costs them little, and
+leaves time in case its server stands still too."""
 
 _HEDGE_TIME_FACTOR = 2.5
 """Usual latencies that a hedged request needs: a late reply, and a connection."""
@@ -95,9 +98,8 @@
 def _hedge_after_ms(left_ms: float, usual: UsualLatency) -> float:
     """Return when to hedge late parts, given the time until the query ends."""
     median_ms = usual.median_ms
-    patient_ms = min(
-        _PATIENT_HEDGE_FACTOR * median_ms, left_ms - _HEDGE_TIME_FACTOR * median_ms
-    )
+    factor = _LOADED_HEDGE_FACTOR if usual.is_loaded else _CALM_HEDGE_FACTOR
+    patient_ms = min(factor * median_ms, left_ms - _HEDGE_TIME_FACTOR * median_ms)
     hedge_ms = max(usual.late_ms, patient_ms)
     hedge_ms = min(hedge_ms, _LATEST_HEDGE_SHARE * left_ms)
     return max(hedge_ms, _EARLIEST_HEDGE_FACTOR * median_ms)
