Open the next connection before it is needed

Change: when the last idle connection to a server that is asked often is taken, the next is opened, up to three.

Tests: two queries at once after two in a row send at once (red before: half of their parts waited); a server asked rarely keeps one connection.

--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -28,6 +28,15 @@
 pause and a slow reply, after which the connection can be used again."""
 
 
+_READY_CONNECTIONS = 3
+"""Connections up to which the next one is opened before it is needed: two queries at
+once and a hedged request."""
+
+
+_ASKED_OFTEN_MS = 1_000.0
+"""A server that replied this recently is likely to be asked again soon."""
+
+
 class ServerConnection(Protocol):
     """An open connection that carries one exchange at a time."""
 
@@ -135,11 +144,25 @@
         while self._idle:
             connection = self._idle.pop()
             if self._send(connection, exchange, now_ms):
+                self._open_next(now_ms)
                 return
         self._enqueue(exchange)
         if self.size < self.maximum:
             self._start_opening()
 
+    def _open_next(self, now_ms: float) -> None:
+        """Open a connection for the next request, once the last idle one is taken.
+
+        Load pattern: a query comes while another one waits for its parts. Each of its
+        parts would open a connection first, which takes longer than the work itself.
+        """
+        if self._idle or self._opening or not self.keeps_idle:
+            return
+        if now_ms - self._server.last_reply_at_ms > _ASKED_OFTEN_MS:
+            return
+        if self.size < min(self.maximum, _READY_CONNECTIONS):
+            self._start_opening()
+
     def warm_up(self) -> None:
         """Open a first connection before it is needed."""
         if not self.size and not self._is_closed:
