Collect reference cycles beside the requests, not within them

Change: young objects are collected each half second, all each ten seconds, by a task; the interpreter's own collections are off meanwhile.

Test: a cycle is gone within a second.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -15,6 +15,7 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.errors import IbisfrontError
 from ibisfront.core.logs import LOGGER_NAME, LogPart, part_logger
+from ibisfront.front.garbage import collect_garbage
 from ibisfront.front.process import FrontProcess
 from ibisfront.front.stopping import stop_in_order
 from ibisfront.gateway.instances import keep_instances
@@ -88,6 +89,7 @@
         nursery.start_soon(process.keep_up)
         nursery.start_soon(process.zone_watch.run)
         nursery.start_soon(handler.run)
+        nursery.start_soon(collect_garbage, clock)
         nursery.start_soon(_watch_settings, process, path, clock)
         fields = {"zone": settings.zone, "early": start.callers is not None}
         _LOG.info("%s starts.", settings.instance, extra=fields)
--- /dev/null
+++ b/ibisfront/tests/test_front_garbage.py
@@ -0,0 +1,38 @@
+"""Tests of collecting reference cycles, in mock time."""
+
+from __future__ import annotations
+
+import gc
+import unittest
+import weakref
+
+import trio
+
+from ibisfront.core.clock import Clock
+from ibisfront.front.garbage import collect_garbage
+from ibisfront.tests import trio_test
+
+
+class Cycle:
+    """An object that refers to itself."""
+
+    def __init__(self):
+        self.own = self
+
+
+class CollectTest(unittest.TestCase):
+    """What is left of requests."""
+
+    @trio_test
+    async def test_cycles_are_collected_beside_the_requests(self):
+        """Guards against memory that grows with each request."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(collect_garbage, Clock())
+            await trio.sleep(0.1)
+            self.assertFalse(gc.isenabled())
+            left = weakref.ref(Cycle())
+            self.assertIsNotNone(left())
+            await trio.sleep(1.0)
+            self.assertIsNone(left())
+            nursery.cancel_scope.cancel()
+        self.assertTrue(gc.isenabled())
