Believe servers that say whether requests wait

Cause: whether the servers are loaded is told from the latency against the least of late.

Change: where replies tell the load, requests wait at the servers if a tenth of recent replies say so; the latency decides only where nobody tells.

Test: told queues go before the latency.

--- a/ibisfront/front/garbage.py
+++ b/ibisfront/front/garbage.py
@@ -2,8 +2,8 @@
 
 Load pattern: a query over a hundred services makes some thousand objects at once, which
 live until its answer. The interpreter's own collections come every few hundred objects,
-in the middle of queries, and find nothing; what a query leaves is found as well a moment
-later, when few objects live.
+in the middle of queries, and find nothing; what a query leaves is found as well a
+moment later, when few objects live.
 """
 
 from __future__ import annotations
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -349,6 +349,7 @@
         server = exchange.server
         if reply.load is not None:
             server.note_load(now_ms, reply.load)
+            self._context.usual.note_load(reply.load)
         elif reply.has_unreadable_load:
             self._context.counters.add(CounterKind.SERVER_LOADS, "unreadable")
         if reply.not_run:
--- a/ibisfront/gateway/usual_latency.py
+++ b/ibisfront/gateway/usual_latency.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ibisfront.gateway.server_load import ServerLoad
 
 __all__ = ["UsualLatency"]
 
@@ -28,7 +32,14 @@
 work for it to count as calm."""
 
 _LOADED_FACTOR = 1.25
-"""The servers are loaded if the usual latency is this many calm ones."""
+"""The servers are loaded if the usual latency is this many calm ones. It holds where
+they do not say themselves whether requests wait."""
+
+_LOADED_SHARE = 0.1
+"""The servers are loaded if this share of their replies says that requests wait."""
+
+_TOLD_WEIGHT = 0.02
+"""Weight of one reply in that share: some fifty replies, half a query."""
 
 
 class UsualLatency:
@@ -53,11 +64,20 @@
         The usual latency without queues: the least of late, rising slowly.
     """
 
-    __slots__ = ("_count", "_samples_ms", "calm_ms", "late_ms", "median_ms")
+    __slots__ = (
+        "_count",
+        "_queued_share",
+        "_samples_ms",
+        "calm_ms",
+        "late_ms",
+        "median_ms",
+    )
 
     def __init__(self, first_ms: float) -> None:
         self._samples_ms: list[float] = []
         self._count = 0
+        # The smoothed share of replies that say that requests wait.
+        self._queued_share: float | None = None
         self.median_ms = first_ms
         self.late_ms = first_ms * _MOST_LATE_FACTOR
         self.calm_ms = math.inf
@@ -65,8 +85,17 @@
     @property
     def is_loaded(self) -> bool:
         """Whether requests seem to wait in queues at the servers."""
+        if self._queued_share is not None:
+            return self._queued_share > _LOADED_SHARE
         return self.median_ms > _LOADED_FACTOR * self.calm_ms
 
+    def note_load(self, load: ServerLoad) -> None:
+        """Take in what a server says of its load."""
+        is_queued = float(load.waiting > 0)
+        if self._queued_share is None:
+            self._queued_share = 0.0
+        self._queued_share += _TOLD_WEIGHT * (is_queued - self._queued_share)
+
     def record_ms(self, latency_ms: float) -> None:
         """Take in one latency."""
         if len(self._samples_ms) < _KEPT:
--- a/ibisfront/tests/test_gateway_server_book.py
+++ b/ibisfront/tests/test_gateway_server_book.py
@@ -9,6 +9,7 @@
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.server import Server, ServerEntry
 from ibisfront.gateway.server_book import BIRTHS_KEPT, LAPSE_GRACE_MS, ServerBook
+from ibisfront.gateway.server_load import ServerLoad
 from ibisfront.gateway.service_call import choose_server
 from ibisfront.gateway.usual_latency import UsualLatency
 from ibisfront.tests import trio_test
@@ -295,6 +296,20 @@
         self.assertEqual(usual.median_ms, 10.0)
         self.assertLessEqual(usual.late_ms, 25.0)
 
+    def test_told_queues_go_before_the_latency(self):
+        """Guards against work cut off, and hedged late, beside idle servers."""
+        usual = UsualLatency(10.0)
+        usual.median_ms, usual.calm_ms = 20.0, 10.0
+        self.assertTrue(usual.is_loaded)
+        usual.note_load(ServerLoad(1, 0, 2))
+        self.assertFalse(usual.is_loaded)
+        for _ in range(20):
+            usual.note_load(ServerLoad(2, 3, 2))
+        self.assertTrue(usual.is_loaded)
+        for _ in range(200):
+            usual.note_load(ServerLoad(1, 0, 2))
+        self.assertFalse(usual.is_loaded)
+
     def test_queues_show_against_the_calm_latency(self):
         usual = UsualLatency(10.0)
         for _ in range(256):
