Read the clock once for all parts of a query

Cause: the clock was read eight times for each gathered sub-request (profile of benchmarks/gather_cost, fan-out 90: 105,753 reads for 13,500 parts, a tenth of the profiled time).

Change: once for all first sends of a query; a submitted exchange carries its moment; whether the query's end has passed is noted by its run.

--- a/ibisfront/gateway/forwarding.py
+++ b/ibisfront/gateway/forwarding.py
@@ -64,7 +64,7 @@
         call = self.call
         clock = self._context.clock
         is_hedged = not self._context.is_idempotent
-        if not call.start():
+        if not call.start(clock.now_ms()):
             return
         while not call.is_settled:
             now_ms = clock.now_ms()
--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/gathering.py
@@ -70,6 +70,7 @@
         "_has_lost_parts",
         "_hedge_at_ms",
         "_is_falling_back",
+        "_is_past_end",
         "_life_check",
         "_lost",
         "_needed",
@@ -109,6 +110,7 @@
         self._resend_at_ms = math.inf
         self._remote_calls: list[ServiceCall] = []
         self._is_falling_back = False
+        self._is_past_end = False
         self._has_lost_parts = False
         self._own_parts = 0
         self._fallback_parts = 0
@@ -235,15 +237,19 @@
         return 0 if self.remote is None else len(self.remote.signatures)
 
     def _start(self, calls: list[ServiceCall]) -> None:
+        # The clock is read once for all parts: reading it costs as much as a step of
+        # sending one.
+        now_ms = self._context.clock.now_ms()
         for call in calls:
-            if not call.start():
+            if not call.start(now_ms):
                 self._failed.append(call)
 
     def _is_over(self) -> bool:
         now_ms = self._context.clock.now_ms()
         if now_ms >= self._plan.give_up_at_ms:
             return True
-        if now_ms >= self._plan.end_at_ms and self.is_enough:
+        self._is_past_end = now_ms >= self._plan.end_at_ms
+        if self._is_past_end and self.is_enough:
             return True
         if self._failed or self._must_replace_remote():
             return False
@@ -282,8 +288,7 @@
             self._fallback_parts += 1
         else:
             self._own_parts += 1
-        late = self._context.clock.now_ms() >= self._plan.end_at_ms
-        if late or self._has_lost_parts or self.answered == self.total:
+        if self._is_past_end or self._has_lost_parts or self.answered == self.total:
             self._wake()
 
     def _retry_failed(self, now_ms: float) -> None:
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/pool.py
@@ -136,7 +136,7 @@
 
     def submit(self, exchange: Exchange) -> None:
         """Send an exchange, now or as soon as there is a connection."""
-        now_ms = self._clock.now_ms()
+        now_ms = exchange.created_at_ms
         self._server.note_submitted(exchange, now_ms)
         if self._is_closed:
             exchange.fail(ExchangeErrorKind.SERVER_GONE)
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -207,9 +207,8 @@
         """Whether a reply may still come."""
         return bool(self._open)
 
-    def start(self) -> bool:
+    def start(self, now_ms: float) -> bool:
         """Send the first exchange; return False if no server may be asked."""
-        now_ms = self._context.clock.now_ms()
         if self._context.is_repeat:
             # The servers that were asked are not known here. With more of them
             # than the route allows attempts this could be one too many.
