Learn a slow server by its second slow reply

Load pattern: 15% of all servers work 8.5 times as long, each for seconds (shifted). Four queries a second reach a server from one instance; with ten replies to learn by, it got the first choice until the fault was nearly over.

Change: a slower reply weighs 0.24 in place of 0.15; a quicker one as before. Two make a server cost more than one of another zone; a single pause still does not make it slow (its test stands).

Also: after an outage of the store the feeds that did not try it wait for their pause first.

--- a/ibisfront/gateway/feed.py
+++ b/ibisfront/gateway/feed.py
@@ -60,17 +60,18 @@
         name : str
             The feed.
         wait_ms : float
-            How long it waits if it is the one that tries.
+            The pause before its next try, or after the outage for one that has not tried.
         clock : Clock
             The tier's clock.
         """
         if self._trying is None:
             self._trying = name
-        if self._trying == name:
-            await clock.sleep_ms(wait_ms)
-            return
-        with clock.timeout_ms(_OTHERS_WAIT_MS):
-            await self._over.wait()
+        if self._trying != name:
+            with clock.timeout_ms(_OTHERS_WAIT_MS):
+                await self._over.wait()
+        # Also once it is over: most instances find another one to follow meanwhile, and
+        # need no list from the store.
+        await clock.sleep_ms(wait_ms)
 
     def note_answer(self) -> None:
         """Take in that the store answers."""
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -18,9 +18,12 @@
 
 __all__ = ["Server", "ServerEntry"]
 
-_SLOWNESS_WEIGHT = 0.15
-"""Weight of one reply in the smoothed slowness: ten replies turn a healthy server
-into a slow one in the choice, one pause does not."""
+_FASTER_WEIGHT = 0.15
+"""Weight of a reply that is quicker than the smoothed slowness."""
+
+_SLOWER_WEIGHT = 0.24
+"""Weight of a slower one: two turn a server into one that costs more than another
+zone's, one pause does not."""
 
 _LARGEST_RATIO = 5.0
 """One reply counts as at most this many times the route's usual latency, so
@@ -378,9 +381,7 @@
         self._lost_in_row = 0
         self.not_before_ms = -math.inf
         ratio = min(took_ms / usual_ms, _LARGEST_RATIO)
-        slowness = self.slowness(now_ms)
-        self._slowness = slowness + _SLOWNESS_WEIGHT * (ratio - slowness)
-        self._slowness_at_ms = now_ms
+        self._note_ratio(now_ms, ratio)
         self._failing = self.failing(now_ms) * (1.0 - _FAILURE_WEIGHT)
         self._failing_at_ms = now_ms
 
@@ -394,10 +395,8 @@
         healthy again within seconds, and get the next first choice.
         """
         ratio = min(waited_ms / usual_ms, _LARGEST_RATIO)
-        slowness = self.slowness(now_ms)
-        if ratio > slowness:
-            self._slowness = slowness + _SLOWNESS_WEIGHT * (ratio - slowness)
-            self._slowness_at_ms = now_ms
+        if ratio > self.slowness(now_ms):
+            self._note_ratio(now_ms, ratio)
 
     def note_refused(self, now_ms: float, retry_after_ms: float | None) -> None:
         """Take in a reply that says that the request did not run."""
@@ -463,6 +462,13 @@
             self.way.note_life()
         self._is_unreachable = False
 
+    def _note_ratio(self, now_ms: float, ratio: float) -> None:
+        """Take in how many usual latencies a reply has taken."""
+        slowness = self.slowness(now_ms)
+        weight = _SLOWER_WEIGHT if ratio > slowness else _FASTER_WEIGHT
+        self._slowness = slowness + weight * (ratio - slowness)
+        self._slowness_at_ms = now_ms
+
     def _note_failing(self, now_ms: float) -> None:
         failing = self.failing(now_ms)
         self._failing = failing + _FAILURE_WEIGHT * (1.0 - failing)
