--- a/ibisfront/gateway/feed.py
+++ b/ibisfront/gateway/feed.py
@@ -44,11 +44,17 @@
 
     Each call has its price, also a refused one, and the store that answers one feed of
     an instance answers the others too.
+
+    Parameters
+    ----------
+    after_ms : float, optional
+        How long the others wait once it is over.
     """
 
-    __slots__ = ("_over", "_trying")
+    __slots__ = ("_after_ms", "_over", "_trying")
 
-    def __init__(self) -> None:
+    def __init__(self, after_ms: float = 0.0) -> None:
+        self._after_ms = after_ms
         self._over = trio.Event()
         self._trying: str | None = None
 
@@ -60,18 +66,18 @@
         name : str
             The feed.
         wait_ms : float
-            The pause before its next try, or after the outage for one that has not tried.
+            How long it waits if it is the one that tries.
         clock : Clock
             The tier's clock.
         """
         if self._trying is None:
             self._trying = name
-        if self._trying != name:
-            with clock.timeout_ms(_OTHERS_WAIT_MS):
-                await self._over.wait()
-        # Also once it is over: most instances find another one to follow meanwhile, and
-        # need no list from the store.
-        await clock.sleep_ms(wait_ms)
+        if self._trying == name:
+            await clock.sleep_ms(wait_ms)
+            return
+        with clock.timeout_ms(_OTHERS_WAIT_MS):
+            await self._over.wait()
+        await clock.sleep_ms(self._after_ms)
 
     def note_answer(self) -> None:
         """Take in that the store answers."""
@@ -89,10 +95,14 @@
         Whether the first list counts as one after an outage already.
     longest_back_off_ms : float
         Longest wait between tries while the store is away.
+    after_outage_ms : float
+        Pause after an outage before all kinds are listed: an instance that others do
+        not follow finds one to follow meanwhile, and needs no list.
     """
 
     was_away: bool = False
     longest_back_off_ms: float = _LONGEST_BACK_OFF_MS
+    after_outage_ms: float = 0.0
 
 
 DEFAULT_OPTIONS = FollowOptions()
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state_feed.py
@@ -455,7 +455,11 @@
     def _options(self) -> FollowOptions:
         if self._relays.is_source or not self._relays.sources:
             return FollowOptions(self._store_was_away)
-        return FollowOptions(self._store_was_away, _FOLLOWER_BACK_OFF_MS)
+        return FollowOptions(
+            self._store_was_away,
+            _FOLLOWER_BACK_OFF_MS,
+            after_outage_ms=_LOOK_IN_OUTAGE_MS,
+        )
 
     async def _watch_until_found(self) -> _Source | None:
         """Watch the store until there is an instance to follow.
--- a/ibisfront/tests/front_zone.py
+++ b/ibisfront/tests/front_zone.py
@@ -78,7 +78,10 @@
 
     def watch(self, nursery, options):
         run = functools.partial(
-            follow, clock=self.zone.clock, options=options, outage=StoreOutage()
+            follow,
+            clock=self.zone.clock,
+            options=options,
+            outage=StoreOutage(options.after_outage_ms),
         )
         for kind, target in (
             ("config", configuration_target(self.process)),
--- a/ibisfront/tests/zone_of_instances.py
+++ b/ibisfront/tests/zone_of_instances.py
@@ -85,7 +85,10 @@
 
     def watch(self, nursery, options):
         run = functools.partial(
-            follow, clock=self.zone.clock, options=options, outage=StoreOutage()
+            follow,
+            clock=self.zone.clock,
+            options=options,
+            outage=StoreOutage(options.after_outage_ms),
         )
         for kind in sorted(KINDS):
             nursery.start_soon(run, Feed(self), self.target(kind))
