Choose servers by what they say of their machine, while that is fresh

Load pattern: others on a server's machine make its work four times as long, for half a second at a time (shifted: 3% of the time).

What servers say of their queues is not used for the choice: all instances would see the same stale figure.

Test: a fresh figure puts a server off, an old or absurd one does not.

--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/server.py
@@ -33,6 +33,10 @@
 """How fast an old measurement of slowness loses half of its weight: a server
 that is avoided is measured no more and has to be tried again."""
 
+_TOLD_HALF_LIFE_MS = 300.0
+"""How fast what a server says of its machine loses half of its weight: it changes many
+times a second, and a server that is avoided for it says nothing new."""
+
 _FAILURE_WEIGHT = 0.25
 """Weight of one exchange in the smoothed share of failures: four failures in a row
 make a server cost more than one that is paused."""
@@ -308,6 +312,7 @@
             The route's usual latency.
         """
         cost = self.slowness(now_ms) * (1.0 + _IN_FLIGHT_PENALTY * len(self.in_flight))
+        cost += self._told_delay(now_ms)
         cost += _FAILURE_PENALTY * self.failing(now_ms)
         if self.is_overdue(now_ms, usual_ms):
             cost += _OVERDUE_PENALTY
@@ -349,6 +354,18 @@
         begins_ms = now_ms + warm_up_share * warm_up_ms
         self.not_before_ms = max(self.not_before_ms, begins_ms)
 
+    def _told_delay(self, now_ms: float) -> float:
+        """Return how much longer work takes on its machine, in usual latencies.
+
+        Load pattern: others on its machine make its work four times as long for half
+        a second. The first reply of the spell says so, before the next is slow.
+        """
+        load = self.load
+        if load is None or load.work_factor is None or load.work_factor <= 1.0:
+            return 0.0
+        left = math.exp2(-(now_ms - self.load_at_ms) / _TOLD_HALF_LIFE_MS)
+        return min(load.work_factor - 1.0, _LARGEST_RATIO) * left
+
     def note_submitted(self, exchange: Exchange, now_ms: float) -> None:
         """Take in an exchange that is sent, or waits for a connection."""
         self.in_flight[exchange] = None
--- a/ibisfront/tests/test_gateway_server_book.py
+++ b/ibisfront/tests/test_gateway_server_book.py
@@ -256,6 +256,17 @@
             server.note_cancelled(number * 500.0, waited_ms=40.0, usual_ms=10.0)
         self.assertGreater(server.cost(20_000.0, 10.0), 1.7)
 
+    def test_disturbed_machine_is_avoided_while_that_is_fresh(self):
+        """Guards against first choices of servers that say they are slow now."""
+        server = self.server()
+        server.note_load(0.0, ServerLoad(1, 0, 2, 4.0))
+        self.assertGreater(server.cost(10.0, 10.0), 3.0)
+        self.assertLess(server.cost(2_000.0, 10.0), 1.1)
+        server.note_load(3_000.0, ServerLoad(1, 0, 2, 1e9))
+        self.assertLess(server.cost(3_000.0, 10.0), 10.0)
+        server.note_load(3_100.0, ServerLoad(1, 0, 2, 0.5))
+        self.assertEqual(server.cost(3_100.0, 10.0), 1.0)
+
     def test_single_pause_does_not_make_a_server_slow(self):
         server = self.server()
         server.note_reply(10.0, took_ms=500.0, usual_ms=10.0)
