Take a request that waits for a connection to another server

Each new request began another attempt to connect, so that what waited did not fail with the first.

Change: what is not sent after one usual latency is withdrawn, if another server may be asked; it has not run, whatever its kind.

Test: a server to which connections do not open holds nobody (red before).

--- a/ibisfront/gateway/forwarding.py
+++ b/ibisfront/gateway/forwarding.py
@@ -40,6 +40,7 @@
         "_give_up_at_ms",
         "_hedge_at_ms",
         "_resend_at_ms",
+        "_sent_by_ms",
         "_woken",
         "call",
     )
@@ -53,9 +54,10 @@
         give_up_at_ms: float,
     ) -> None:
         self._context = context
-        self._hedge_at_ms = hedge_at_ms
+        self._hedge_at_ms = hedge_at_ms if context.is_idempotent else math.inf
         self._give_up_at_ms = give_up_at_ms
         self._resend_at_ms = -math.inf
+        self._sent_by_ms = math.inf
         self._woken = trio.Event()
         self.call = ServiceCall(service, context, self._changed)
 
@@ -63,29 +65,37 @@
         """Send it until it is answered, cannot be, or time is up."""
         call = self.call
         clock = self._context.clock
-        is_hedged = not self._context.is_idempotent
-        if not call.start(clock.now_ms()):
+        started_ms = clock.now_ms()
+        if not call.start(started_ms):
             return
+        self._sent_by_ms = started_ms + self._context.usual.median_ms
         while not call.is_settled:
             now_ms = clock.now_ms()
-            if now_ms >= self._give_up_at_ms:
+            if now_ms >= self._give_up_at_ms or not self._act(now_ms):
                 return
-            if not call.is_open:
-                if not self._send_again(now_ms):
-                    return
-            elif not is_hedged and now_ms >= self._hedge_at_ms:
-                is_hedged = True
-                call.send_extra()
-            wake_at_ms = self._give_up_at_ms
-            if not call.is_open:
-                wake_at_ms = self._resend_at_ms
-            elif not is_hedged:
-                wake_at_ms = min(wake_at_ms, self._hedge_at_ms)
-            with clock.timeout_ms(wake_at_ms - now_ms):
+            with clock.timeout_ms(self._next_act_ms() - now_ms):
                 await self._woken.wait()
             if self._woken.is_set():
                 self._woken = trio.Event()
 
+    def _act(self, now_ms: float) -> bool:
+        """Do what is due; return False if no reply can come any more."""
+        call = self.call
+        if now_ms >= self._sent_by_ms:
+            self._sent_by_ms = math.inf
+            call.withdraw_unsent(now_ms)
+        if not call.is_open:
+            return self._send_again(now_ms)
+        if now_ms >= self._hedge_at_ms:
+            self._hedge_at_ms = math.inf
+            call.send_extra()
+        return True
+
+    def _next_act_ms(self) -> float:
+        if not self.call.is_open:
+            return self._resend_at_ms
+        return min(self._give_up_at_ms, self._hedge_at_ms, self._sent_by_ms)
+
     def end(self, *, at_once: bool) -> None:
         """Wait for no more replies."""
         self.call.end(at_once=at_once)
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/service_call.py
@@ -266,6 +266,20 @@
         servers = self._context.book.of_service(self.service)
         return len(servers) <= self._context.attempts
 
+    def withdraw_unsent(self, now_ms: float) -> None:
+        """Give up what still waits for a connection, if another server may be asked.
+
+        Load pattern: a server has gone dark and does not even refuse. A request that
+        must not run twice waited there for its whole time, although nothing of it had
+        been sent.
+        """
+        if self._best(self._tried, now_ms) is None:
+            return
+        for exchange in list(self._open):
+            if exchange.sent_at_ms is None:
+                self.last_error = "no_connection"
+                exchange.give_up(at_once=False)
+
     def is_silent_since(self, since_ms: float) -> bool:
         """Return whether no server that was asked has replied since a time."""
         return all(server.last_reply_at_ms <= since_ms for server in self._tried)
--- a/ibisfront/tests/test_gateway_forwarding.py
+++ b/ibisfront/tests/test_gateway_forwarding.py
@@ -49,6 +49,28 @@
         sent = sum(len(server.received) for server in fixture.all_servers())
         self.assertEqual((sent, reply.status), (1, 502))
 
+    @trio_test
+    async def test_unsent_request_does_not_wait_for_a_server_that_is_dark(self):
+        """Guards against work held for its whole time for want of a connection."""
+        route = forward_route(kind=RequestKind.NON_IDEMPOTENT)
+        fixture = GatewayFixture(route)
+        dark = fixture.servers["archive"][0]
+        open_connection = fixture._open
+
+        async def open_or_wait(address):
+            if address == dark.entry.address:
+                await trio.sleep_forever()
+            return await open_connection(address)
+
+        fixture._open = open_or_wait
+        async with fixture.running():
+            for _ in range(6):
+                started_s = trio.current_time()
+                reply = await fixture.ask("/fetch/a", deadline_ms=2000.0)
+                self.assertEqual(reply.status, 200)
+                self.assertLess(trio.current_time() - started_s, 0.3)
+        self.assertEqual(dark.received, [])
+
     @trio_test
     async def test_non_idempotent_request_refused_unrun_goes_elsewhere(self):
         route = forward_route(kind=RequestKind.NON_IDEMPOTENT)
