--- a/benchmarks/configuration_cost.py
+++ b/benchmarks/configuration_cost.py
@@ -16,15 +16,15 @@
 
 import msgspec
 
-from ibisfront.gateway.configuration import RouteTable
-from ibisfront.gateway.configuration_change import (
+from ibisfront.gateway.state.configuration import RouteTable
+from ibisfront.gateway.state.configuration_change import (
     ConfigurationChange,
     change_between,
     changed_configuration,
 )
-from ibisfront.gateway.route_cache import RouteCache
-from ibisfront.gateway.state_codec import decode_state, encode_state
-from ibisfront.gateway.state_relay import RelayedState
+from ibisfront.gateway.state.route_cache import RouteCache
+from ibisfront.gateway.state.state_codec import decode_state, encode_state
+from ibisfront.gateway.state.state_relay import RelayedState
 from ibisfront.platform.documents import configuration_from
 from ibisfront.testing.large_configuration import configuration_spec
 
--- a/benchmarks/gather_cost.py
+++ b/benchmarks/gather_cost.py
@@ -21,8 +21,15 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.logs import LOGGER_NAME
 from ibisfront.gateway.answering import Answering
-from ibisfront.gateway.budget import ExtraBudgets
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.gateway import Gateway
+from ibisfront.gateway.load.budget import ExtraBudgets
+from ibisfront.gateway.messages import InboundRequest
+from ibisfront.gateway.observing import Observer
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.settings import Bounds
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     Gathering,
@@ -31,13 +38,6 @@
     RoutedService,
     RouteTable,
 )
-from ibisfront.gateway.gateway import Gateway
-from ibisfront.gateway.messages import InboundRequest
-from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.pool import ServerPool
-from ibisfront.gateway.server import Server, ServerEntry
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.settings import Bounds
 from ibisfront.http1.backend_connection import backend_connection_opener
 from ibisfront.platform.headers import WIRE
 from ibisfront.testing.processes import LISTENING, RunningProcess
--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ibisfront.gateway.cold_limit import cold_share
-from ibisfront.gateway.gatherers import CONNECTIONS_SHARE
-from ibisfront.gateway.pool import ServerPool
+from ibisfront.gateway.instances.gatherers import CONNECTIONS_SHARE
+from ibisfront.gateway.load.cold_limit import cold_share
+from ibisfront.gateway.servers.pool import ServerPool
 from ibisfront.http1.backend_connection import backend_connection_opener
 from ibisfront.platform.headers import WIRE
 
@@ -15,13 +15,13 @@
     import trio
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.budget import ExtraBudgets
-    from ibisfront.gateway.configuration import RouteTable
-    from ibisfront.gateway.gatherers import Gatherers
-    from ibisfront.gateway.server import Server
-    from ibisfront.gateway.server_book import ServerBook
-    from ibisfront.gateway.server_news import ServerNews
+    from ibisfront.gateway.instances.gatherers import Gatherers
+    from ibisfront.gateway.load.budget import ExtraBudgets
+    from ibisfront.gateway.servers.server import Server
+    from ibisfront.gateway.servers.server_book import ServerBook
+    from ibisfront.gateway.servers.server_news import ServerNews
     from ibisfront.gateway.settings import Bounds
+    from ibisfront.gateway.state.configuration import RouteTable
 
 __all__ = ["Connections"]
 
--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -18,7 +18,7 @@
 from ibisfront.front.garbage import collect_garbage
 from ibisfront.front.process import FrontProcess
 from ibisfront.front.stopping import stop_in_order
-from ibisfront.gateway.instances import keep_instances
+from ibisfront.gateway.instances.directory import keep_instances
 from ibisfront.http1.caller_listener import CallerListener
 from ibisfront.http1.listening import listening_socket
 from ibisfront.platform.headers import WIRE
@@ -31,8 +31,8 @@
 
     from ibisfront.core.types import Address
     from ibisfront.front.early_start import EarlyStart
-    from ibisfront.gateway.configuration import CallerLimits
     from ibisfront.gateway.settings import GatewaySettings
+    from ibisfront.gateway.state.configuration import CallerLimits
     from ibisfront.http1.caller_listener import AnswerRequest
 
 __all__ = ["main", "run_front"]
--- a/ibisfront/front/feeding.py
+++ b/ibisfront/front/feeding.py
@@ -12,7 +12,7 @@
     evacuations_target,
     servers_target,
 )
-from ibisfront.gateway.feed import StoreOutage, follow
+from ibisfront.gateway.state.feed import StoreOutage, follow
 from ibisfront.platform.store import (
     CONFIGURATION_KIND,
     EVACUATIONS_KIND,
@@ -25,8 +25,8 @@
 
     from ibisfront.core.clock import Clock
     from ibisfront.front.process import FrontProcess
-    from ibisfront.gateway.feed import FeedTarget, FollowOptions
-    from ibisfront.gateway.store import KindFeed
+    from ibisfront.gateway.state.feed import FeedTarget, FollowOptions
+    from ibisfront.gateway.state.store import KindFeed
 
 __all__ = ["watch_store"]
 
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -15,26 +15,26 @@
 from ibisfront.front.connections import Connections
 from ibisfront.front.feeding import watch_store
 from ibisfront.gateway.answering import Answering
-from ibisfront.gateway.budget import ExtraBudgets
-from ibisfront.gateway.configuration import CallerLimits, RouteTable
-from ibisfront.gateway.configuration_change import changed_configuration
-from ibisfront.gateway.delegation import Delegation
 from ibisfront.gateway.gateway import Gateway
-from ibisfront.gateway.gatherers import Gatherers
-from ibisfront.gateway.instances import (
+from ibisfront.gateway.instances.directory import (
     ASSUMED_INSTANCES,
     InstanceEntry,
     peer_entry,
 )
+from ibisfront.gateway.instances.gatherers import Gatherers
+from ibisfront.gateway.instances.zone_watch import ZoneWatch
+from ibisfront.gateway.instances.zone_ways import ZoneWays
+from ibisfront.gateway.load.budget import ExtraBudgets
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.relays import Relays
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.server_news import ServerNews
-from ibisfront.gateway.state_feed import StateFeed
-from ibisfront.gateway.state_relay import KnownState, RelayedState, StateSource
-from ibisfront.gateway.zone_watch import ZoneWatch
-from ibisfront.gateway.zone_ways import ZoneWays
+from ibisfront.gateway.queries.delegation import Delegation
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_news import ServerNews
+from ibisfront.gateway.state.configuration import CallerLimits, RouteTable
+from ibisfront.gateway.state.configuration_change import changed_configuration
+from ibisfront.gateway.state.relays import Relays
+from ibisfront.gateway.state.state_feed import StateFeed
+from ibisfront.gateway.state.state_relay import KnownState, RelayedState, StateSource
 from ibisfront.http1.state_client import HttpStateClient, asked_state
 from ibisfront.platform.headers import WIRE
 
@@ -44,11 +44,11 @@
     import trio
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.configuration import Configuration
-    from ibisfront.gateway.configuration_change import ConfigurationChange
     from ibisfront.gateway.messages import InboundRequest
-    from ibisfront.gateway.server import ServerEntry
+    from ibisfront.gateway.servers.server import ServerEntry
     from ibisfront.gateway.settings import GatewaySettings
+    from ibisfront.gateway.state.configuration import Configuration
+    from ibisfront.gateway.state.configuration_change import ConfigurationChange
 
 __all__ = ["FrontProcess"]
 
--- a/ibisfront/front/stopping.py
+++ b/ibisfront/front/stopping.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.rotation import NOTICED_AFTER_MS
+from ibisfront.gateway.instances.rotation import NOTICED_AFTER_MS
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -8,8 +8,8 @@
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.feed import FeedTarget
-from ibisfront.gateway.route_cache import RouteCache
+from ibisfront.gateway.state.feed import FeedTarget
+from ibisfront.gateway.state.route_cache import RouteCache
 from ibisfront.platform.documents import (
     CONFIGURATION_NAME,
     configuration_from,
@@ -20,8 +20,8 @@
     from collections.abc import Callable, Sequence
 
     from ibisfront.front.process import FrontProcess
-    from ibisfront.gateway.server import ServerEntry
-    from ibisfront.gateway.store import Listing, ObjectChange, StoredObject
+    from ibisfront.gateway.servers.server import ServerEntry
+    from ibisfront.gateway.state.store import Listing, ObjectChange, StoredObject
 
 __all__ = ["configuration_target", "evacuations_target", "servers_target"]
 
--- a/ibisfront/gateway/answering.py
+++ b/ibisfront/gateway/answering.py
@@ -4,20 +4,20 @@
 
 from typing import TYPE_CHECKING
 
+from ibisfront.gateway.instances.rotation import Rotation
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observing import RequestTrace
-from ibisfront.gateway.rotation import Rotation
+from ibisfront.gateway.queries.service_call import CallContext
 from ibisfront.gateway.route_state import RouteStates, caller_until_ms
-from ibisfront.gateway.service_call import CallContext
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.budget import ExtraBudgets
-    from ibisfront.gateway.configuration import Route, RouteTable
+    from ibisfront.gateway.load.budget import ExtraBudgets
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.observing import Observer
-    from ibisfront.gateway.server import Server
-    from ibisfront.gateway.server_book import ServerBook
+    from ibisfront.gateway.servers.server import Server
+    from ibisfront.gateway.servers.server_book import ServerBook
+    from ibisfront.gateway.state.configuration import Route, RouteTable
     from ibisfront.gateway.wire import Wire
 
 __all__ = ["BAD_GATEWAY", "GATEWAY_TIMEOUT", "Answering"]
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -11,19 +11,19 @@
     GATEWAY_TIMEOUT,
     Answering,
 )
-from ibisfront.gateway.delegated_query import delegated_from
-from ibisfront.gateway.forwarding import ForwardRun
-from ibisfront.gateway.life_check import answer_life_check
+from ibisfront.gateway.instances.life_check import answer_life_check
+from ibisfront.gateway.load.reach import Reach
+from ibisfront.gateway.load.weights import WeightedTurns
 from ibisfront.gateway.messages import CallerReply
-from ibisfront.gateway.queries import Queries
-from ibisfront.gateway.reach import Reach
+from ibisfront.gateway.queries.delegated_query import delegated_from
+from ibisfront.gateway.queries.forwarding import ForwardRun
+from ibisfront.gateway.queries.gathered import Queries
 from ibisfront.gateway.route_state import give_up_at_ms
-from ibisfront.gateway.weights import WeightedTurns
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.configuration import Route, RouteTable
-    from ibisfront.gateway.delegation import Delegation
     from ibisfront.gateway.messages import BackendReply, InboundRequest
+    from ibisfront.gateway.queries.delegation import Delegation
+    from ibisfront.gateway.state.configuration import Route, RouteTable
 
 __all__ = ["Gateway"]
 
--- /dev/null
+++ b/ibisfront/gateway/instances/__init__.py
@@ -0,0 +1,1 @@
+"""The other instances, who gathers for whom, and the ways between zones."""
--- a/ibisfront/gateway/instances.py
+++ b/ibisfront/gateway/instances/directory.py
@@ -10,8 +10,8 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.types import Address
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.store import StoreError
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.state.store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/ibisfront/gateway/gatherers.py
+++ b/ibisfront/gateway/instances/gatherers.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ibisfront.gateway.configuration import RouteTable
-    from ibisfront.gateway.instances import InstanceEntry
+    from ibisfront.gateway.instances.directory import InstanceEntry
+    from ibisfront.gateway.state.configuration import RouteTable
 
 __all__ = ["CONNECTIONS_SHARE", "Gatherers", "strongest_first"]
 
--- a/ibisfront/gateway/life_check.py
+++ b/ibisfront/gateway/instances/life_check.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, TypeAlias
 
-from ibisfront.gateway.exchange import Exchange
 from ibisfront.gateway.messages import CallerReply, InboundRequest
+from ibisfront.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.remote_call import RemoteCall
-    from ibisfront.gateway.server import Server
+    from ibisfront.gateway.queries.remote_call import RemoteCall
+    from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.wire import Wire
 
 __all__ = ["CheckLife", "LifeCheck", "answer_life_check", "life_checker"]
--- a/ibisfront/gateway/zone_watch.py
+++ b/ibisfront/gateway/instances/zone_watch.py
@@ -9,14 +9,14 @@
 from ibisfront.core.clock import OVERSLEPT_MS
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.zone_ways import WayStep
+from ibisfront.gateway.instances.zone_ways import WayStep
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
-    from ibisfront.gateway.server import Server
-    from ibisfront.gateway.server_book import ServerBook
-    from ibisfront.gateway.zone_ways import ZoneWay, ZoneWays
+    from ibisfront.gateway.instances.zone_ways import ZoneWay, ZoneWays
+    from ibisfront.gateway.servers.server import Server
+    from ibisfront.gateway.servers.server_book import ServerBook
 
 __all__ = ["ZoneWatch"]
 
--- a/ibisfront/gateway/gather_plan.py
+++ b/ibisfront/gateway/load/gather_plan.py
@@ -7,7 +7,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.usual_latency import UsualLatency
+    from ibisfront.gateway.load.usual_latency import UsualLatency
 
 __all__ = ["GatherPlan", "gather_plan"]
 
--- a/ibisfront/gateway/reach.py
+++ b/ibisfront/gateway/load/reach.py
@@ -12,8 +12,8 @@
     from collections.abc import Container
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.configuration import Route, RouteTable
-    from ibisfront.gateway.server_book import ServerBook
+    from ibisfront.gateway.servers.server_book import ServerBook
+    from ibisfront.gateway.state.configuration import Route, RouteTable
 
 __all__ = ["Reach"]
 
--- a/ibisfront/gateway/usual_latency.py
+++ b/ibisfront/gateway/load/usual_latency.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.server_load import ServerLoad
+    from ibisfront.gateway.load.server_load import ServerLoad
 
 __all__ = ["UsualLatency"]
 
--- a/ibisfront/gateway/weights.py
+++ b/ibisfront/gateway/load/weights.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from ibisfront.gateway.configuration import Route
+    from ibisfront.gateway.state.configuration import Route
 
 __all__ = ["WeightedTurns"]
 
--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ibisfront.gateway.server_load import ServerLoad
+from ibisfront.gateway.load.server_load import ServerLoad
 
 __all__ = [
     "BackendReply",
--- a/ibisfront/gateway/observing.py
+++ b/ibisfront/gateway/observing.py
@@ -11,9 +11,9 @@
 from ibisfront.core.logs import LogPart, part_logger
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.configuration import Route
+    from ibisfront.gateway.load.usual_latency import UsualLatency
     from ibisfront.gateway.messages import CallerReply, InboundRequest
-    from ibisfront.gateway.usual_latency import UsualLatency
+    from ibisfront.gateway.state.configuration import Route
 
 __all__ = ["Decision", "Observer", "RequestTrace"]
 
--- /dev/null
+++ b/ibisfront/gateway/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Requests on their way: forwarded, gathered, delegated."""
--- a/ibisfront/gateway/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -10,7 +10,7 @@
 from ibisfront.gateway.messages import BackendReply, Header, InboundRequest
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.configuration import Gathering
+    from ibisfront.gateway.state.configuration import Gathering
 
 __all__ = [
     "DelegatedQuery",
--- a/ibisfront/gateway/delegation.py
+++ b/ibisfront/gateway/queries/delegation.py
@@ -7,18 +7,18 @@
 
 import msgspec
 
-from ibisfront.gateway.configuration import Gathering
-from ibisfront.gateway.remote_call import RemotePlan
+from ibisfront.gateway.load.usual_latency import UsualLatency
+from ibisfront.gateway.queries.remote_call import RemotePlan
+from ibisfront.gateway.queries.service_call import choose_server
 from ibisfront.gateway.route_state import keep_routes
-from ibisfront.gateway.service_call import choose_server
-from ibisfront.gateway.usual_latency import UsualLatency
+from ibisfront.gateway.state.configuration import Gathering
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.configuration import Route
-    from ibisfront.gateway.gatherers import Gatherers
-    from ibisfront.gateway.server import Server
-    from ibisfront.gateway.server_book import ServerBook
+    from ibisfront.gateway.instances.gatherers import Gatherers
+    from ibisfront.gateway.servers.server import Server
+    from ibisfront.gateway.servers.server_book import ServerBook
+    from ibisfront.gateway.state.configuration import Route
 
 __all__ = ["Delegation"]
 
--- a/ibisfront/gateway/followed_query.py
+++ b/ibisfront/gateway/queries/followed_query.py
@@ -8,11 +8,11 @@
 import trio
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.configuration import Gathering
-    from ibisfront.gateway.life_check import CheckLife
-    from ibisfront.gateway.remote_call import RemoteCall, RemotePlan
-    from ibisfront.gateway.server import Server
-    from ibisfront.gateway.service_call import CallContext, ServiceCall
+    from ibisfront.gateway.instances.life_check import CheckLife
+    from ibisfront.gateway.queries.remote_call import RemoteCall, RemotePlan
+    from ibisfront.gateway.queries.service_call import CallContext, ServiceCall
+    from ibisfront.gateway.servers.server import Server
+    from ibisfront.gateway.state.configuration import Gathering
 
 __all__ = ["AskGatherer", "FollowedQuery", "NextGatherer"]
 
--- a/ibisfront/gateway/forwarding.py
+++ b/ibisfront/gateway/queries/forwarding.py
@@ -7,10 +7,10 @@
 
 import trio
 
-from ibisfront.gateway.service_call import ServiceCall
+from ibisfront.gateway.queries.service_call import ServiceCall
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.service_call import CallContext
+    from ibisfront.gateway.queries.service_call import CallContext
 
 __all__ = ["ForwardRun"]
 
--- a/ibisfront/gateway/queries.py
+++ b/ibisfront/gateway/queries/gathered.py
@@ -11,26 +11,29 @@
 import trio
 
 from ibisfront.gateway.answering import BAD_GATEWAY, GATEWAY_TIMEOUT
-from ibisfront.gateway.delegated_query import out_of_reach_header, signatures_header
-from ibisfront.gateway.followed_query import FollowedQuery
-from ibisfront.gateway.gather_plan import gather_plan
-from ibisfront.gateway.gathering import GatherRun
-from ibisfront.gateway.life_check import life_checker
+from ibisfront.gateway.instances.life_check import life_checker
+from ibisfront.gateway.load.gather_plan import gather_plan
 from ibisfront.gateway.messages import CallerReply
-from ibisfront.gateway.records import greatest_records
-from ibisfront.gateway.remote_call import RemoteCall
+from ibisfront.gateway.queries.delegated_query import (
+    out_of_reach_header,
+    signatures_header,
+)
+from ibisfront.gateway.queries.followed_query import FollowedQuery
+from ibisfront.gateway.queries.gathering import GatherRun
+from ibisfront.gateway.queries.records import greatest_records
+from ibisfront.gateway.queries.remote_call import RemoteCall
 from ibisfront.gateway.route_state import give_up_at_ms
 
 if TYPE_CHECKING:
     from ibisfront.gateway.answering import Answering
-    from ibisfront.gateway.configuration import Gathering, Route
-    from ibisfront.gateway.delegated_query import DelegatedQuery
-    from ibisfront.gateway.delegation import Delegation
-    from ibisfront.gateway.followed_query import AskGatherer
+    from ibisfront.gateway.load.reach import Reach
     from ibisfront.gateway.messages import InboundRequest
-    from ibisfront.gateway.reach import Reach
-    from ibisfront.gateway.remote_call import RemotePlan
-    from ibisfront.gateway.service_call import CallContext
+    from ibisfront.gateway.queries.delegated_query import DelegatedQuery
+    from ibisfront.gateway.queries.delegation import Delegation
+    from ibisfront.gateway.queries.followed_query import AskGatherer
+    from ibisfront.gateway.queries.remote_call import RemotePlan
+    from ibisfront.gateway.queries.service_call import CallContext
+    from ibisfront.gateway.state.configuration import Gathering, Route
 
 __all__ = ["Queries"]
 
--- a/ibisfront/gateway/gathering.py
+++ b/ibisfront/gateway/queries/gathering.py
@@ -8,18 +8,18 @@
 import trio
 
 from ibisfront.core.clock import OVERSLEPT_MS
-from ibisfront.gateway.service_call import ServiceCall
+from ibisfront.gateway.queries.service_call import ServiceCall
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ibisfront.gateway.configuration import Gathering
-    from ibisfront.gateway.followed_query import AskGatherer
-    from ibisfront.gateway.gather_plan import GatherPlan
-    from ibisfront.gateway.life_check import CheckLife, LifeCheck
+    from ibisfront.gateway.instances.life_check import CheckLife, LifeCheck
+    from ibisfront.gateway.load.gather_plan import GatherPlan
     from ibisfront.gateway.messages import BackendReply
-    from ibisfront.gateway.remote_call import RemoteCall, RemotePlan
-    from ibisfront.gateway.service_call import CallContext
+    from ibisfront.gateway.queries.followed_query import AskGatherer
+    from ibisfront.gateway.queries.remote_call import RemoteCall, RemotePlan
+    from ibisfront.gateway.queries.service_call import CallContext
+    from ibisfront.gateway.state.configuration import Gathering
 
 __all__ = ["GatherRun"]
 
--- a/ibisfront/gateway/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -8,21 +8,21 @@
 
 import msgspec
 
-from ibisfront.gateway.delegated_query import (
+from ibisfront.gateway.load.usual_latency import UsualLatency
+from ibisfront.gateway.queries.delegated_query import (
     DelegatedQuery,
     delegating_request,
     is_out_of_reach,
     service_bits,
     signatures_of,
 )
-from ibisfront.gateway.exchange import Exchange
-from ibisfront.gateway.server import Server
-from ibisfront.gateway.usual_latency import UsualLatency
+from ibisfront.gateway.servers.exchange import Exchange
+from ibisfront.gateway.servers.server import Server
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.configuration import Gathering
     from ibisfront.gateway.messages import BackendReply, InboundRequest
+    from ibisfront.gateway.state.configuration import Gathering
     from ibisfront.gateway.wire import Wire
 
 __all__ = ["RemoteCall", "RemotePlan"]
--- a/ibisfront/gateway/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -10,18 +10,18 @@
 import msgspec
 
 from ibisfront.core.counters import CounterKind
-from ibisfront.gateway.exchange import Exchange
 from ibisfront.gateway.messages import ExchangeErrorKind
+from ibisfront.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
-    from ibisfront.gateway.budget import ExtraBudgets
+    from ibisfront.gateway.load.budget import ExtraBudgets
+    from ibisfront.gateway.load.usual_latency import UsualLatency
     from ibisfront.gateway.messages import BackendReply
     from ibisfront.gateway.observing import RequestTrace
-    from ibisfront.gateway.server import Server
-    from ibisfront.gateway.server_book import ServerBook
-    from ibisfront.gateway.usual_latency import UsualLatency
+    from ibisfront.gateway.servers.server import Server
+    from ibisfront.gateway.servers.server_book import ServerBook
 
 __all__ = ["CallContext", "ServiceCall", "choose_server"]
 
--- a/ibisfront/gateway/route_state.py
+++ b/ibisfront/gateway/route_state.py
@@ -5,13 +5,13 @@
 import math
 from typing import TYPE_CHECKING, TypeVar
 
-from ibisfront.gateway.usual_latency import UsualLatency
+from ibisfront.gateway.load.usual_latency import UsualLatency
 
 if TYPE_CHECKING:
     from collections.abc import Container
 
-    from ibisfront.gateway.configuration import Route
     from ibisfront.gateway.messages import InboundRequest
+    from ibisfront.gateway.state.configuration import Route
 
 __all__ = [
     "RouteState",
--- /dev/null
+++ b/ibisfront/gateway/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers as this instance sees them, and its connections to them."""
--- a/ibisfront/gateway/exchange.py
+++ b/ibisfront/gateway/servers/exchange.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.gateway.messages import BackendReply
-    from ibisfront.gateway.server import Server
+    from ibisfront.gateway.servers.server import Server
 
 __all__ = ["Exchange"]
 
--- a/ibisfront/gateway/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -11,13 +11,13 @@
 import trio
 
 from ibisfront.gateway.messages import ExchangeErrorKind
-from ibisfront.gateway.server_news import ServerNews
+from ibisfront.gateway.servers.server_news import ServerNews
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
-    from ibisfront.gateway.exchange import Exchange
-    from ibisfront.gateway.server import Server
+    from ibisfront.gateway.servers.exchange import Exchange
+    from ibisfront.gateway.servers.server import Server
 
 __all__ = ["OpenServerConnection", "ServerConnection", "ServerPool"]
 
--- a/ibisfront/gateway/server.py
+++ b/ibisfront/gateway/servers/server.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from ibisfront.core.types import Address
-from ibisfront.gateway.cold_limit import ColdLimit
+from ibisfront.gateway.load.cold_limit import ColdLimit
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.exchange import Exchange
-    from ibisfront.gateway.pool import ServerPool
-    from ibisfront.gateway.server_load import ServerLoad
-    from ibisfront.gateway.zone_ways import ZoneWay
+    from ibisfront.gateway.instances.zone_ways import ZoneWay
+    from ibisfront.gateway.load.server_load import ServerLoad
+    from ibisfront.gateway.servers.exchange import Exchange
+    from ibisfront.gateway.servers.pool import ServerPool
 
 __all__ = ["Server", "ServerEntry"]
 
--- a/ibisfront/gateway/server_book.py
+++ b/ibisfront/gateway/servers/server_book.py
@@ -7,16 +7,16 @@
 from typing import TYPE_CHECKING
 
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.pool import ServerPool
-from ibisfront.gateway.server import Server
-from ibisfront.gateway.server_news import ServerNews
-from ibisfront.gateway.zone_ways import ZoneWays
+from ibisfront.gateway.instances.zone_ways import ZoneWays
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import Server
+from ibisfront.gateway.servers.server_news import ServerNews
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.server import ServerEntry
+    from ibisfront.gateway.servers.server import ServerEntry
 
 __all__ = ["BIRTHS_KEPT", "LAPSE_GRACE_MS", "ServerBook"]
 
--- a/ibisfront/gateway/configuration_change.py
+++ b/ibisfront/gateway/state/configuration_change.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     Route,
--- a/ibisfront/gateway/feed.py
+++ b/ibisfront/gateway/state/feed.py
@@ -11,11 +11,11 @@
 
 from ibisfront.core.backoff import Backoff
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.store import StoreError, StoreErrorKind
+from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.store import KindFeed, Listing, ObjectChange
+    from ibisfront.gateway.state.store import KindFeed, Listing, ObjectChange
 
 __all__ = ["DEFAULT_OPTIONS", "FeedTarget", "FollowOptions", "StoreOutage", "follow"]
 
--- a/ibisfront/gateway/relays.py
+++ b/ibisfront/gateway/state/relays.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ibisfront.gateway.gatherers import strongest_first
+from ibisfront.gateway.instances.gatherers import strongest_first
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ibisfront.gateway.instances import InstanceEntry
+    from ibisfront.gateway.instances.directory import InstanceEntry
 
 __all__ = ["Relays"]
 
--- a/ibisfront/gateway/route_cache.py
+++ b/ibisfront/gateway/state/route_cache.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ibisfront.gateway.configuration import Route
+    from ibisfront.gateway.state.configuration import Route
 
 __all__ = ["RouteCache"]
 
--- a/ibisfront/gateway/state_feed.py
+++ b/ibisfront/gateway/state/state_feed.py
@@ -13,8 +13,8 @@
 import trio
 
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.feed import FollowOptions
-from ibisfront.gateway.state_relay import (
+from ibisfront.gateway.state.feed import FollowOptions
+from ibisfront.gateway.state.state_relay import (
     FRESH_WAIT_MS,
     AskedState,
     RelayedState,
@@ -25,8 +25,8 @@
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
-    from ibisfront.gateway.instances import InstanceEntry
-    from ibisfront.gateway.relays import Relays
+    from ibisfront.gateway.instances.directory import InstanceEntry
+    from ibisfront.gateway.state.relays import Relays
 
 __all__ = ["StateFeed"]
 
--- a/ibisfront/gateway/state_relay.py
+++ b/ibisfront/gateway/state/state_relay.py
@@ -9,14 +9,14 @@
 import trio
 
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.configuration import Configuration
-from ibisfront.gateway.configuration_change import (
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.state.configuration import Configuration
+from ibisfront.gateway.state.configuration_change import (
     ConfigurationChange,
     ConfigurationHistory,
 )
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.state_codec import decode_state, encode_state
+from ibisfront.gateway.state.state_codec import decode_state, encode_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/ibisfront/http1/backend_connection.py
+++ b/ibisfront/http1/backend_connection.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
-    from ibisfront.gateway.exchange import Exchange
     from ibisfront.gateway.messages import BackendReply
-    from ibisfront.gateway.pool import OpenServerConnection, ServerConnection
+    from ibisfront.gateway.servers.exchange import Exchange
+    from ibisfront.gateway.servers.pool import OpenServerConnection, ServerConnection
     from ibisfront.http1.parser import RawMessage
 
 __all__ = ["DecodeReply", "backend_connection_opener", "open_socket"]
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -16,8 +16,8 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.configuration import CallerLimits
     from ibisfront.gateway.messages import InboundRequest
+    from ibisfront.gateway.state.configuration import CallerLimits
     from ibisfront.gateway.wire import Wire
 
 __all__ = ["CallerConnection", "ConnectionHost"]
--- a/ibisfront/http1/state_client.py
+++ b/ibisfront/http1/state_client.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from ibisfront.gateway.state_codec import MAXIMUM_STATE_BYTES
-from ibisfront.gateway.state_relay import AskedState
+from ibisfront.gateway.state.state_codec import MAXIMUM_STATE_BYTES
+from ibisfront.gateway.state.state_relay import AskedState
 from ibisfront.http1.client import HttpClient
 
 if TYPE_CHECKING:
--- a/ibisfront/lab/connections.py
+++ b/ibisfront/lab/connections.py
@@ -15,9 +15,9 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.exchange import Exchange
     from ibisfront.gateway.messages import CallerReply, Header, InboundRequest
-    from ibisfront.gateway.pool import ServerConnection
+    from ibisfront.gateway.servers.exchange import Exchange
+    from ibisfront.gateway.servers.pool import ServerConnection
     from ibisfront.gateway.wire import EncodeFor
     from ibisfront.http1.parser import RawMessage
     from ibisfront.lab.agenda import Agenda
--- a/ibisfront/lab/deployment.py
+++ b/ibisfront/lab/deployment.py
@@ -10,8 +10,14 @@
 
 from ibisfront.core.logs import LOGGER_NAME
 from ibisfront.gateway.answering import Answering
-from ibisfront.gateway.budget import ExtraBudgets
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.gateway import Gateway
+from ibisfront.gateway.load.budget import ExtraBudgets
+from ibisfront.gateway.observing import Observer
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.settings import Bounds
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     Gathering,
@@ -20,12 +26,6 @@
     RoutedService,
     RouteTable,
 )
-from ibisfront.gateway.gateway import Gateway
-from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.pool import ServerPool
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.settings import Bounds
 from ibisfront.lab.connections import LAB_WIRE, connect
 from ibisfront.lab.pattern import FaultKind
 from ibisfront.lab.servers import ModelServer
@@ -35,8 +35,8 @@
 
     from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
-    from ibisfront.gateway.pool import ServerConnection
-    from ibisfront.gateway.server import Server
+    from ibisfront.gateway.servers.pool import ServerConnection
+    from ibisfront.gateway.servers.server import Server
     from ibisfront.lab.agenda import Agenda
     from ibisfront.lab.pattern import Fault, Pattern
 
--- a/ibisfront/lab/servers.py
+++ b/ibisfront/lab/servers.py
@@ -10,13 +10,13 @@
 
 import msgspec
 
+from ibisfront.gateway.load.server_load import ServerLoad
 from ibisfront.gateway.messages import BackendReply
-from ibisfront.gateway.server_load import ServerLoad
 
 if TYPE_CHECKING:
     import numpy as np
 
-    from ibisfront.gateway.server import ServerEntry
+    from ibisfront.gateway.servers.server import ServerEntry
     from ibisfront.lab.agenda import Agenda
     from ibisfront.lab.pattern import Pattern, Queries
 
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from ibisfront.core.lenient_json import UNREADABLE
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     Gathering,
@@ -16,8 +17,7 @@
     RoutedService,
     WeightedService,
 )
-from ibisfront.gateway.route_cache import RouteCache
-from ibisfront.gateway.server import ServerEntry
+from ibisfront.gateway.state.route_cache import RouteCache
 
 __all__ = ["CONFIGURATION_NAME", "configuration_from", "server_entry_from"]
 
--- a/ibisfront/platform/headers.py
+++ b/ibisfront/platform/headers.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ibisfront.gateway.load.server_load import told_load
 from ibisfront.gateway.messages import BackendReply, InboundRequest
-from ibisfront.gateway.server_load import told_load
 from ibisfront.gateway.wire import EncodeFor, Wire
 from ibisfront.http1.fields import (
     OF_ONE_CONNECTION,
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -9,8 +9,8 @@
 
 from ibisfront.core.lenient_json import made_proper
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.store import (
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.state.store import (
     Changes,
     Listing,
     ObjectChange,
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -12,18 +12,10 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.answering import Answering
-from ibisfront.gateway.budget import ExtraBudgets
-from ibisfront.gateway.configuration import (
-    CallerLimits,
-    Configuration,
-    Gathering,
-    RequestKind,
-    Route,
-    RoutedService,
-    RouteTable,
-    WeightedService,
-)
 from ibisfront.gateway.gateway import Gateway
+from ibisfront.gateway.instances.zone_watch import ZoneWatch
+from ibisfront.gateway.instances.zone_ways import ZoneWays
+from ibisfront.gateway.load.budget import ExtraBudgets
 from ibisfront.gateway.messages import (
     BackendReply,
     CallerReply,
@@ -31,20 +23,28 @@
     InboundRequest,
 )
 from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.pool import ServerPool
-from ibisfront.gateway.server import Server, ServerEntry
-from ibisfront.gateway.server_book import ServerBook
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
 from ibisfront.gateway.settings import Bounds
-from ibisfront.gateway.zone_watch import ZoneWatch
-from ibisfront.gateway.zone_ways import ZoneWays
+from ibisfront.gateway.state.configuration import (
+    CallerLimits,
+    Configuration,
+    Gathering,
+    RequestKind,
+    Route,
+    RoutedService,
+    RouteTable,
+    WeightedService,
+)
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from ibisfront.core.types import Address
-    from ibisfront.gateway.exchange import Exchange
-    from ibisfront.gateway.pool import ServerConnection
+    from ibisfront.gateway.servers.exchange import Exchange
+    from ibisfront.gateway.servers.pool import ServerConnection
 
 __all__ = [
     "CONNECT_MS",
--- a/ibisfront/testing/soak/servers.py
+++ b/ibisfront/testing/soak/servers.py
@@ -9,8 +9,8 @@
 import msgspec
 import trio
 
-from ibisfront.gateway.configuration import CallerLimits
 from ibisfront.gateway.messages import CallerReply
+from ibisfront.gateway.state.configuration import CallerLimits
 from ibisfront.http1.caller_listener import CallerListener
 from ibisfront.http1.listening import listening_socket
 from ibisfront.platform.headers import WIRE
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -13,24 +13,24 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.answering import Answering
-from ibisfront.gateway.budget import ExtraBudgets
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.gateway import Gateway
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.instances.gatherers import Gatherers
+from ibisfront.gateway.load.budget import ExtraBudgets
+from ibisfront.gateway.messages import ExchangeErrorKind, InboundRequest
+from ibisfront.gateway.observing import Observer
+from ibisfront.gateway.queries.delegated_query import delegated_from
+from ibisfront.gateway.queries.delegation import Delegation
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.settings import Bounds
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RoutedService,
     RouteTable,
 )
-from ibisfront.gateway.delegated_query import delegated_from
-from ibisfront.gateway.delegation import Delegation
-from ibisfront.gateway.gateway import Gateway
-from ibisfront.gateway.gatherers import Gatherers
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.messages import ExchangeErrorKind, InboundRequest
-from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.pool import ServerPool
-from ibisfront.gateway.server import Server, ServerEntry
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.settings import Bounds
 from ibisfront.http1.parser import ReplyReader, RequestReader
 from ibisfront.platform.headers import WIRE
 from ibisfront.testing.gateway_fixture import (
@@ -45,10 +45,10 @@
     from collections.abc import AsyncIterator
 
     from ibisfront.core.types import Address
-    from ibisfront.gateway.configuration import Route
-    from ibisfront.gateway.exchange import Exchange
     from ibisfront.gateway.messages import CallerReply
-    from ibisfront.gateway.pool import OpenServerConnection, ServerConnection
+    from ibisfront.gateway.servers.exchange import Exchange
+    from ibisfront.gateway.servers.pool import OpenServerConnection, ServerConnection
+    from ibisfront.gateway.state.configuration import Route
 
 __all__ = ["TwoZones"]
 
--- a/ibisfront/tests/front_zone.py
+++ b/ibisfront/tests/front_zone.py
@@ -14,9 +14,9 @@
     evacuations_target,
     servers_target,
 )
-from ibisfront.gateway.feed import StoreOutage, follow
 from ibisfront.gateway.settings import Bounds, GatewaySettings
-from ibisfront.gateway.store import (
+from ibisfront.gateway.state.feed import StoreOutage, follow
+from ibisfront.gateway.state.store import (
     Changes,
     Listing,
     ObjectChange,
--- a/ibisfront/tests/test_front_connections.py
+++ b/ibisfront/tests/test_front_connections.py
@@ -8,19 +8,19 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.front.connections import Connections
-from ibisfront.gateway.budget import ExtraBudgets
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.instances.gatherers import Gatherers
+from ibisfront.gateway.load.budget import ExtraBudgets
+from ibisfront.gateway.servers.exchange import Exchange
+from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server_news import ServerNews
+from ibisfront.gateway.settings import Bounds
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RoutedService,
     RouteTable,
 )
-from ibisfront.gateway.exchange import Exchange
-from ibisfront.gateway.gatherers import Gatherers
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.server import Server, ServerEntry
-from ibisfront.gateway.server_news import ServerNews
-from ibisfront.gateway.settings import Bounds
 from ibisfront.testing.gateway_fixture import StandInServer, connect_to, gather_route
 from ibisfront.tests import trio_test
 
--- a/ibisfront/tests/test_front_evacuations.py
+++ b/ibisfront/tests/test_front_evacuations.py
@@ -8,7 +8,7 @@
 
 from ibisfront.front.targets import configuration_target
 from ibisfront.gateway.messages import InboundRequest
-from ibisfront.gateway.store import Listing
+from ibisfront.gateway.state.store import Listing
 from ibisfront.tests import trio_test
 from ibisfront.tests.front_zone import BOUNDS, FrontZone, two_zones_spec
 
--- a/ibisfront/tests/test_front_readiness.py
+++ b/ibisfront/tests/test_front_readiness.py
@@ -8,15 +8,15 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.front.process import FrontProcess
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.settings import GatewaySettings
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RoutedService,
 )
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.settings import GatewaySettings
-from ibisfront.gateway.state_relay import RelayedState
+from ibisfront.gateway.state.state_relay import RelayedState
 from ibisfront.testing.gateway_fixture import gather_route
 from ibisfront.tests import trio_test
 
--- a/ibisfront/tests/test_front_start.py
+++ b/ibisfront/tests/test_front_start.py
@@ -10,13 +10,13 @@
 from ibisfront.core.clock import Clock
 from ibisfront.front.early_start import is_anyone_up
 from ibisfront.front.process import FrontProcess
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.messages import InboundRequest
+from ibisfront.gateway.settings import GatewaySettings
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RoutedService,
 )
-from ibisfront.gateway.messages import InboundRequest
-from ibisfront.gateway.settings import GatewaySettings
 from ibisfront.http1.listening import listening_socket
 from ibisfront.testing.gateway_fixture import HOST, forward_route
 from ibisfront.testing.processes import free_address
--- a/ibisfront/tests/test_gateway_budget.py
+++ b/ibisfront/tests/test_gateway_budget.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ibisfront.gateway.budget import ExtraBudget, ExtraBudgets
+from ibisfront.gateway.load.budget import ExtraBudget, ExtraBudgets
 from ibisfront.gateway.settings import Bounds
 
 BOUNDS = Bounds(extra_ratio=0.2, extra_window_ms=10_000.0, extra_allowance=20.0)
--- a/ibisfront/tests/test_gateway_configuration_change.py
+++ b/ibisfront/tests/test_gateway_configuration_change.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RequestKind,
@@ -13,7 +13,7 @@
     RoutedService,
     WeightedService,
 )
-from ibisfront.gateway.configuration_change import (
+from ibisfront.gateway.state.configuration_change import (
     ConfigurationHistory,
     change_between,
     changed_configuration,
--- a/ibisfront/tests/test_gateway_delegation.py
+++ b/ibisfront/tests/test_gateway_delegation.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from ibisfront.gateway.delegated_query import delegated_from
+from ibisfront.gateway.queries.delegated_query import delegated_from
 from ibisfront.testing.gateway_fixture import gather_route
 from ibisfront.testing.two_zones import TwoZones
 from ibisfront.tests import trio_test
--- a/ibisfront/tests/test_gateway_evacuations.py
+++ b/ibisfront/tests/test_gateway_evacuations.py
@@ -8,8 +8,8 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.server_book import ServerBook
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     forward_route,
--- a/ibisfront/tests/test_gateway_feed.py
+++ b/ibisfront/tests/test_gateway_feed.py
@@ -7,8 +7,8 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.feed import FeedTarget, StoreOutage, follow
-from ibisfront.gateway.store import Changes, Listing, StoreError, StoreErrorKind
+from ibisfront.gateway.state.feed import FeedTarget, StoreOutage, follow
+from ibisfront.gateway.state.store import Changes, Listing, StoreError, StoreErrorKind
 from ibisfront.tests import trio_test
 
 _KINDS = ("configuration", "servers", "evacuations")
--- a/ibisfront/tests/test_gateway_followed_query.py
+++ b/ibisfront/tests/test_gateway_followed_query.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from ibisfront.gateway.followed_query import FollowedQuery
 from ibisfront.gateway.messages import InboundRequest
+from ibisfront.gateway.queries.followed_query import FollowedQuery
 from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
 from ibisfront.tests import trio_test
 
--- a/ibisfront/tests/test_gateway_forwarding.py
+++ b/ibisfront/tests/test_gateway_forwarding.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from ibisfront.gateway.configuration import RequestKind, WeightedService
+from ibisfront.gateway.state.configuration import RequestKind, WeightedService
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     forward_route,
--- a/ibisfront/tests/test_gateway_gather_plan.py
+++ b/ibisfront/tests/test_gateway_gather_plan.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from ibisfront.gateway.gather_plan import gather_plan
-from ibisfront.gateway.usual_latency import UsualLatency
+from ibisfront.gateway.load.gather_plan import gather_plan
+from ibisfront.gateway.load.usual_latency import UsualLatency
 
 
 def usual(median_ms, late_ms):
--- a/ibisfront/tests/test_gateway_gatherers.py
+++ b/ibisfront/tests/test_gateway_gatherers.py
@@ -4,14 +4,14 @@
 
 import unittest
 
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.instances.gatherers import Gatherers
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RoutedService,
     RouteTable,
 )
-from ibisfront.gateway.gatherers import Gatherers
-from ibisfront.gateway.instances import InstanceEntry
 from ibisfront.testing.gateway_fixture import gather_route
 
 
--- a/ibisfront/tests/test_gateway_instances.py
+++ b/ibisfront/tests/test_gateway_instances.py
@@ -7,8 +7,8 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.instances import InstanceEntry, keep_instances
-from ibisfront.gateway.store import StoreError, StoreErrorKind
+from ibisfront.gateway.instances.directory import InstanceEntry, keep_instances
+from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 from ibisfront.tests import trio_test
 
 OWN = InstanceEntry("i1", "z0", "10.0.0.1:1")
--- a/ibisfront/tests/test_gateway_many_routes.py
+++ b/ibisfront/tests/test_gateway_many_routes.py
@@ -10,13 +10,13 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.latencies import RouteLatencies
 from ibisfront.core.metrics_text import metrics_text
-from ibisfront.gateway.configuration import RouteTable, WeightedService
-from ibisfront.gateway.reach import Reach
-from ibisfront.gateway.route_cache import RouteCache
+from ibisfront.gateway.load.reach import Reach
+from ibisfront.gateway.load.weights import WeightedTurns
 from ibisfront.gateway.route_state import RouteStates
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.weights import WeightedTurns
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.state.configuration import RouteTable, WeightedService
+from ibisfront.gateway.state.route_cache import RouteCache
 from ibisfront.platform.documents import configuration_from
 from ibisfront.testing.large_configuration import configuration_spec
 from ibisfront.tests import trio_test
--- a/ibisfront/tests/test_gateway_runs.py
+++ b/ibisfront/tests/test_gateway_runs.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from ibisfront.gateway.records import greatest_records
+from ibisfront.gateway.queries.records import greatest_records
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     gather_route,
--- a/ibisfront/tests/test_gateway_server_book.py
+++ b/ibisfront/tests/test_gateway_server_book.py
@@ -7,11 +7,15 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.server import Server, ServerEntry
-from ibisfront.gateway.server_book import BIRTHS_KEPT, LAPSE_GRACE_MS, ServerBook
-from ibisfront.gateway.server_load import ServerLoad
-from ibisfront.gateway.service_call import choose_server
-from ibisfront.gateway.usual_latency import UsualLatency
+from ibisfront.gateway.load.server_load import ServerLoad
+from ibisfront.gateway.load.usual_latency import UsualLatency
+from ibisfront.gateway.queries.service_call import choose_server
+from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server_book import (
+    BIRTHS_KEPT,
+    LAPSE_GRACE_MS,
+    ServerBook,
+)
 from ibisfront.tests import trio_test
 
 
--- a/ibisfront/tests/test_gateway_server_news.py
+++ b/ibisfront/tests/test_gateway_server_news.py
@@ -5,7 +5,7 @@
 import unittest
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.server_news import ServerNews
+from ibisfront.gateway.servers.server_news import ServerNews
 from ibisfront.tests import trio_test
 
 
--- a/ibisfront/tests/test_gateway_state_codec.py
+++ b/ibisfront/tests/test_gateway_state_codec.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.state_codec import (
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.state.state_codec import (
     MAXIMUM_STATE_BYTES,
     decode_state,
     encode_state,
 )
-from ibisfront.gateway.state_relay import RelayedState
+from ibisfront.gateway.state.state_relay import RelayedState
 
 
 def state(servers):
--- a/ibisfront/tests/test_gateway_state_feed.py
+++ b/ibisfront/tests/test_gateway_state_feed.py
@@ -9,11 +9,11 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.configuration import CallerLimits, Configuration
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.relays import Relays
-from ibisfront.gateway.state_feed import StateFeed
-from ibisfront.gateway.state_relay import RelayedState
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.state.configuration import CallerLimits, Configuration
+from ibisfront.gateway.state.relays import Relays
+from ibisfront.gateway.state.state_feed import StateFeed
+from ibisfront.gateway.state.state_relay import RelayedState
 from ibisfront.tests import trio_test
 from ibisfront.tests.zone_of_instances import KINDS, in_small_zone, in_zone
 
--- a/ibisfront/tests/test_gateway_state_relay.py
+++ b/ibisfront/tests/test_gateway_state_relay.py
@@ -9,14 +9,14 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.configuration import CallerLimits, Configuration
-from ibisfront.gateway.instances import InstanceEntry
+from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.messages import InboundRequest
-from ibisfront.gateway.relays import Relays
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.state_codec import decode_state
-from ibisfront.gateway.state_feed import StateFeed
-from ibisfront.gateway.state_relay import (
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.state.configuration import CallerLimits, Configuration
+from ibisfront.gateway.state.relays import Relays
+from ibisfront.gateway.state.state_codec import decode_state
+from ibisfront.gateway.state.state_feed import StateFeed
+from ibisfront.gateway.state.state_relay import (
     AskedState,
     KnownState,
     RelayedState,
--- a/ibisfront/tests/test_gateway_zones.py
+++ b/ibisfront/tests/test_gateway_zones.py
@@ -9,14 +9,14 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.configuration import RequestKind
+from ibisfront.gateway.instances.rotation import Rotation
+from ibisfront.gateway.instances.zone_watch import ZoneWatch
+from ibisfront.gateway.instances.zone_ways import WayStep, ZoneWay, ZoneWays
 from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.pool import ServerPool
-from ibisfront.gateway.rotation import Rotation
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.zone_watch import ZoneWatch
-from ibisfront.gateway.zone_ways import WayStep, ZoneWay, ZoneWays
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.state.configuration import RequestKind
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     forward_route,
--- a/ibisfront/tests/test_http1_caller_listener.py
+++ b/ibisfront/tests/test_http1_caller_listener.py
@@ -9,8 +9,8 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.configuration import CallerLimits
 from ibisfront.gateway.messages import CallerReply
+from ibisfront.gateway.state.configuration import CallerLimits
 from ibisfront.http1.caller_listener import CallerListener
 from ibisfront.http1.listening import listening_socket
 from ibisfront.platform.headers import WIRE
--- a/ibisfront/tests/test_platform_documents.py
+++ b/ibisfront/tests/test_platform_documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ibisfront.gateway.route_cache import RouteCache
+from ibisfront.gateway.state.route_cache import RouteCache
 from ibisfront.platform.documents import configuration_from, server_entry_from
 
 VALID = {
--- a/ibisfront/tests/test_platform_store.py
+++ b/ibisfront/tests/test_platform_store.py
@@ -7,10 +7,10 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.feed import FeedTarget, follow
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.route_cache import RouteCache
-from ibisfront.gateway.store import StoreError, StoreErrorKind
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.state.feed import FeedTarget, follow
+from ibisfront.gateway.state.route_cache import RouteCache
+from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 from ibisfront.platform.documents import configuration_from, server_entry_from
 from ibisfront.platform.store import PlatformDirectory, PlatformKindFeed
 from ibisfront.testing.object_store import StandInStore
--- a/ibisfront/tests/zone_of_instances.py
+++ b/ibisfront/tests/zone_of_instances.py
@@ -7,15 +7,15 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.configuration import CallerLimits, Configuration
-from ibisfront.gateway.feed import FeedTarget, StoreOutage, follow
-from ibisfront.gateway.instances import InstanceEntry
-from ibisfront.gateway.relays import Relays
-from ibisfront.gateway.server import ServerEntry
+from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.servers.server import ServerEntry
 from ibisfront.gateway.settings import Bounds
-from ibisfront.gateway.state_feed import StateFeed
-from ibisfront.gateway.state_relay import KnownState, StateSource
-from ibisfront.gateway.store import Changes, Listing, StoreError, StoreErrorKind
+from ibisfront.gateway.state.configuration import CallerLimits, Configuration
+from ibisfront.gateway.state.feed import FeedTarget, StoreOutage, follow
+from ibisfront.gateway.state.relays import Relays
+from ibisfront.gateway.state.state_feed import StateFeed
+from ibisfront.gateway.state.state_relay import KnownState, StateSource
+from ibisfront.gateway.state.store import Changes, Listing, StoreError, StoreErrorKind
 from ibisfront.tests import trio_test
 
 KINDS = frozenset(("configuration", "servers"))
--- a/properties/test_entry_properties.py
+++ b/properties/test_entry_properties.py
@@ -15,8 +15,8 @@
 from ibisfront.core.clock import Clock
 from ibisfront.front.targets import servers_target
 from ibisfront.gateway.observing import Observer
-from ibisfront.gateway.server_book import ServerBook
-from ibisfront.gateway.store import Listing, ObjectChange, StoredObject
+from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.state.store import Listing, ObjectChange, StoredObject
 
 IDS = ("i-1", "i-2", "i-3")
 ODD_SPECS = (
--- a/properties/test_state_properties.py
+++ b/properties/test_state_properties.py
@@ -12,7 +12,9 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.front.process import FrontProcess
-from ibisfront.gateway.configuration import (
+from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.settings import GatewaySettings
+from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
     RequestKind,
@@ -20,10 +22,8 @@
     RoutedService,
     WeightedService,
 )
-from ibisfront.gateway.server import ServerEntry
-from ibisfront.gateway.settings import GatewaySettings
-from ibisfront.gateway.state_codec import decode_state
-from ibisfront.gateway.state_relay import (
+from ibisfront.gateway.state.state_codec import decode_state
+from ibisfront.gateway.state.state_relay import (
     AskedState,
     KnownState,
     RelayedState,
