--- a/ibisfront/gateway/servers/server.py
+++ b/ibisfront/gateway/servers/server.py
@@ -18,12 +18,9 @@
 
 __all__ = ["Server", "ServerEntry"]
 
-_FASTER_WEIGHT = 0.15
-"""Weight of a reply that is quicker than the smoothed slowness."""
-
-_SLOWER_WEIGHT = 0.24
-"""Weight of a slower one: two turn a server into one that costs more than another
-zone's, one pause does not."""
+_SLOWNESS_WEIGHT = 0.15
+"""Weight of one reply in the smoothed slowness: one pause does not make a server cost
+more than one of another zone, two slow replies do."""
 
 _LARGEST_RATIO = 5.0
 """One reply counts as at most this many times the route's usual latency, so
@@ -482,8 +479,7 @@
     def _note_ratio(self, now_ms: float, ratio: float) -> None:
         """Take in how many usual latencies a reply has taken."""
         slowness = self.slowness(now_ms)
-        weight = _SLOWER_WEIGHT if ratio > slowness else _FASTER_WEIGHT
-        self._slowness = slowness + weight * (ratio - slowness)
+        self._slowness = slowness + _SLOWNESS_WEIGHT * (ratio - slowness)
         self._slowness_at_ms = now_ms
 
     def _note_failing(self, now_ms: float) -> None:
--- a/properties/test_entry_properties.py
+++ b/properties/test_entry_properties.py
@@ -147,6 +147,7 @@
         book=book,
         observer=Observer(),
         connections=SimpleNamespace(warm_up=lambda book: None),
+        replace_servers=book.replace,
         feed=SimpleNamespace(away=set()),
         source=SimpleNamespace(note_change=lambda: None, wake_askers=lambda: None),
     )
