--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -45,7 +45,7 @@
 
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.messages import InboundRequest
-    from ibisfront.gateway.servers.server import ServerEntry
+    from ibisfront.gateway.servers.server_entry import ServerEntry
     from ibisfront.gateway.settings import GatewaySettings
     from ibisfront.gateway.state.configuration import Configuration
     from ibisfront.gateway.state.configuration_change import ConfigurationChange
--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable, Sequence
 
     from ibisfront.front.process import FrontProcess
-    from ibisfront.gateway.servers.server import ServerEntry
+    from ibisfront.gateway.servers.server_entry import ServerEntry
     from ibisfront.gateway.state.store import Listing, ObjectChange, StoredObject
 
 __all__ = ["configuration_target", "evacuations_target", "servers_target"]
--- a/ibisfront/gateway/instances/directory.py
+++ b/ibisfront/gateway/instances/directory.py
@@ -10,7 +10,7 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.types import Address
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.store import StoreError
 
 if TYPE_CHECKING:
--- a/ibisfront/gateway/queries/delegation.py
+++ b/ibisfront/gateway/queries/delegation.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
+from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.load.usual_latency import UsualLatency
 from ibisfront.gateway.queries.remote_call import RemotePlan
-from ibisfront.gateway.queries.service_call import choose_server
 from ibisfront.gateway.route_state import keep_routes
 from ibisfront.gateway.state.configuration import Gathering
 
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.core.counters import CounterKind
+from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.messages import ExchangeErrorKind
 from ibisfront.gateway.servers.exchange import Exchange
 
@@ -23,7 +23,7 @@
     from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.servers.server_book import ServerBook
 
-__all__ = ["CallContext", "ServiceCall", "choose_server"]
+__all__ = ["CallContext", "ServiceCall"]
 
 _NOT_RUN_RETRIES = 2
 """Sends beyond the route's attempts after replies that say "not run"."""
@@ -35,14 +35,6 @@
 _SLOW = 2.0
 """Slowness from which on work that is not waited for is stopped."""
 
-_COST_JITTER = 0.1
-"""Share by which costs are varied at random, so that instances that see equal
-servers do not all choose the same one; less than any of the penalties."""
-
-_NO_ROOM_COST = 1.0
-"""What a server costs more, in usual latencies, if the request has to wait for
-a connection to it: that of a usual request that ends first."""
-
 
 class CallContext(msgspec.Struct):
     """What all calls of one caller's request share.
@@ -93,38 +85,6 @@
     is_repeat: bool = False
 
 
-def choose_server(
-    servers: list[Server], tried: list[Server], *, now_ms: float, usual_ms: float
-) -> Server | None:
-    """Return the server of least expected cost that was not tried yet.
-
-    Parameters
-    ----------
-    servers : list of Server
-        The service's servers.
-    tried : list of Server
-        Those that had the request already.
-    now_ms : float
-        The time.
-    usual_ms : float
-        The route's usual latency.
-    """
-    best: Server | None = None
-    best_cost = 0.0
-    for server in servers:
-        if not server.is_usable or server.is_behind_cut or server in tried:
-            continue
-        if not server.may_take(now_ms):
-            continue
-        cost = server.cost(now_ms, usual_ms)
-        if server.pool is not None and not server.pool.has_room:
-            cost += _NO_ROOM_COST
-        cost *= 1.0 + _COST_JITTER * random.random()
-        if best is None or cost < best_cost:
-            best, best_cost = server, cost
-    return best
-
-
 class ServiceCall:
     """The sub-requests of one request to one service.
 
--- a/ibisfront/gateway/servers/server.py
+++ b/ibisfront/gateway/servers/server.py
@@ -1,13 +1,10 @@
-"""A backend server as this instance sees it: its entry and its health."""
+"""A backend server as this instance sees it: what was learnt of it."""
 
 from __future__ import annotations
 
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from ibisfront.core.types import Address
 from ibisfront.gateway.load.cold_limit import ColdLimit
 
 if TYPE_CHECKING:
@@ -15,8 +12,9 @@
     from ibisfront.gateway.load.server_load import ServerLoad
     from ibisfront.gateway.servers.exchange import Exchange
     from ibisfront.gateway.servers.pool import ServerPool
+    from ibisfront.gateway.servers.server_entry import ServerEntry
 
-__all__ = ["Server", "ServerEntry"]
+__all__ = ["Server"]
 
 _SLOWNESS_WEIGHT = 0.15
 """Weight of one reply in the smoothed slowness: one pause does not make a server cost
@@ -30,10 +28,6 @@
 """How fast an old measurement of slowness loses half of its weight: a server
 that is avoided is measured no more and has to be tried again."""
 
-_TOLD_HALF_LIFE_MS = 300.0
-"""How fast what a server says of its machine loses half of its weight: it changes many
-times a second, and a server that is avoided for it says nothing new."""
-
 _FAILURE_WEIGHT = 0.25
 """Weight of one exchange in the smoothed share of failures: four failures in a row
 make a server cost more than one that is paused."""
@@ -65,72 +59,6 @@
 _OVERDUE_FLOOR_MS = 8.0
 """Added to that silence: what a busy process takes to read a reply."""
 
-_OVERDUE_PENALTY = 4.0
-"""Cost, in usual latencies, of a server that seems to stand still: what a request
-there loses, as the costs that follow."""
-
-_FAILURE_PENALTY = 6.0
-"""Cost, in usual latencies, of a server all of whose exchanges fail."""
-
-_AVOIDED_PENALTY = 100.0
-"""Cost of a server that is left alone: more than all others together."""
-
-_LAPSED_PENALTY = 50.0
-"""Cost of a server that may be gone: it is asked where its service has no other."""
-
-_IN_FLIGHT_PENALTY = 0.45
-"""Share by which each request of ours at a server makes the next one slower."""
-
-_COLD_PENALTY = 0.6
-"""Cost, in usual latencies, of a server that has just started."""
-
-_OTHER_ZONE_PENALTY = 0.7
-"""What a server of another availability zone costs more, in usual latencies:
-more than one request of ours at the near one, less than two."""
-
-
-class ServerEntry(msgspec.Struct, frozen=True, array_like=True):
-    """What the platform's store says of one backend server.
-
-    Attributes
-    ----------
-    server_id : str
-        Its name. A restart may keep it, and is another server all the same.
-    service : str
-        The service it belongs to.
-    address : Address
-        Where it listens.
-    zone : str
-        Its availability zone.
-    slots : int
-        How many requests it runs at once.
-    is_draining : bool
-        Whether it asks for no new requests.
-    warm_up_left_ms : float
-        How much longer it is slow after its start, when the entry was written.
-    born_ms : int
-        When this incarnation started, in Unix milliseconds by its own clock;
-        0 if the entry does not say.
-    """
-
-    server_id: str
-    service: str
-    address: Address
-    zone: str
-    slots: int = 1
-    is_draining: bool = False
-    warm_up_left_ms: float = 0.0
-    born_ms: int = 0
-
-    def is_same_server(self, other: ServerEntry) -> bool:
-        """Return whether both are of one incarnation of one server."""
-        return (
-            self.server_id == other.server_id
-            and self.born_ms == other.born_ms
-            and self.address == other.address
-            and self.service == other.service
-        )
-
 
 class Server:
     """One incarnation of a backend server.
@@ -298,31 +226,6 @@
         limit_ms = _OVERDUE_FACTOR * usual_ms + _OVERDUE_FLOOR_MS
         return self.silent_ms(now_ms) > limit_ms
 
-    def cost(self, now_ms: float, usual_ms: float) -> float:
-        """Return the expected latency in units of the usual one.
-
-        Parameters
-        ----------
-        now_ms : float
-            The time.
-        usual_ms : float
-            The route's usual latency.
-        """
-        cost = self.slowness(now_ms) * (1.0 + _IN_FLIGHT_PENALTY * len(self.in_flight))
-        cost += self._told_delay(now_ms)
-        cost += _FAILURE_PENALTY * self.failing(now_ms)
-        if self.is_overdue(now_ms, usual_ms):
-            cost += _OVERDUE_PENALTY
-        if not self.is_near:
-            cost += _OTHER_ZONE_PENALTY
-        if self.is_cold(now_ms):
-            cost += _COLD_PENALTY
-        if now_ms < self.not_before_ms:
-            cost += _AVOIDED_PENALTY
-        if self.is_lapsed:
-            cost += _LAPSED_PENALTY
-        return cost
-
     def use_entry(self, entry: ServerEntry, now_ms: float) -> None:
         """Take in what the store says now of this incarnation.
 
@@ -351,18 +254,6 @@
         begins_ms = now_ms + warm_up_share * warm_up_ms
         self.not_before_ms = max(self.not_before_ms, begins_ms)
 
-    def _told_delay(self, now_ms: float) -> float:
-        """Return how much longer work takes on its machine, in usual latencies.
-
-        Load pattern: others on its machine make its work four times as long for half
-        a second. The first reply of the spell says so, before the next is slow.
-        """
-        load = self.load
-        if load is None or load.work_factor is None or load.work_factor <= 1.0:
-            return 0.0
-        left = math.exp2(-(now_ms - self.load_at_ms) / _TOLD_HALF_LIFE_MS)
-        return min(load.work_factor - 1.0, _LARGEST_RATIO) * left
-
     def note_submitted(self, exchange: Exchange, now_ms: float) -> None:
         """Take in an exchange that is sent, or waits for a connection."""
         self.in_flight[exchange] = None
--- a/ibisfront/gateway/servers/server_book.py
+++ b/ibisfront/gateway/servers/server_book.py
@@ -16,7 +16,7 @@
     from collections.abc import Iterable
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.servers.server import ServerEntry
+    from ibisfront.gateway.servers.server_entry import ServerEntry
 
 __all__ = ["BIRTHS_KEPT", "LAPSE_GRACE_MS", "ServerBook"]
 
--- a/ibisfront/gateway/state/state_relay.py
+++ b/ibisfront/gateway/state/state_relay.py
@@ -10,7 +10,7 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.instances.directory import InstanceEntry
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import Configuration
 from ibisfront.gateway.state.configuration_change import (
     ConfigurationChange,
--- a/ibisfront/lab/deployment.py
+++ b/ibisfront/lab/deployment.py
@@ -14,8 +14,8 @@
 from ibisfront.gateway.load.budget import ExtraBudgets
 from ibisfront.gateway.observing import Observer
 from ibisfront.gateway.servers.pool import ServerPool
-from ibisfront.gateway.servers.server import ServerEntry
 from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.settings import Bounds
 from ibisfront.gateway.state.configuration import (
     CallerLimits,
--- a/ibisfront/lab/servers.py
+++ b/ibisfront/lab/servers.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     import numpy as np
 
-    from ibisfront.gateway.servers.server import ServerEntry
+    from ibisfront.gateway.servers.server_entry import ServerEntry
     from ibisfront.lab.agenda import Agenda
     from ibisfront.lab.pattern import Pattern, Queries
 
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ibisfront.core.lenient_json import UNREADABLE
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -22,8 +22,9 @@
 from ibisfront.gateway.queries.delegated_query import delegated_from
 from ibisfront.gateway.queries.delegation import Delegation
 from ibisfront.gateway.servers.pool import ServerPool
-from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server import Server
 from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.settings import Bounds
 from ibisfront.gateway.state.configuration import (
     CallerLimits,
--- a/ibisfront/tests/test_front_connections.py
+++ b/ibisfront/tests/test_front_connections.py
@@ -12,7 +12,8 @@
 from ibisfront.gateway.instances.gatherers import Gatherers
 from ibisfront.gateway.load.budget import ExtraBudgets
 from ibisfront.gateway.servers.exchange import Exchange
-from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server import Server
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.servers.server_news import ServerNews
 from ibisfront.gateway.settings import Bounds
 from ibisfront.gateway.state.configuration import (
--- a/ibisfront/tests/test_front_readiness.py
+++ b/ibisfront/tests/test_front_readiness.py
@@ -9,7 +9,7 @@
 from ibisfront.core.clock import Clock
 from ibisfront.front.process import FrontProcess
 from ibisfront.gateway.instances.directory import InstanceEntry
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.settings import GatewaySettings
 from ibisfront.gateway.state.configuration import (
     CallerLimits,
--- a/ibisfront/tests/test_gateway_cold_limit.py
+++ b/ibisfront/tests/test_gateway_cold_limit.py
@@ -11,10 +11,11 @@
 from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.instances.gatherers import Gatherers
 from ibisfront.gateway.load.budget import ExtraBudgets
-from ibisfront.gateway.queries.service_call import choose_server
+from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.servers.exchange import Exchange
-from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server import Server
 from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.servers.server_news import ServerNews
 from ibisfront.gateway.settings import Bounds
 from ibisfront.gateway.state.configuration import (
--- a/ibisfront/tests/test_gateway_evacuations.py
+++ b/ibisfront/tests/test_gateway_evacuations.py
@@ -8,8 +8,8 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.servers.server import ServerEntry
 from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     forward_route,
--- a/ibisfront/tests/test_gateway_many_routes.py
+++ b/ibisfront/tests/test_gateway_many_routes.py
@@ -13,8 +13,8 @@
 from ibisfront.gateway.load.reach import Reach
 from ibisfront.gateway.load.weights import WeightedTurns
 from ibisfront.gateway.route_state import RouteStates
-from ibisfront.gateway.servers.server import ServerEntry
 from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import RouteTable, WeightedService
 from ibisfront.gateway.state.route_cache import RouteCache
 from ibisfront.platform.documents import configuration_from
--- a/ibisfront/tests/test_gateway_server_book.py
+++ b/ibisfront/tests/test_gateway_server_book.py
@@ -7,15 +7,16 @@
 import trio
 
 from ibisfront.core.clock import Clock
+from ibisfront.gateway.load.server_choice import choose_server, server_cost
 from ibisfront.gateway.load.server_load import ServerLoad
 from ibisfront.gateway.load.usual_latency import UsualLatency
-from ibisfront.gateway.queries.service_call import choose_server
-from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server import Server
 from ibisfront.gateway.servers.server_book import (
     BIRTHS_KEPT,
     LAPSE_GRACE_MS,
     ServerBook,
 )
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.tests import trio_test
 
 
@@ -129,7 +130,7 @@
         now_ms = Clock().now_ms()
         self.assertTrue(before.is_gone)
         self.assertTrue(after.is_reachable(now_ms))
-        self.assertLess(after.cost(now_ms, 10.0), 2.0)
+        self.assertLess(server_cost(after, now_ms, 10.0), 2.0)
         self.assertGreater(after.warm_at_ms, now_ms + 2_000.0)
         self.assertEqual(len(book.of_service("s")), 1)
 
@@ -243,8 +244,8 @@
         server = self.server()
         for number in range(20):
             server.note_reply(number * 10.0, took_ms=100.0, usual_ms=10.0)
-        slow = server.cost(200.0, 10.0)
-        later = server.cost(20_000.0, 10.0)
+        slow = server_cost(server, 200.0, 10.0)
+        later = server_cost(server, 20_000.0, 10.0)
         self.assertGreater(slow, 3.0)
         self.assertLess(later, 1.1)
 
@@ -258,18 +259,18 @@
         server = self.server()
         for number in range(40):
             server.note_cancelled(number * 500.0, waited_ms=40.0, usual_ms=10.0)
-        self.assertGreater(server.cost(20_000.0, 10.0), 1.7)
+        self.assertGreater(server_cost(server, 20_000.0, 10.0), 1.7)
 
     def test_disturbed_machine_is_avoided_while_that_is_fresh(self):
         """Guards against first choices of servers that say they are slow now."""
         server = self.server()
         server.note_load(0.0, ServerLoad(1, 0, 2, 4.0))
-        self.assertGreater(server.cost(10.0, 10.0), 3.0)
-        self.assertLess(server.cost(2_000.0, 10.0), 1.1)
+        self.assertGreater(server_cost(server, 10.0, 10.0), 3.0)
+        self.assertLess(server_cost(server, 2_000.0, 10.0), 1.1)
         server.note_load(3_000.0, ServerLoad(1, 0, 2, 1e9))
-        self.assertLess(server.cost(3_000.0, 10.0), 10.0)
+        self.assertLess(server_cost(server, 3_000.0, 10.0), 10.0)
         server.note_load(3_100.0, ServerLoad(1, 0, 2, 0.5))
-        self.assertEqual(server.cost(3_100.0, 10.0), 1.0)
+        self.assertEqual(server_cost(server, 3_100.0, 10.0), 1.0)
 
     def test_single_pause_does_not_make_a_server_slow(self):
         server = self.server()
@@ -296,9 +297,11 @@
         near = self.server()
         far = Server(entry("a"), now_ms=0.0, is_near=False)
         cold = self.server(warm_up_left_ms=3000.0)
-        self.assertLess(near.cost(1.0, 10.0), far.cost(1.0, 10.0))
-        self.assertLess(near.cost(1.0, 10.0), cold.cost(1.0, 10.0))
-        self.assertEqual(near.cost(4000.0, 10.0), cold.cost(4000.0, 10.0))
+        self.assertLess(server_cost(near, 1.0, 10.0), server_cost(far, 1.0, 10.0))
+        self.assertLess(server_cost(near, 1.0, 10.0), server_cost(cold, 1.0, 10.0))
+        self.assertEqual(
+            server_cost(near, 4000.0, 10.0), server_cost(cold, 4000.0, 10.0)
+        )
 
 
 class UsualLatencyTest(unittest.TestCase):
--- a/ibisfront/tests/test_gateway_state_codec.py
+++ b/ibisfront/tests/test_gateway_state_codec.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.state_codec import (
     MAXIMUM_STATE_BYTES,
     decode_state,
--- a/ibisfront/tests/test_gateway_state_relay.py
+++ b/ibisfront/tests/test_gateway_state_relay.py
@@ -11,7 +11,7 @@
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.messages import InboundRequest
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import CallerLimits, Configuration
 from ibisfront.gateway.state.relays import Relays
 from ibisfront.gateway.state.state_codec import decode_state
--- a/ibisfront/tests/test_gateway_zones.py
+++ b/ibisfront/tests/test_gateway_zones.py
@@ -14,8 +14,8 @@
 from ibisfront.gateway.instances.zone_ways import WayStep, ZoneWay, ZoneWays
 from ibisfront.gateway.observing import Observer
 from ibisfront.gateway.servers.pool import ServerPool
-from ibisfront.gateway.servers.server import ServerEntry
 from ibisfront.gateway.servers.server_book import ServerBook
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import RequestKind
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
--- a/ibisfront/tests/test_http1_backend_connection.py
+++ b/ibisfront/tests/test_http1_backend_connection.py
@@ -9,7 +9,8 @@
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.messages import ExchangeErrorKind
 from ibisfront.gateway.servers.exchange import Exchange
-from ibisfront.gateway.servers.server import Server, ServerEntry
+from ibisfront.gateway.servers.server import Server
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.http1.backend_connection import backend_connection_opener
 from ibisfront.platform.headers import WIRE
 from ibisfront.tests import trio_test_real_clock
--- a/ibisfront/tests/zone_of_instances.py
+++ b/ibisfront/tests/zone_of_instances.py
@@ -8,7 +8,7 @@
 
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.instances.directory import InstanceEntry
-from ibisfront.gateway.servers.server import ServerEntry
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.settings import Bounds
 from ibisfront.gateway.state.configuration import CallerLimits, Configuration
 from ibisfront.gateway.state.feed import FeedTarget, StoreOutage, follow
