Trial: stop large replies from other zones that nobody waits for

Change: a loser in another zone is stopped if its route's replies are larger than what a connection costs; the connection is replaced if it was the last.

--- a/ibisfront/gateway/load/usual_latency.py
+++ b/ibisfront/gateway/load/usual_latency.py
@@ -42,6 +42,10 @@
 """Weight of one reply in that share: some fifty replies, half a query."""
 
 
+_SIZE_WEIGHT = 0.02
+"""Weight of one reply in the usual size."""
+
+
 class UsualLatency:
     """Recent latencies of one route's sub-requests, all servers together.
 
@@ -62,6 +66,8 @@
         After how long a hedged request pays.
     calm_ms : float
         The usual latency without queues: the least of late, rising slowly.
+    reply_bytes : float
+        The usual size of a reply's body.
     """
 
     __slots__ = (
@@ -71,6 +77,7 @@
         "calm_ms",
         "late_ms",
         "median_ms",
+        "reply_bytes",
     )
 
     def __init__(self, first_ms: float) -> None:
@@ -78,6 +85,7 @@
         self._count = 0
         # The smoothed share of replies that say that requests wait.
         self._queued_share: float | None = None
+        self.reply_bytes = 0.0
         self.median_ms = first_ms
         self.late_ms = first_ms * _MOST_LATE_FACTOR
         self.calm_ms = math.inf
@@ -96,6 +104,10 @@
             self._queued_share = 0.0
         self._queued_share += _TOLD_WEIGHT * (is_queued - self._queued_share)
 
+    def note_size(self, size_bytes: int) -> None:
+        """Take in the size of one reply's body."""
+        self.reply_bytes += _SIZE_WEIGHT * (size_bytes - self.reply_bytes)
+
     def record_ms(self, latency_ms: float) -> None:
         """Take in one latency."""
         if len(self._samples_ms) < _KEPT:
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -36,6 +36,10 @@
 """Slowness from which on work that is not waited for is stopped."""
 
 
+_CONNECTION_BYTES = 400.0
+"""Bytes between zones that ending a connection and opening another one takes."""
+
+
 class CallContext(msgspec.Struct):
     """What all calls of one caller's request share.
 
@@ -247,12 +251,15 @@
     def end(self, *, at_once: bool) -> None:
         """Wait for nothing more; see :meth:`Exchange.give_up`.
 
-        A server that is slow is short of slots, whatever the others are.
+        A server that is slow is short of slots, whatever the others are. A large reply
+        from another zone costs more bytes between zones than a new connection.
         """
         now_ms = self._context.clock.now_ms()
+        is_large = self._context.usual.reply_bytes > _CONNECTION_BYTES
         for exchange in list(self._open):
-            is_slow = exchange.server.slowness(now_ms) > _SLOW
-            exchange.give_up(at_once=at_once or is_slow)
+            server = exchange.server
+            stops = server.slowness(now_ms) > _SLOW or (is_large and not server.is_near)
+            exchange.give_up(at_once=at_once or stops)
 
     def _choose(self, now_ms: float) -> Server | None:
         chosen = self._best(self._tried, now_ms)
@@ -342,6 +349,7 @@
             usual = self._context.usual
             server.note_reply(now_ms, took_ms=took_ms, usual_ms=usual.median_ms)
             usual.record_ms(took_ms)
+            usual.note_size(len(reply.body))
             if self.reply is None:
                 self.reply = reply
             return
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -163,6 +163,12 @@
         if self.size < min(self.maximum, _READY_CONNECTIONS):
             self._start_opening()
 
+    def _replace(self, connection: ServerConnection) -> None:
+        """Open another connection for one that was closed to stop its work."""
+        is_last = not self._connections - {connection} and not self._opening
+        if is_last and self.keeps_idle and not self._is_closed:
+            self._start_opening()
+
     def warm_up(self) -> None:
         """Open a first connection before it is needed."""
         if not self.size and not self._is_closed:
@@ -291,6 +297,7 @@
         def abandon(at_once: bool) -> None:
             if at_once:
                 connection.close()
+                self._replace(connection)
             else:
                 self._nursery.start_soon(self._close_late, connection, exchange)
 
--- a/ibisfront/tests/test_gateway_pool.py
+++ b/ibisfront/tests/test_gateway_pool.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+import msgspec
 import trio
 
 from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
@@ -36,3 +37,35 @@
                 await fixture.ask()
                 await trio.sleep(2.0)
         self.assertEqual({server.opened for server in fixture.all_servers()}, {1})
+
+
+class LargeReplyTest(unittest.TestCase):
+    """Replies that nobody waits for any more, on their way from another zone."""
+
+    async def _hedged(self, size_bytes):
+        """Return what the other zone's server saw after it lost against the near one.
+
+        That is how many requests were cut, and how many connections were opened.
+        """
+        fixture = GatewayFixture(gather_route(1), latency_ms=10.0)
+        near, far = fixture.servers["part-0"]
+        far.entry = msgspec.structs.replace(far.entry, zone="z1")
+        async with fixture.running():
+            near.body = far.body = bytes(size_bytes)
+            for _ in range(100):
+                await fixture.ask()
+            near.latency_ms, far.latency_ms = 30.0, 200.0
+            await fixture.ask()
+            await trio.sleep(0.1)
+            self.assertEqual(len(far.received), 1)
+            return far.cancelled, far.opened
+
+    @trio_test
+    async def test_large_reply_is_stopped_and_its_connection_replaced(self):
+        """Guards against bytes between zones that are of use to nobody."""
+        self.assertEqual(await self._hedged(1_000), (1, 2))
+
+    @trio_test
+    async def test_small_reply_is_let_come(self):
+        """Guards against connections that cost more bytes than they save."""
+        self.assertEqual(await self._hedged(96), (0, 1))
