Retry budgets: show what decided a refusal, and count primary and extra sub-requests

The hypotheses of the incident could not be told apart from logs: a retry that was withheld named neither the counts nor the number of instances that shared the allowance, and nothing counted primary sub-requests, so that one sent twice without being counted as extra left no trace.

Now `sub_requests` counts primary and extra ones, an exhausted budget has a line a second at most with its inputs and their age, and a query that requests delegated parts itself says whether the other instance refused or was lost. No decision changes.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -290,6 +290,7 @@
         before = (self.budgets.instances, self.coordinators.is_coordinator)
         is_first = not self.topology.is_loaded
         self.budgets.instances = max(len(listed), 1)
+        self.budgets.listed_at_ms = self._clock.now_ms()
         self.peers.replace(
             [peer_entry(item) for item in listed if item.name != self.own.name],
             after_outage=False,
--- a/ibisfront/gateway/load/retry_budget.py
+++ b/ibisfront/gateway/load/retry_budget.py
@@ -5,11 +5,18 @@
 import math
 from typing import TYPE_CHECKING
 
+from ibisfront.core.logs import LogPart, part_logger
+
 if TYPE_CHECKING:
     from ibisfront.gateway.settings import Bounds
 
 __all__ = ["RetryBudgets", "ServiceRetryBudget"]
 
+_LOG = part_logger(LogPart.LIMITS)
+
+_LOG_INTERVAL_MS = 1_000.0
+"""Minimum interval between log lines about exhausted budgets."""
+
 _BUCKETS = 10
 """Buckets of a sliding window; one more is held, so that the window counted is never
 shorter than the configured one."""
@@ -135,6 +142,8 @@
     ----------
     instances : int
         Number of instances that share the allowances.
+    listed_at_ms : float or None
+        When the list of instances was last received; None before the first time.
     """
 
     __slots__ = (
@@ -142,8 +151,10 @@
         "_budgets",
         "_coordinated_services",
         "_coordinator_count",
+        "_logged_at_ms",
         "_started_ms",
         "instances",
+        "listed_at_ms",
     )
 
     def __init__(
@@ -154,7 +165,9 @@
         self._started_ms = started_ms
         self._coordinated_services: frozenset[str] = frozenset()
         self._coordinator_count = math.inf
+        self._logged_at_ms = -math.inf
         self.instances = instances
+        self.listed_at_ms: float | None = None
 
     def set_coordinator_count(self, count: float, services: frozenset[str]) -> None:
         """Split the allowances of scatter-gather services over the coordinators.
@@ -195,4 +208,28 @@
         )
         if now_ms < self._started_ms + self._bounds.extra_window_ms:
             senders /= _STARTUP_SHARE
-        return self.of_service(service).try_spend(now_ms, senders=senders)
+        budget = self.of_service(service)
+        if budget.try_spend(now_ms, senders=senders):
+            return True
+        self._log_exhausted(service, budget, senders, now_ms)
+        return False
+
+    def _log_exhausted(
+        self, service: str, budget: ServiceRetryBudget, senders: float, now_ms: float
+    ) -> None:
+        """Log the inputs of a refusal, at most once per interval."""
+        if now_ms < self._logged_at_ms + _LOG_INTERVAL_MS:
+            return
+        self._logged_at_ms = now_ms
+        listed_at_ms = self.listed_at_ms
+        fields = {
+            "service": service,
+            "primaries": budget.primaries,
+            "extras": budget.extras,
+            "senders": senders if math.isfinite(senders) else None,
+            "list_age_ms": None if listed_at_ms is None else now_ms - listed_at_ms,
+            "uptime_ms": now_ms - self._started_ms
+            if math.isfinite(self._started_ms)
+            else None,
+        }
+        _LOG.info("The retry budget of %s is exhausted.", service, extra=fields)
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -382,6 +382,10 @@
         if not is_lost and not self._must_replace_remote():
             return
         self._is_falling_back = True
+        cause = "refused" if remote.is_refused else "lost"
+        self._context.trace.record(
+            now_ms, "parts_requested_here", "", remote.peer_id, cause
+        )
         # The preferred server may have become unresponsive together with the
         # instance, so that these parts need a hedge of their own.
         self._hedge_at_ms = now_ms + self._context.baseline.late_ms
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -182,6 +182,7 @@
             # the limit.
             return self.attempts_cover_all_servers and self.send_extra_attempt()
         self._context.budgets.of_service(self.service).record_primary(now_ms)
+        self._context.counters.add(CounterKind.SUB_REQUESTS, "primary")
         return self._send(now_ms)
 
     def send_extra_attempt(self) -> bool:
@@ -204,6 +205,7 @@
             self._is_out_of_budget = True
             return False
         context.counters.add(CounterKind.RETRIES, cause)
+        context.counters.add(CounterKind.SUB_REQUESTS, "extra")
         context.trace.extras += 1
         server_id = server.entry.server_id
         context.trace.record(now_ms, "sent_again", self.service, server_id, cause)
