Soak: servers that reject, fronts that delegate, and arrivals counted as the rule does

The soak could not have failed on the retry budget: it counted executions only, while rejected sub-requests count as well; it took the requests of all routes, in two windows added up; no zone was without servers, so no front delegated parts; and no server ever had a full queue.

The report names the fullest window. check_budget is stricter in both ways; its test keeps both assertions and has one more.

--- a/ibisfront/testing/soak/__main__.py
+++ b/ibisfront/testing/soak/__main__.py
@@ -90,7 +90,8 @@
     kinds = ", ".join(f"{kind} {count}" for kind, count in report.faults.items())
     sys.stdout.write(
         f"seed {report.seed}: {report.requests} requests, {report.served} served,"
-        f" {len(report.failures)} failures; faults: {kinds}\n"
+        f" {len(report.failures)} failures, fullest budget window"
+        f" {report.fullest_window:.2f}; faults: {kinds}\n"
     )
     for failure in report.failures[:_MAXIMUM_PRINTED_FAILURES]:
         sys.stdout.write(f"  {failure.check}: {failure.request_id} {failure.detail}\n")
--- a/ibisfront/testing/soak/backends.py
+++ b/ibisfront/testing/soak/backends.py
@@ -8,7 +8,7 @@
 import trio
 
 from ibisfront.testing.soak.proxy import FaultyProxy
-from ibisfront.testing.soak.servers import Execution, SoakServer
+from ibisfront.testing.soak.servers import ServerRecords, SoakServer
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
@@ -40,8 +40,8 @@
 
     Attributes
     ----------
-    executions : list of Execution
-        Requests that any server executed.
+    records : ServerRecords
+        What the servers have seen.
     retired : list of str
         Ids of the servers that were drained or removed.
     """
@@ -50,15 +50,13 @@
         self._store = store
         self._clock = clock
         self._all: dict[str, SoakBackend] = {}
-        self.executions: list[Execution] = []
+        self.records = ServerRecords()
         self.retired: list[str] = []
 
     async def add(self, nursery: trio.Nursery, service: str, zone: str) -> None:
         """Start a server of a service and publish its entry."""
         server_id = f"i{len(self._all) + 1}"
-        server = SoakServer(
-            server_id, service, executions=self.executions, clock=self._clock
-        )
+        server = SoakServer(server_id, service, records=self.records, clock=self._clock)
         backend = SoakBackend(
             server, FaultyProxy(server.address), trio.CancelScope(), zone
         )
@@ -68,8 +66,14 @@
 
     def live(self, number: int) -> SoakBackend:
         """Return one of the servers that are not retired."""
-        live = [name for name in self._all if name not in self.retired]
-        return self._all[live[number % len(live)]]
+        live = self.all_live()
+        return live[number % len(live)]
+
+    def all_live(self) -> list[SoakBackend]:
+        """Return the servers that are not retired."""
+        return [
+            backend for name, backend in self._all.items() if name not in self.retired
+        ]
 
     def retire(self, backend: SoakBackend, *, is_drained: bool) -> None:
         """Drain a server, which goes on serving, or stop and remove it at once."""
--- a/ibisfront/testing/soak/checks.py
+++ b/ibisfront/testing/soak/checks.py
@@ -12,12 +12,13 @@
 from ibisfront.testing.soak.servers import part_records, signature
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from ibisfront.testing.soak.callers import Outcome
     from ibisfront.testing.soak.servers import Execution
 
 __all__ = [
+    "ExtraWindow",
     "Failure",
     "Shape",
     "Span",
@@ -27,6 +28,7 @@
     "check_responses",
     "check_stops",
     "check_versions",
+    "extra_windows",
 ]
 
 _OK = 200
@@ -65,6 +67,20 @@
     fetch: str = "fetch"
     order: str = "order"
 
+    def requested_ms(self, outcomes: Iterable[Outcome]) -> dict[str, list[float]]:
+        """Return when callers sent requests for each service, in order."""
+        by_path: dict[RequestPath, list[float]] = {path: [] for path in RequestPath}
+        for outcome in outcomes:
+            by_path[outcome.path].append(outcome.sent_at_ms)
+        for sent_ms in by_path.values():
+            sent_ms.sort()
+        services = {name for names in self.generations for name in names}
+        return {
+            **dict.fromkeys(services, by_path[RequestPath.SEARCH]),
+            self.fetch: by_path[RequestPath.FETCH],
+            self.order: by_path[RequestPath.ORDER],
+        }
+
 
 class Span(msgspec.Struct, frozen=True):
     """A time span in which a fault or a stop affected a front process.
@@ -226,37 +242,86 @@
     ]
 
 
-def check_budget(
-    executions: Iterable[Execution],
-    outcomes: Iterable[Outcome],
+class ExtraWindow(msgspec.Struct, frozen=True):
+    """A window in which a service received extra attempts.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    until_ms : float
+        End of the window.
+    extras : int
+        Arrivals beyond the first of each request.
+    requests : int
+        Requests for the service, in the window, the one before it or the one half
+        a window before it, whichever has the most.
+    allowed : float
+        Extra attempts that the budget allows.
+    """
+
+    service: str
+    until_ms: float
+    extras: int
+    requests: int
+    allowed: float
+
+
+def extra_windows(
+    arrivals: Iterable[Execution],
+    requested_ms: Mapping[str, Sequence[float]],
     *,
     window_ms: float,
     ratio: float,
     allowance: float,
-) -> list[Failure]:
-    """Check that no service received more extra attempts than the budget allows.
+) -> list[ExtraWindow]:
+    """Return the window that ends with each extra attempt.
 
-    Requests are counted over the window and the one before it, because attempts
-    may reach a server late.
+    Parameters
+    ----------
+    arrivals : iterable of Execution
+        Requests that reached servers, including those that were rejected.
+    requested_ms : mapping of str to sequence of float
+        By service, when callers sent requests for it, in order.
+    window_ms, ratio, allowance : float
+        The budget.
     """
-    sent_ms = sorted(outcome.sent_at_ms for outcome in outcomes)
-    extras: dict[str, list[float]] = defaultdict(list)
+    extras_ms: dict[str, list[float]] = defaultdict(list)
     seen = set()
-    for item in sorted(executions, key=lambda item: item.at_ms):
+    for item in sorted(arrivals, key=lambda item: item.at_ms):
         key = (item.service, item.request_id)
         if key in seen:
-            extras[item.service].append(item.at_ms)
+            extras_ms[item.service].append(item.at_ms)
         seen.add(key)
-    failures = []
-    for service, at_ms in extras.items():
-        for end, moment_ms in enumerate(at_ms, start=1):
-            count = end - bisect_right(at_ms, moment_ms - window_ms)
-            first = bisect_left(sent_ms, moment_ms - 2 * window_ms)
-            requests = bisect_right(sent_ms, moment_ms) - first
-            if count > ratio * requests + allowance:
-                detail = f"{count} extra for {requests} requests"
-                failures.append(Failure("budget", service, detail))
-    return failures
+    windows = []
+    for service, at_ms in extras_ms.items():
+        for end, until_ms in enumerate(at_ms, start=1):
+            extras = end - bisect_right(at_ms, until_ms - window_ms)
+            requests = max(
+                _count_between(requested_ms[service], end_ms - window_ms, end_ms)
+                for end_ms in (until_ms, until_ms - window_ms / 2, until_ms - window_ms)
+            )
+            allowed = ratio * requests + allowance
+            windows.append(ExtraWindow(service, until_ms, extras, requests, allowed))
+    return windows
+
+
+def _count_between(at_ms: Sequence[float], from_ms: float, until_ms: float) -> int:
+    return bisect_right(at_ms, until_ms) - bisect_left(at_ms, from_ms)
+
+
+def check_budget(windows: Iterable[ExtraWindow]) -> list[Failure]:
+    """Check that no window has more extra attempts than the budget allows."""
+    return [
+        Failure(
+            "budget",
+            window.service,
+            f"{window.extras} extra for {window.requests} requests,"
+            f" {window.allowed:.0f} allowed",
+        )
+        for window in windows
+        if window.extras > window.allowed
+    ]
 
 
 def check_stops(
--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -23,6 +23,8 @@
 EXTRA_WINDOW_MS = 10_000.0
 EXTRA_ALLOWANCE = 60.0
 _ROLES = ("front", "ready", "control")
+_ZONES = 3
+"""Zones of the fronts; the last one has no servers, so that its fronts delegate."""
 
 
 def _loopback_ip(number: int) -> str:
@@ -54,7 +56,7 @@
 
     def __init__(self, number: int, folder: Path) -> None:
         self.name = f"front-{number}"
-        self.zone = f"z{number % 2}"
+        self.zone = f"z{number % _ZONES}"
         self._ip = _loopback_ip(number)
         self._folder = folder
         self._stack = AsyncExitStack()
--- a/ibisfront/testing/soak/report.py
+++ b/ibisfront/testing/soak/report.py
@@ -22,6 +22,9 @@
         Number of faults by kind.
     failures : list of Failure
         Guarantees that were violated.
+    fullest_window : float
+        Extra attempts as a share of those allowed, in the window with the largest
+        share.
     """
 
     seed: int
@@ -29,3 +32,4 @@
     served: int
     faults: dict[str, int]
     failures: list[Failure]
+    fullest_window: float = 0.0
--- a/ibisfront/testing/soak/servers.py
+++ b/ibisfront/testing/soak/servers.py
@@ -21,7 +21,14 @@
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.http1.parser import RawMessage
 
-__all__ = ["RECORDS_PER_PART", "Execution", "SoakServer", "part_records", "signature"]
+__all__ = [
+    "RECORDS_PER_PART",
+    "Execution",
+    "ServerRecords",
+    "SoakServer",
+    "part_records",
+    "signature",
+]
 
 RECORDS_PER_PART = 4
 _LIMITS = CallerLimits(idle_timeout_ms=30_000.0)
@@ -29,7 +36,7 @@
 
 
 class Execution(msgspec.Struct, frozen=True):
-    """One execution of a request by a server."""
+    """One execution of a request by a server, or its arrival there."""
 
     request_id: str
     service: str
@@ -37,6 +44,21 @@
     at_ms: float
 
 
+class ServerRecords(msgspec.Struct):
+    """What all servers of a run have seen, in order of time.
+
+    Attributes
+    ----------
+    arrivals : list of Execution
+        Requests that reached a server, including those that it rejected.
+    executions : list of Execution
+        Requests that a server executed.
+    """
+
+    arrivals: list[Execution] = []
+    executions: list[Execution] = []
+
+
 def part_records(service: str, request_id: str) -> list[bytes]:
     """Return the records of a part, the same from any server of the service."""
     return [
@@ -69,18 +91,21 @@
         Processing time of a request.
     is_failing : bool
         Whether it responds with status 500.
-    executions : list of Execution
-        Record of executed requests, shared by all servers.
+    is_rejecting : bool
+        Whether it rejects requests without running them, as with a full queue.
+    records : ServerRecords
+        Arrivals and executions, shared by all servers.
     """
 
     def __init__(
-        self, server_id: str, service: str, *, executions: list[Execution], clock: Clock
+        self, server_id: str, service: str, *, records: ServerRecords, clock: Clock
     ) -> None:
         self.server_id = server_id
         self.service = service
         self.latency_ms = 3.0
         self.is_failing = False
-        self.executions = executions
+        self.is_rejecting = False
+        self.records = records
         self._clock = clock
         self._sock: socket.socket = listening_socket("127.0.0.1:0")
 
@@ -102,17 +127,19 @@
         await listener.run()
 
     async def _respond(self, request: InboundRequest) -> CallerReply:
+        seen = Execution(
+            request.request_id, self.service, self.server_id, self._clock.now_ms()
+        )
+        self.records.arrivals.append(seen)
         headers = dict(request.headers)
         expected_ids = [
             v for k, v in headers.items() if k.lower() == _EXPECTED_SERVER_HEADER
         ]
         if expected_ids != [self.server_id.encode()]:
             return self._reply(421, request, b"", (b"X-Not-Executed", b"1"))
-        self.executions.append(
-            Execution(
-                request.request_id, self.service, self.server_id, self._clock.now_ms()
-            )
-        )
+        if self.is_rejecting:
+            return self._reply(503, request, b"", (b"X-Not-Executed", b"1"))
+        self.records.executions.append(seen)
         await trio.sleep(self.latency_ms / 1000.0)
         if self.is_failing:
             return self._reply(500, request, b"failed")
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from ibisfront.core.clock import Clock
@@ -23,9 +24,15 @@
     check_responses,
     check_stops,
     check_versions,
+    extra_windows,
 )
 from ibisfront.testing.soak.documents import configuration_document
-from ibisfront.testing.soak.faults import Fault, FaultKind, draw_faults
+from ibisfront.testing.soak.faults import (
+    Fault,
+    FaultKind,
+    draw_faults,
+    draw_overload,
+)
 from ibisfront.testing.soak.fronts import (
     EXTRA_ALLOWANCE,
     EXTRA_RATIO,
@@ -93,7 +100,11 @@
         settle_s: float = _SETTLE_S,
     ) -> None:
         if faults is None:
-            faults = draw_faults(seed, length_s=length_s)
+            faults = [
+                *draw_faults(seed, length_s=length_s),
+                *draw_overload(seed, length_s=length_s),
+            ]
+            faults.sort(key=lambda fault: fault.at_s)
         self._planned_faults = faults
         self._settle_s = settle_s
         self._seed = seed
@@ -219,6 +230,10 @@
             await self._inject_store_fault(fault)
         elif name.startswith("server_"):
             await self._inject_server_fault(fault, nursery)
+        elif fault.kind is FaultKind.ALL_SERVERS_REJECT:
+            await self._reject_everywhere(fault.duration_s)
+        elif fault.kind is FaultKind.ALL_FRONTS_KILL:
+            await self._kill_all_fronts(fault)
         elif fault.kind is FaultKind.STORE_PATH:
             await _inject_proxy_fault(front.store_proxy, fault)
         elif fault.kind is FaultKind.CALLERS_PATH:
@@ -249,6 +264,21 @@
         if front.incarnation == incarnation and not front.is_running:
             await front.start()
 
+    async def _kill_all_fronts(self, fault: Fault) -> None:
+        kill = msgspec.structs.replace(fault, kind=FaultKind.FRONT_KILL)
+        async with trio.open_nursery() as nursery:
+            for front in self.fronts:
+                nursery.start_soon(self._inject_front_fault, kill, front)
+
+    async def _reject_everywhere(self, duration_s: float) -> None:
+        """Make all servers reject requests; a server added meanwhile does not."""
+        rejecting = self._backends.all_live()
+        for backend in rejecting:
+            backend.server.is_rejecting = True
+        await trio.sleep(duration_s)
+        for backend in rejecting:
+            backend.server.is_rejecting = False
+
     @contextmanager
     def _recording_span(self, spans: list[Span], front: SoakFront) -> Iterator[None]:
         """Record the time span in which a fault affects a front."""
@@ -307,24 +337,26 @@
     def _report(self, first: list[Outcome], last: list[Outcome]) -> SoakReport:
         outcomes = [*first, *self._outcomes, *last]
         require_unique_ids(outcomes)
+        records = self._backends.records
+        windows = extra_windows(
+            records.arrivals,
+            self._shape.requested_ms(outcomes),
+            window_ms=EXTRA_WINDOW_MS,
+            ratio=EXTRA_RATIO,
+            allowance=EXTRA_ALLOWANCE,
+        )
         failures = [
             *check_responses(outcomes, self._shape),
-            *check_orders(outcomes, self._backends.executions),
+            *check_orders(outcomes, records.executions),
             *check_versions(outcomes, self._shape),
             *check_stops(
                 outcomes,
-                self._backends.executions,
+                records.executions,
                 stops=self._stops,
                 disruptions=self._disruptions,
             ),
-            *check_drained(self._backends.executions, last, self._backends.retired),
-            *check_budget(
-                self._backends.executions,
-                outcomes,
-                window_ms=EXTRA_WINDOW_MS,
-                ratio=EXTRA_RATIO,
-                allowance=EXTRA_ALLOWANCE,
-            ),
+            *check_drained(records.executions, last, self._backends.retired),
+            *check_budget(windows),
         ]
         if self._fault_counts.pop("unserved", 0):
             failures.append(Failure("recovery", "", "a front did not recover"))
@@ -335,6 +367,9 @@
             served=served,
             faults=dict(self._fault_counts),
             failures=failures,
+            fullest_window=max(
+                (window.extras / window.allowed for window in windows), default=0.0
+            ),
         )
 
 
--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -21,6 +21,7 @@
     check_responses,
     check_stops,
     check_versions,
+    extra_windows,
 )
 from ibisfront.testing.soak.faults import draw_faults
 from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
@@ -143,11 +144,28 @@
         self.assertEqual([item.check for item in found], ["drained"])
 
     def test_attempts_beyond_the_budget_are_detected(self):
-        runs = [execution("a", at_ms=float(n)) for n in range(8)]
-        options = {"window_ms": 100.0, "ratio": 0.2}
-        outcomes = [search("abcd")]
-        self.assertTrue(check_budget(runs, outcomes, allowance=5.0, **options))
-        self.assertFalse(check_budget(runs, outcomes, allowance=7.0, **options))
+        arrivals = [execution("a", at_ms=float(n)) for n in range(8)]
+        requested_ms = SHAPE.requested_ms([search("abcd")])
+
+        def failures(allowance):
+            windows = extra_windows(
+                arrivals,
+                requested_ms,
+                window_ms=100.0,
+                ratio=0.2,
+                allowance=allowance,
+            )
+            return check_budget(windows)
+
+        self.assertTrue(failures(5.0))
+        self.assertTrue(failures(6.5))
+        self.assertFalse(failures(7.0))
+
+    def test_requests_of_other_routes_add_nothing_to_a_budget(self):
+        """Guards against a bound that grows with requests for other services."""
+        requested_ms = SHAPE.requested_ms([order(200), search("abcd")])
+        self.assertEqual([len(requested_ms[name]) for name in ("a", "order")], [1, 1])
+        self.assertEqual(requested_ms["fetch"], [])
 
 
 class UniqueIdsTest(unittest.TestCase):
