Count a refused query as sent if servers have rejected its parts

Callers saw nothing wrong; servers received more than the budget allows. With all servers rejecting, a query cost one extra sub-request for each delegated part without coordinators, and four with them, none of which any budget counted.

Cause: 503 of another instance says that no server ran the query. It was taken to say that no server received it, so the parts were requested again as primary sub-requests, by the instance itself or by up to four coordinators, twice over. Each of them also counted the query as primary, which raised the ratio's base.

Ruled out: the budgets' arithmetic (the three tests of rejected queries run without any allowance and without restarts).

Now the refusal says whether servers had received parts; the instance that asks again then does it from the budget, and only where the attempts of the route cover all servers. A primary counts when it is sent, not when it is planned. `may_have_run` stays what it was: "not run" is still true, and still said. `was_sent` of runs is called `may_have_run`, as it is elsewhere, beside the new `may_have_arrived`.

The fake of a refusing instance has the new attribute; its test's assertions are unchanged.

--- a/ibisfront/gateway/queries/coordinated_query.py
+++ b/ibisfront/gateway/queries/coordinated_query.py
@@ -28,7 +28,7 @@
 StartRemoteCall: TypeAlias = (
     "Callable[[RemotePlan, bool, Callable[[], None]], RemoteCall]"
 )
-"""Sends a query to an instance, with whether another may have run it already."""
+"""Sends a query to an instance, with whether servers may have received it already."""
 
 NextCoordinator: TypeAlias = "Callable[[Sequence[Server]], RemotePlan | None]"
 """Returns a plan for a coordinator that was not tried yet, or None."""
@@ -73,6 +73,7 @@
         "_gathering",
         "_give_up_at_ms",
         "_has_retried",
+        "_may_have_arrived",
         "_may_have_run",
         "_may_retry",
         "_next_plan",
@@ -107,6 +108,7 @@
         self._give_up_at_ms = give_up_at_ms
         self._may_retry = may_retry
         self._has_retried = False
+        self._may_have_arrived = False
         self._may_have_run = False
         self._unreachable_count = 0
         self._tried: list[Server] = []
@@ -130,11 +132,17 @@
         return self.received_parts >= self._gathering.needed_parts
 
     @property
-    def was_sent(self) -> bool:
+    def may_have_run(self) -> bool:
         """Whether any part may have run."""
         is_running = self.remote is not None and self.remote.may_have_run
         return self._may_have_run or is_running
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether any server may have received a part, even if it rejected it."""
+        has_arrived = self.remote is not None and self.remote.may_have_arrived
+        return self._may_have_arrived or has_arrived
+
     @property
     def is_open(self) -> bool:
         """Whether an answer may still come."""
@@ -176,13 +184,14 @@
             self.remote.end(at_once=True)
 
     def _start_call(self, plan: RemotePlan) -> RemoteCall:
-        remote = self._start_remote(plan, self._may_have_run, self._wake)
+        remote = self._start_remote(plan, self._may_have_arrived, self._wake)
         self.remote = remote
         return remote
 
     def _plan_after(self, remote: RemoteCall) -> RemotePlan | None:
         """Return the plan after a coordinator without an answer, or None to stop."""
         self._tried.append(remote.peer)
+        self._may_have_arrived = self._may_have_arrived or remote.may_have_arrived
         if remote.may_have_run:
             self._may_have_run = True
             if self._has_retried or not self._may_retry:
--- a/ibisfront/gateway/queries/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -17,6 +17,8 @@
     "format_delegated_query",
     "parse_delegated_query",
     "parse_signatures",
+    "reached_header",
+    "reports_servers_reached",
     "reports_servers_unreachable",
     "service_bitmask",
     "signatures_header",
@@ -31,6 +33,7 @@
 _REPEAT = b"x-ibisfront-repeat"
 _SIGNATURES = b"x-ibisfront-signatures"
 _UNREACHABLE = b"x-ibisfront-out-of-reach"
+_REACHED = b"x-ibisfront-reached"
 
 
 class DelegatedQuery(msgspec.Struct, frozen=True):
@@ -102,6 +105,20 @@
     return (_UNREACHABLE, b"1")
 
 
+def reports_servers_reached(reply: BackendReply) -> bool:
+    """Return whether servers received parts of a query that an instance refused."""
+    return any(name.lower() == _REACHED for name, _ in reply.headers)
+
+
+def reached_header() -> Header:
+    """Return the header of a refusal after servers have rejected the parts.
+
+    Nothing has run, but each part has arrived at a server: requested again, it is
+    an extra sub-request.
+    """
+    return (_REACHED, b"1")
+
+
 def signatures_header(signatures: Sequence[bytes]) -> Header:
     """Return the header that lists the parts of a delegated answer."""
     return (_SIGNATURES, b",".join(signatures))
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -152,12 +152,19 @@
         return self.received_parts >= self._needed_parts
 
     @property
-    def was_sent(self) -> bool:
+    def may_have_run(self) -> bool:
         """Whether any part may have run."""
         if self.remote is not None and self.remote.may_have_run:
             return True
         return any(call.may_have_run for call in self._all_calls)
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether any server may have received a part, even if it rejected it."""
+        if self.remote is not None and self.remote.may_have_arrived:
+            return True
+        return any(call.may_have_arrived for call in self._all_calls)
+
     @property
     def is_open(self) -> bool:
         """Whether any part may still arrive."""
@@ -371,9 +378,10 @@
     def _replace_failed_remote(self, now_ms: float) -> None:
         """Request the parts directly if the other instance refuses, fails or is lost.
 
-        It may have queried its servers already. Direct requests then count as extra
-        attempts and must not reach more servers than the route allows attempts, which
-        holds if a service has no more servers than that.
+        Its servers may have received the parts already, also if they rejected all of
+        them. Direct requests then count as extra attempts and must not reach more
+        servers than the route allows attempts, which holds if a service has no more
+        servers than that.
         """
         remote = self.remote
         if remote is None or self._is_falling_back:
@@ -394,7 +402,7 @@
             for name in remote.services
         ]
         self._all_calls += self._fallback_calls
-        if not remote.may_have_run:
+        if not remote.may_have_arrived:
             # The request may be queued for a connection and must not be sent later.
             remote.end(at_once=True)
             self._start_calls(self._fallback_calls)
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -13,6 +13,7 @@
     DelegatedQuery,
     format_delegated_query,
     parse_signatures,
+    reports_servers_reached,
     reports_servers_unreachable,
     service_bitmask,
 )
@@ -85,6 +86,8 @@
         Whether the instance has not run the query and will not.
     servers_unreachable : bool
         Whether it refused because it cannot reach the servers.
+    reached_servers : bool
+        Whether it refused after servers had received parts and rejected them.
     """
 
     __slots__ = (
@@ -93,6 +96,7 @@
         "_on_change",
         "_plan",
         "is_refused",
+        "reached_servers",
         "records",
         "servers_unreachable",
         "services",
@@ -111,6 +115,7 @@
         self.records = b""
         self.is_refused = False
         self.servers_unreachable = False
+        self.reached_servers = False
 
     @property
     def peer(self) -> Server:
@@ -155,6 +160,11 @@
         was_sent = self._exchange is not None and self._exchange.sent_at_ms is not None
         return was_sent and not self.is_refused
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether any server may have received a part, even if it rejected it."""
+        return self.may_have_run or self.reached_servers
+
     def start(
         self,
         request: InboundRequest,
@@ -190,7 +200,7 @@
         objective_ms : float
             How long to wait for parts if the latency objective has passed already.
         is_repeat : bool
-            Whether these parts may have been requested from servers already.
+            Whether servers may have received these parts already.
         """
         bitmask = service_bitmask(gathering, self.services)
         return_ms = _RETURN_MARGIN_MS + _RETURN_MARGIN_PER_PART_MS * len(self.services)
@@ -259,6 +269,7 @@
         self.servers_unreachable = self.is_refused and reports_servers_unreachable(
             reply
         )
+        self.reached_servers = self.is_refused and reports_servers_reached(reply)
         signatures = parse_signatures(reply)
         if reply.status == _OK and signatures:
             self.signatures = signatures
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -16,6 +16,7 @@
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
+    reached_header,
     signatures_header,
     unreachable_header,
 )
@@ -345,7 +346,10 @@
     def _delegated_reply(self, run: GatherRun, gathering: Gathering) -> CallerReply:
         signatures, bodies = run.answer()
         if not signatures:
-            return self._failure_reply(run)
+            reply = self._failure_reply(run)
+            if run.may_have_arrived:
+                reply.headers.append(reached_header())
+            return reply
         records = top_records(bodies, gathering.top_count)
         headers = [signatures_header(signatures)]
         return CallerReply(200, headers, records, "delegated_parts")
@@ -354,11 +358,12 @@
         """Return the refusal of a query for which no sub-request was sent."""
         if run.remote is not None and run.remote.servers_unreachable:
             return self._gateway_context.unreachable_reply()
-        reason = _NO_COORDINATOR if isinstance(run, CoordinatedQuery) else "no_server"
+        is_untried = isinstance(run, CoordinatedQuery) and not run.may_have_arrived
+        reason = _NO_COORDINATOR if is_untried else "no_server"
         return self._gateway_context.not_run_reply(reason)
 
     def _failure_reply(self, run: GatherRun | CoordinatedQuery) -> CallerReply:
-        if not run.was_sent:
+        if not run.may_have_run:
             return self._refusal(run)
         if run.ended_unresponsive:
             return self._failure(BAD_GATEWAY, "all_silent", closes=True)
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -112,12 +112,15 @@
         The retry-after time of the last "not run" reply, if it states one.
     attempts_sent : int
         Number of exchanges started.
+    may_have_arrived : bool
+        Whether any server may have received the request, even if it rejected it.
     """
 
     __slots__ = (
         "_context",
         "_has_run",
         "_is_out_of_budget",
+        "_is_primary",
         "_not_run_attempts",
         "_on_change",
         "_open",
@@ -126,6 +129,7 @@
         "attempts_sent",
         "failure",
         "last_error",
+        "may_have_arrived",
         "reply",
         "retry_after_ms",
         "service",
@@ -151,6 +155,8 @@
         self._has_run = False
         self.retry_after_ms: float | None = None
         self.attempts_sent = 0
+        self._is_primary = False
+        self.may_have_arrived = False
 
     @property
     def is_settled(self) -> bool:
@@ -181,8 +187,7 @@
             # has more servers than the route allows attempts, this one could exceed
             # the limit.
             return self.attempts_cover_all_servers and self.send_extra_attempt()
-        self._context.budgets.of_service(self.service).record_primary(now_ms)
-        self._context.counters.add(CounterKind.SUB_REQUESTS, "primary")
+        self._is_primary = True
         return self._send(now_ms)
 
     def send_extra_attempt(self) -> bool:
@@ -298,11 +303,10 @@
 
     def _submit(self, server: Server, now_ms: float) -> None:
         context = self._context
-        payload = context.payload
         exchange = Exchange(
             server,
             request_id=context.request_id,
-            payload=lambda at_ms: payload(server, at_ms),
+            payload=lambda at_ms: self._payload(server, at_ms),
             on_end=self._on_exchange_end,
             rank=context.rank,
             created_at_ms=now_ms,
@@ -316,6 +320,19 @@
         assert server.pool is not None
         server.pool.submit(exchange)
 
+    def _payload(self, server: Server, at_ms: float) -> bytes:
+        """Return the bytes to send, at the moment of sending.
+
+        The primary sub-request counts towards the budget only once it is sent: if
+        several instances try a query in turn, one of them counts it.
+        """
+        context = self._context
+        if self._is_primary and not self.may_have_arrived:
+            context.budgets.of_service(self.service).record_primary(at_ms)
+            context.counters.add(CounterKind.SUB_REQUESTS, "primary")
+        self.may_have_arrived = True
+        return context.payload(server, at_ms)
+
     def _on_exchange_end(self, exchange: Exchange) -> None:
         """Process the end of an exchange, abandoned or not."""
         server = exchange.server
--- a/ibisfront/tests/test_gateway_coordinated_query.py
+++ b/ibisfront/tests/test_gateway_coordinated_query.py
@@ -16,7 +16,7 @@
 class RefusingRemote:
     """A call to an instance that has refused the query."""
 
-    is_open = has_answered = may_have_run = False
+    is_open = has_answered = may_have_run = may_have_arrived = False
     is_refused = True
     signatures = ()
 
@@ -60,7 +60,7 @@
                 may_retry=True,
             )
             await query.run()
-        self.assertFalse(query.was_sent)
+        self.assertFalse(query.may_have_run)
         self.assertFalse(any(requests))
         return len(requests)
 
