Withhold every sub-request of a repeat that could exceed the route's attempts

Servers saw a query at more servers than its route allows attempts: a coordinator was lost while it ran the query, and the next one could not know which servers it had used. Where a service has more servers than attempts the repeat is withheld, but only its first sub-request was: the part then counted as failed, and the retry of failed parts sent it after all.

The check now stands where every extra sub-request is sent.

Test: RepeatedQueryTest.

--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -183,16 +183,19 @@
     def start(self, now_ms: float) -> bool:
         """Send the primary attempt; return False if no server may be used."""
         if self._context.is_repeat:
-            # The servers used by the other instance are unknown here. If the service
-            # has more servers than the route allows attempts, this one could exceed
-            # the limit.
-            return self.attempts_cover_all_servers and self.send_extra_attempt()
+            return self.send_extra_attempt()
         self._is_primary = True
         return self._send(now_ms)
 
     def send_extra_attempt(self) -> bool:
-        """Send an extra attempt if the attempts and the budget allow it."""
+        """Send an extra attempt if the attempts and the budget allow it.
+
+        The servers used by another instance are unknown here. If the service has more
+        servers than the route allows attempts, a repeat could exceed the limit.
+        """
         context = self._context
+        if context.is_repeat and not self.attempts_cover_all_servers:
+            return False
         if self.attempts_sent >= context.attempts + min(
             self._not_run_attempts, _MAX_NOT_RUN_RETRIES
         ):
@@ -226,6 +229,8 @@
         if self._is_out_of_budget:
             return math.inf
         context = self._context
+        if context.is_repeat and not self.attempts_cover_all_servers:
+            return math.inf
         if self.attempts_sent >= context.attempts + min(
             self._not_run_attempts, _MAX_NOT_RUN_RETRIES
         ):
--- a/ibisfront/tests/test_retries_over_budget.py
+++ b/ibisfront/tests/test_retries_over_budget.py
@@ -10,8 +10,13 @@
 from ibisfront.core.clock import Clock
 from ibisfront.front.process import FrontProcess
 from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.messages import InboundRequest
+from ibisfront.gateway.queries.delegated_query import (
+    DelegatedQuery,
+    format_delegated_query,
+)
 from ibisfront.gateway.settings import Bounds, GatewaySettings
-from ibisfront.testing.gateway_fixture import gather_route
+from ibisfront.testing.gateway_fixture import HOST, GatewayFixture, gather_route
 from ibisfront.testing.soak.checks import extra_windows
 from ibisfront.testing.soak.servers import Execution
 from ibisfront.testing.two_zones import TwoZones
@@ -68,6 +73,34 @@
         self.assertLessEqual(sum(budget.primaries for budget in budgets), 5)
 
 
+class RepeatedQueryTest(unittest.TestCase):
+    """A query that another instance may have run, with the route's attempts used."""
+
+    @trio_test
+    async def test_repeat_reaches_more_servers_than_the_route_allows(self):
+        """Guards against retries of parts whose repeat was withheld."""
+        route = gather_route(4)
+        fixture = GatewayFixture(route, servers=3)
+        async with fixture.running() as gateway:
+            query = DelegatedQuery(
+                request=InboundRequest(
+                    b"GET", b"/search/a", HOST, "r", 900.0, [], b"", 0.0
+                ),
+                gathering=route.gathering.digest,
+                services=0b1111,
+                objective_remaining_ms=100.0,
+                is_repeat=True,
+            )
+            await gateway.answer_instance(format_delegated_query(query))
+        received = [
+            exchange
+            for servers in fixture.servers.values()
+            for server in servers
+            for exchange in server.received
+        ]
+        self.assertEqual(received, [])
+
+
 class Cluster:
     """Front processes that use their retry budgets as fast as these allow."""
 
