Divide limits among recently listed instances, and let a joining one wait

What is shared by all instances (retry budgets, connections to a server, requests to a cold server, the choice of coordinators) was divided by the list of the moment. A list that lacks live instances (stale, still filling, from a store that lost entries) made every share larger, while the others kept theirs; an instance that had just registered took a share beside those of instances that did not count it yet; before any list the number was assumed to be 16, five times too few at 83.

Now an instance that was listed counts for 30 s more; one that was not listed before its start gets a share 10 s after it is; without a list, or without being in it, there is none. What counts here is not told to others: the list is passed on as it was received, so that an instance that is gone cannot live on between neighbours. Connections before the first list still assume 16.

--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -16,7 +16,6 @@
 
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.instances.coordinators import Coordinators
-    from ibisfront.gateway.load.retry_budget import RetryBudgets
     from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.servers.server_event_log import ServerEventLog
     from ibisfront.gateway.servers.server_registry import ServerRegistry
@@ -41,8 +40,8 @@
     ----------
     coordinators : Coordinators
         Which instances coordinate queries for the others.
-    budgets : RetryBudgets
-        Holds the number of instances.
+    count_instances : callable
+        Returns the number of instances that share the connections.
     find_table : callable
         Returns the active configuration; None if none is loaded.
     find_bounds : callable
@@ -56,9 +55,9 @@
     """
 
     __slots__ = (
-        "_budgets",
         "_clock",
         "_coordinators",
+        "_count_instances",
         "_event_log",
         "_find_bounds",
         "_find_table",
@@ -71,7 +70,7 @@
         self,
         *,
         coordinators: Coordinators,
-        budgets: RetryBudgets,
+        count_instances: Callable[[], int],
         find_table: Callable[[], RouteTable | None],
         find_bounds: Callable[[], Bounds],
         nursery: trio.Nursery,
@@ -80,7 +79,7 @@
     ) -> None:
         self._event_log = event_log
         self._coordinators = coordinators
-        self._budgets = budgets
+        self._count_instances = count_instances
         self._find_table = find_table
         self._find_bounds = find_bounds
         self._nursery = nursery
@@ -162,7 +161,7 @@
         if table is None or routed is None:
             return 1
         shared = routed.maximum_connections * CONNECTIONS_SHARE
-        instances = max(self._budgets.instances, 1)
+        instances = self._count_instances()
         if (
             self._coordinators.receives_delegated_queries
             and service in table.gathered_services
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -22,6 +22,7 @@
     InstanceEntry,
     peer_entry,
 )
+from ibisfront.gateway.instances.recent_instances import RecentInstances
 from ibisfront.gateway.instances.zone_path_monitor import ZonePathMonitor
 from ibisfront.gateway.instances.zone_paths import ZonePaths
 from ibisfront.gateway.load.retry_budget import RetryBudgets
@@ -59,6 +60,10 @@
 """Maximum size of the headers that an instance adds to those of a caller: four short
 ones, and one bit per service."""
 
+_JOIN_MS = 10_000.0
+"""Time until the others count a new instance: they read the list every 6 s at most, and
+it may be some seconds old."""
+
 _MAINTENANCE_INTERVAL_MS = 100.0
 """Interval at which stale entries are removed and unreachable servers probed."""
 
@@ -106,6 +111,8 @@
     __slots__ = (
         "_clock",
         "_event_log",
+        "_listed",
+        "_recent_instances",
         "_reported_ready",
         "budgets",
         "connections",
@@ -132,7 +139,6 @@
         self.observer = Observer()
         self.budgets = RetryBudgets(
             settings.bounds,
-            instances=ASSUMED_INSTANCES,
             started_ms=clock.now_ms(),
         )
         own = InstanceEntry(
@@ -142,11 +148,15 @@
             settings.capacity,
         )
         self.own = own
+        self._listed: Sequence[InstanceEntry] = ()
+        self._recent_instances = RecentInstances(
+            own.name, is_first_start=settings.is_first_start
+        )
         self._event_log = ServerEventLog(clock)
         self.coordinators = Coordinators(own)
         self.connections = Connections(
             coordinators=self.coordinators,
-            budgets=self.budgets,
+            count_instances=lambda: self.instance_count,
             find_table=lambda: self.gateway.table,
             find_bounds=lambda: self.settings.bounds,
             nursery=nursery,
@@ -287,23 +297,40 @@
 
     def apply_instances(self, listed: Sequence[InstanceEntry]) -> None:
         """Apply a new list of instances."""
-        before = (self.budgets.instances, self.coordinators.is_coordinator)
+        before = (self.instance_count, self.coordinators.is_coordinator)
         is_first = not self.topology.is_loaded
         now_ms = self._clock.now_ms()
-        self.budgets.set_instance_count(max(len(listed), 1), now_ms)
+        self._listed = listed
+        instances = self._recent_instances.update(listed, now_ms)
         self.peers.replace(
-            [peer_entry(item) for item in listed if item.name != self.own.name],
+            [peer_entry(item) for item in instances if item.name != self.own.name],
             after_outage=False,
         )
-        self.topology.update(listed)
-        self.coordinators.update(listed, self.gateway.table)
-        self._update_coordinator_count(now_ms)
-        after = (self.budgets.instances, self.coordinators.is_coordinator)
+        self.topology.update(instances)
+        self.coordinators.update(instances, self.gateway.table)
+        self._update_budgets(now_ms)
+        after = (self.instance_count, self.coordinators.is_coordinator)
         if is_first or after != before:
             self.connections.update_limits(self.registry)
             self.connections.warm_up(self.registry)
         self.source.record_change()
 
+    @property
+    def instance_count(self) -> int:
+        """Number of instances that share the connections that servers accept."""
+        if not self.topology.is_loaded:
+            return ASSUMED_INSTANCES
+        return max(len(self.coordinators.instances), 1)
+
+    def _update_budgets(self, now_ms: float) -> None:
+        """Divide the retry budgets among the instances that count."""
+        recent = self._recent_instances
+        count = self.instance_count if recent.is_member else math.inf
+        self.budgets.set_instance_count(count, now_ms)
+        self._update_coordinator_count(now_ms)
+        if recent.joined_at_ms == now_ms:
+            self.budgets.hold_until(now_ms + _JOIN_MS)
+
     def _record_partition_report(self, name: str, is_partitioned: bool) -> None:
         """Record whether another instance of the zone reports a partition.
 
@@ -376,9 +403,8 @@
                 for server in self.registry.servers()
                 if not server.is_stale
             ],
-            instances=list(self.coordinators.instances)
-            if self.topology.is_loaded
-            else [],
+            # As listed: instances that only count here are not passed on.
+            instances=list(self._listed),
             stale=stale,
             may_lack_servers=self.registry.may_lack_servers,
             evacuated=self.registry.evacuated,
@@ -466,5 +492,5 @@
                 len(self.registry.evacuated or ()),
             ),
             Gauge("servers_out_of_reach", "Of these, silent or refusing.", unreachable),
-            Gauge("instances", "Instances listed.", self.budgets.instances),
+            Gauge("instances", "Instances listed.", self.instance_count),
         ]
--- a/ibisfront/gateway/instances/directory.py
+++ b/ibisfront/gateway/instances/directory.py
@@ -47,8 +47,8 @@
 within 0.3 s of each other, and a start takes about as long again."""
 
 ASSUMED_INSTANCES = 16
-"""Number of instances assumed to share allowances and connections until the list is
-read: about twice the entry instances of a typical deployment."""
+"""Number of instances assumed to share connections until the list is read: about twice
+the entry instances of a typical deployment."""
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
--- a/ibisfront/gateway/load/retry_budget.py
+++ b/ibisfront/gateway/load/retry_budget.py
@@ -133,8 +133,6 @@
 
     Attributes
     ----------
-    instances : float
-        Number of instances that share the allowances.
     listed_at_ms : float or None
         When the list of instances was last received; None before the first time.
     """
@@ -145,8 +143,8 @@
         "_budgets",
         "_coordinated_services",
         "_coordinator_count",
+        "_instances",
         "_logged_at_ms",
-        "instances",
         "listed_at_ms",
     )
 
@@ -162,7 +160,7 @@
         self._accrues_from_ms = started_ms
         self._coordinated_services: frozenset[str] = frozenset()
         self._coordinator_count = math.inf
-        self.instances = instances
+        self._instances = instances
         self._logged_at_ms = -math.inf
         self.listed_at_ms: float | None = None
 
@@ -178,10 +176,10 @@
             The current time.
         """
         self.listed_at_ms = now_ms
-        if count != self.instances:
-            if math.isinf(self.instances):
+        if count != self._instances:
+            if math.isinf(self._instances):
                 self._accrues_from_ms = max(self._accrues_from_ms, now_ms)
-            self.instances = count
+            self._instances = count
             self._update_shares(now_ms)
 
     def set_coordinator_count(
@@ -244,7 +242,7 @@
         """Return how many instances share the allowance of a service."""
         if service in self._coordinated_services:
             return self._coordinator_count
-        return self.instances
+        return self._instances
 
     def _update_shares(self, now_ms: float) -> None:
         for service, budget in self._budgets.items():
--- a/ibisfront/tests/test_front_connections.py
+++ b/ibisfront/tests/test_front_connections.py
@@ -10,7 +10,6 @@
 from ibisfront.front.connections import Connections
 from ibisfront.gateway.instances.coordinators import Coordinators
 from ibisfront.gateway.instances.directory import InstanceEntry
-from ibisfront.gateway.load.retry_budget import RetryBudgets
 from ibisfront.gateway.servers.exchange import Exchange
 from ibisfront.gateway.servers.server import Server
 from ibisfront.gateway.servers.server_entry import ServerEntry
@@ -55,7 +54,7 @@
                 coordinators.update(listed, table)
                 connections = Connections(
                     coordinators=coordinators,
-                    budgets=RetryBudgets(Bounds(), instances=_INSTANCES),
+                    count_instances=lambda: _INSTANCES,
                     find_table=lambda: table,
                     find_bounds=Bounds,
                     nursery=nursery,
--- a/ibisfront/tests/test_gateway_cold_start_limit.py
+++ b/ibisfront/tests/test_gateway_cold_start_limit.py
@@ -10,7 +10,6 @@
 from ibisfront.front.connections import Connections
 from ibisfront.gateway.instances.coordinators import Coordinators
 from ibisfront.gateway.instances.directory import InstanceEntry
-from ibisfront.gateway.load.retry_budget import RetryBudgets
 from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.servers.exchange import Exchange
 from ibisfront.gateway.servers.server import Server
@@ -45,7 +44,7 @@
         coordinators.update(listed, table)
         connections = Connections(
             coordinators=coordinators,
-            budgets=RetryBudgets(Bounds(), instances=len(listed)),
+            count_instances=lambda: len(listed),
             find_table=lambda: table,
             find_bounds=lambda: _BOUNDS,
             nursery=nursery,
--- a/ibisfront/tests/test_retries_over_budget.py
+++ b/ibisfront/tests/test_retries_over_budget.py
@@ -216,6 +216,33 @@
             await cluster.run_for(10.0)
         self.assertLessEqual(cluster.fullest_window(), 1.0)
 
+    @trio_test
+    async def test_list_that_stays_short_grants_larger_shares(self):
+        """Guards against the same where a list has one instance for some windows."""
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery)
+            for number in ALL:
+                cluster.start(number)
+            await cluster.run_for(15.0)
+            for _ in range(5):
+                for number in ALL:
+                    cluster.list(number, [number])
+                await cluster.run_for(5.0)
+        self.assertLessEqual(cluster.fullest_window(), 1.0)
+
+    @trio_test
+    async def test_list_that_fills_slowly_grants_larger_shares(self):
+        """Guards against a joining instance that the others do not count yet."""
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery)
+            for number in ALL:
+                cluster.start(number, is_first_start=True, listed=[number])
+            await cluster.run_for(9.0)
+            for number in ALL:
+                cluster.list(number, ALL)
+            await cluster.run_for(20.0)
+        self.assertLessEqual(cluster.fullest_window(), 1.0)
+
     @trio_test
     async def test_instances_that_start_one_by_one_each_take_a_large_share(self):
         """Guards against shares of a list that is still being filled."""
