Refuse requests that crash servers, at all instances

Class: as with the budgets, a bound over all instances of which each sees a part. Here there is nothing to divide, so the instances tell each other. A run that lost servers and got no reply from any is reported to all instances, with all that is known of the request; the reply holds what the other one knows, so that a lost report is made up for by the next, and a restarted instance asks three others. Two runs that lost three servers quarantine the request for 10, 40 and 160 s, then an hour, so that three copies at most run once it is known.

What must not happen is to refuse a request for a fault of the servers: any reply to a copy clears it, everywhere; one answered in the last minute is not suspected; a run with any reply is no evidence, so that an ordinary crash of a server reports nothing; eight requests are quarantined at most at a time. A connection that this side closed, or that timed out, is no crash.

Ruled out: the own interface's quarantine, which counts two losses for each service. A query over all shards would be refused after one crash of both servers of one shard, with all its answers.

A report costs a message to each instance, five a second at most; no message where no request fails everywhere. The cost of the digest of each run is not measured yet.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -17,6 +17,7 @@
 from ibisfront.gateway.gateway import Gateway
 from ibisfront.gateway.gateway_context import GatewayContext
 from ibisfront.gateway.instances.coordinators import Coordinators
+from ibisfront.gateway.instances.crash_reports import CrashReports
 from ibisfront.gateway.instances.directory import (
     ASSUMED_INSTANCES,
     InstanceEntry,
@@ -64,6 +65,10 @@
 """Time until the others count a new instance: they read the list every 6 s at most, and
 it may be some seconds old."""
 
+_PEERS_ASKED_AT_START = 3
+"""Instances that a restarted one asks which requests crash servers; any of them may be
+starting itself."""
+
 _MAINTENANCE_INTERVAL_MS = 100.0
 """Interval at which stale entries are removed and unreachable servers probed."""
 
@@ -96,6 +101,8 @@
         The entry under which this instance registers.
     coordinators : Coordinators
         Which instances coordinate queries for the others.
+    crash_reports : CrashReports
+        Shares with other instances which requests crash servers.
     source : StateSource
         Relays the store's state to other instances.
     topology : RelayTopology
@@ -117,6 +124,7 @@
         "budgets",
         "connections",
         "coordinators",
+        "crash_reports",
         "gateway",
         "is_stopping",
         "observer",
@@ -209,6 +217,12 @@
             is_cut_off=lambda: self.gateway.is_partitioned,
             clock=clock,
         )
+        self.crash_reports = CrashReports(
+            peers=self.peers,
+            wire=WIRE,
+            clock=clock,
+            counters=self.observer.counters,
+        )
         self.gateway = Gateway(
             GatewayContext(
                 registry=self.registry,
@@ -216,6 +230,7 @@
                 wire=WIRE,
                 clock=clock,
                 observer=self.observer,
+                crash_reports=self.crash_reports,
             ),
             delegation=Delegation(
                 registry=self.registry,
@@ -310,6 +325,11 @@
         self.coordinators.update(instances, self.gateway.table)
         self._update_budgets(now_ms)
         after = (self.instance_count, self.coordinators.is_coordinator)
+        if is_first and not self.settings.is_first_start:
+            peers = self.crash_reports.peers
+            self.crash_reports.request_known(
+                random.sample(peers, min(len(peers), _PEERS_ASKED_AT_START))
+            )
         if is_first or after != before:
             self.connections.update_limits(self.registry)
             self.connections.warm_up(self.registry)
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -148,6 +148,9 @@
         if not self._reachability.can_serve(route):
             self.report_readiness()
             return gateway_context.refuse(request, gateway_context.unreachable_reply())
+        quarantined = gateway_context.quarantine_reply(request)
+        if quarantined is not None:
+            return gateway_context.refuse(request, quarantined)
         if route.gathering is not None:
             return await self._scatter_gather.answer(request, route, route.gathering)
         return await self._forward(request, route)
@@ -157,6 +160,9 @@
         liveness_reply = answer_liveness_probe(request, self._gateway_context.wire)
         if liveness_reply is not None:
             return liveness_reply
+        report_reply = self._gateway_context.answer_crash_report(request)
+        if report_reply is not None:
+            return report_reply
         query = parse_delegated_query(request)
         if query is None:
             return CallerReply(400, [], b"", "not_delegated")
@@ -199,6 +205,12 @@
             run.end(at_once=True)
             gateway_context.record_cancelled(request, route, context)
             raise
+        finally:
+            gateway_context.record_run(
+                request,
+                has_reply=run.call.has_reply,
+                servers_lost=run.call.servers_lost,
+            )
         run.end(at_once=not route.is_idempotent)
         reply = self._forwarding_reply(run)
         gateway_context.record(
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.gateway.instances.crash_reports import CrashReports
     from ibisfront.gateway.load.retry_budget import RetryBudgets
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.observability import Observer
@@ -46,6 +47,8 @@
         The tier's clock.
     observer : Observer
         Counters and log lines.
+    crash_reports : CrashReports, optional
+        Tracks requests that crash servers; without it none is refused for that.
 
     Attributes
     ----------
@@ -59,6 +62,7 @@
 
     __slots__ = (
         "_budgets",
+        "_crash_reports",
         "_observer",
         "clock",
         "registry",
@@ -76,8 +80,10 @@
         wire: WireCodec,
         clock: Clock,
         observer: Observer,
+        crash_reports: CrashReports | None = None,
     ) -> None:
         self._budgets = budgets
+        self._crash_reports = crash_reports
         self._observer = observer
         self.registry = registry
         self.wire = wire
@@ -149,6 +155,28 @@
         reply.closes = True
         return reply
 
+    def quarantine_reply(self, request: InboundRequest) -> CallerReply | None:
+        """Return the refusal of a request that crashes servers; None for others."""
+        if self._crash_reports is None:
+            return None
+        left_ms = self._crash_reports.quarantine_left_ms(request)
+        return self.not_run_reply("quarantined", left_ms) if left_ms else None
+
+    def record_run(
+        self, request: InboundRequest, *, has_reply: bool, servers_lost: int
+    ) -> None:
+        """Record what became of the servers that ran a request."""
+        if self._crash_reports is not None:
+            self._crash_reports.record_run(
+                request, has_reply=has_reply, servers_lost=servers_lost
+            )
+
+    def answer_crash_report(self, request: InboundRequest) -> CallerReply | None:
+        """Return the reply to another instance's report; None if it is no report."""
+        if self._crash_reports is None:
+            return None
+        return self._crash_reports.answer(request)
+
     def refuse(self, request: InboundRequest, reply: CallerReply) -> CallerReply:
         """Record a request that is refused before any sub-request; return the reply."""
         self._observer.record_refused(request, reply, version=self.version)
--- /dev/null
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -0,0 +1,217 @@
+"""Requests suspected of crashing the backend servers that run them.
+
+Load pattern: one request crashes each server that runs it, and its caller sends it
+again, to any instance. Each copy costs a server of every service that it reaches.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ibisfront.core.logs import LogPart, part_logger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ibisfront.gateway.messages import InboundRequest
+
+__all__ = ["CrashSuspects", "FailedRuns", "fingerprint_of"]
+
+_LOG = part_logger(LogPart.QUERY)
+
+_DIGEST_BYTES = 12
+
+_MIN_SERVERS_LOST = 3
+_MIN_RUNS = 2
+"""Servers lost, and runs that lost them, before a request is quarantined. In one run
+alone, the servers may have been lost for another reason at the same moment."""
+
+_QUARANTINES_MS = (10_000.0, 40_000.0, 160_000.0, 3_600_000.0)
+"""Durations of a request's quarantines. Each ends with a copy that may reach servers;
+three such copies are tolerated in all."""
+
+_ANSWERED_TTL_MS = 60_000.0
+"""How long an answer proves that a request does not crash servers."""
+
+_SUSPICION_TTL_MS = 300_000.0
+_MAX_SUSPECTS = 100
+_MAX_ANSWERED = 4_096
+_MAX_RUNS = 8
+"""Runs remembered of a suspect, the latest."""
+
+_MAX_QUARANTINED = 8
+"""Requests in quarantine at a time. If more seem to crash servers, it is the servers
+that fail, and refusing requests would prolong the outage."""
+
+
+class FailedRuns(msgspec.Struct, frozen=True):
+    """The runs of a request that lost servers and got no reply from any.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest that is equal for all copies of the request.
+    servers_lost : dict of str to int
+        Servers lost by each run, by the request id of the run.
+    quarantines : int
+        How often it has been quarantined.
+    """
+
+    fingerprint: str
+    servers_lost: dict[str, int]
+    quarantines: int = 0
+
+
+class _Suspect:
+    """What is known about one suspected request."""
+
+    __slots__ = ("last_seen_ms", "quarantined_until_ms", "quarantines", "servers_lost")
+
+    def __init__(self) -> None:
+        self.servers_lost: dict[str, int] = {}
+        self.quarantines = 0
+        self.quarantined_until_ms = -math.inf
+        self.last_seen_ms = -math.inf
+
+    def add_runs(self, servers_lost: dict[str, int]) -> bool:
+        """Add the servers lost by runs; return whether any run was unknown."""
+        new_ids = servers_lost.keys() - self.servers_lost.keys()
+        for request_id, count in servers_lost.items():
+            known = self.servers_lost.get(request_id, 0)
+            self.servers_lost[request_id] = max(count, known)
+        while len(self.servers_lost) > _MAX_RUNS:
+            del self.servers_lost[next(iter(self.servers_lost))]
+        return bool(new_ids)
+
+    @property
+    def is_evident(self) -> bool:
+        """Whether enough servers were lost by enough runs."""
+        return (
+            len(self.servers_lost) >= _MIN_RUNS
+            and sum(self.servers_lost.values()) >= _MIN_SERVERS_LOST
+        )
+
+
+def fingerprint_of(request: InboundRequest) -> str:
+    """Return a digest that is equal for all copies of a request."""
+    digest = hashlib.blake2b(request.method, digest_size=_DIGEST_BYTES)
+    for field in (request.host.encode(), request.target, request.body):
+        digest.update(b"%d " % len(field))
+        digest.update(field)
+    return digest.hexdigest()
+
+
+class CrashSuspects:
+    """Decides which requests are refused because they crash servers.
+
+    A request is suspected if a run of it lost servers and no server replied to it. It
+    is quarantined once two runs have lost three servers, here or at other instances;
+    any reply clears it. Each further quarantine lasts longer.
+    """
+
+    __slots__ = ("_answered_at_ms", "_suspects")
+
+    def __init__(self) -> None:
+        self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
+        self._answered_at_ms: OrderedDict[str, float] = OrderedDict()
+
+    def quarantine_left_ms(self, request: InboundRequest, now_ms: float) -> float:
+        """Return how long a request is refused; 0 if it may be sent to servers."""
+        if not self._suspects:
+            return 0.0
+        suspect = self._suspects.get(fingerprint_of(request))
+        if suspect is None or now_ms >= suspect.quarantined_until_ms:
+            return 0.0
+        suspect.last_seen_ms = now_ms
+        return suspect.quarantined_until_ms - now_ms
+
+    def record_answer(self, fingerprint: str, now_ms: float) -> bool:
+        """Record a reply of a server; return whether that cleared a suspicion."""
+        self._answered_at_ms[fingerprint] = now_ms
+        self._answered_at_ms.move_to_end(fingerprint)
+        if len(self._answered_at_ms) > _MAX_ANSWERED:
+            self._answered_at_ms.popitem(last=False)
+        return self._suspects.pop(fingerprint, None) is not None
+
+    def record_failed_run(
+        self, fingerprint: str, request_id: str, servers_lost: int, now_ms: float
+    ) -> FailedRuns | None:
+        """Record a run that lost servers; return what to tell other instances."""
+        report = FailedRuns(fingerprint, {request_id: servers_lost})
+        self.merge(report, now_ms)
+        return self.known(fingerprint)
+
+    def merge(self, report: FailedRuns, now_ms: float) -> None:
+        """Add what another instance knows about a request."""
+        answered_at_ms = self._answered_at_ms.get(report.fingerprint, -math.inf)
+        if now_ms < answered_at_ms + _ANSWERED_TTL_MS:
+            return
+        suspect = self._suspect(report.fingerprint, now_ms)
+        has_new_run = suspect.add_runs(report.servers_lost)
+        is_behind = report.quarantines > suspect.quarantines
+        is_free = now_ms >= suspect.quarantined_until_ms
+        if suspect.is_evident and (is_behind or (is_free and has_new_run)):
+            self._quarantine(report.fingerprint, suspect, report.quarantines, now_ms)
+
+    def clear(self, fingerprint: str) -> None:
+        """Clear a request that another instance has seen answered."""
+        self._suspects.pop(fingerprint, None)
+
+    def known(self, fingerprint: str) -> FailedRuns | None:
+        """Return what is known about a request; None if it is not suspected."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return None
+        return FailedRuns(fingerprint, dict(suspect.servers_lost), suspect.quarantines)
+
+    def all_known(self) -> Iterable[FailedRuns]:
+        """Return what is known about each suspect, the latest first."""
+        for fingerprint in reversed(self._suspects):
+            known = self.known(fingerprint)
+            assert known is not None
+            yield known
+
+    def _suspect(self, fingerprint: str, now_ms: float) -> _Suspect:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and self._is_expired(suspect, now_ms):
+            suspect = None
+        if suspect is None:
+            suspect = self._suspects[fingerprint] = _Suspect()
+        suspect.last_seen_ms = now_ms
+        self._suspects.move_to_end(fingerprint)
+        if len(self._suspects) > _MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        return suspect
+
+    def _is_expired(self, suspect: _Suspect, now_ms: float) -> bool:
+        last_ms = max(suspect.last_seen_ms, suspect.quarantined_until_ms)
+        return now_ms > last_ms + _SUSPICION_TTL_MS
+
+    def _quarantine(
+        self, fingerprint: str, suspect: _Suspect, reported: int, now_ms: float
+    ) -> None:
+        quarantined = sum(
+            now_ms < other.quarantined_until_ms
+            for other in self._suspects.values()
+            if other is not suspect
+        )
+        if quarantined >= _MAX_QUARANTINED:
+            return
+        suspect.quarantines = max(suspect.quarantines + 1, reported)
+        index = min(suspect.quarantines, len(_QUARANTINES_MS)) - 1
+        duration_ms = _QUARANTINES_MS[index]
+        suspect.quarantined_until_ms = now_ms + duration_ms
+        fields = {
+            "fingerprint": fingerprint,
+            "servers_lost": sum(suspect.servers_lost.values()),
+            "request_ids": list(suspect.servers_lost),
+            "quarantines": suspect.quarantines,
+        }
+        _LOG.warning(
+            "A request crashes servers; refused for %d ms.", duration_ms, extra=fields
+        )
--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -143,10 +143,13 @@
         The cause.
     may_have_run : bool
         False only if no byte of the request left this process.
+    is_server_lost : bool
+        Whether the server closed or reset the connection while it ran the request.
     """
 
     kind: ExchangeErrorKind
     may_have_run: bool
+    is_server_lost: bool = False
 
 
 class CallerReply(msgspec.Struct):
--- a/ibisfront/gateway/queries/coordinated_query.py
+++ b/ibisfront/gateway/queries/coordinated_query.py
@@ -143,6 +143,16 @@
         has_arrived = self.remote is not None and self.remote.may_have_arrived
         return self._may_have_arrived or has_arrived
 
+    @property
+    def has_reply(self) -> bool:
+        """Whether any server has run a part and replied."""
+        return bool(self.received_parts)
+
+    @property
+    def servers_lost(self) -> int:
+        """Always 0: the coordinator records what its servers do."""
+        return 0
+
     @property
     def is_open(self) -> bool:
         """Whether an answer may still come."""
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -165,6 +165,18 @@
             return True
         return any(call.may_have_arrived for call in self._all_calls)
 
+    @property
+    def has_reply(self) -> bool:
+        """Whether any server has run a part and replied."""
+        return bool(self._remote_parts) or any(
+            call.has_reply for call in self._all_calls
+        )
+
+    @property
+    def servers_lost(self) -> int:
+        """Number of servers that closed the connection while they ran a part."""
+        return sum(call.servers_lost for call in self._all_calls)
+
     @property
     def is_open(self) -> bool:
         """Whether any part may still arrive."""
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -178,6 +178,9 @@
             reply = gateway_context.unreachable_reply()
             reply.headers.append(unreachable_header())
             return gateway_context.refuse(request, reply)
+        quarantined = gateway_context.quarantine_reply(request)
+        if quarantined is not None:
+            return gateway_context.refuse(request, quarantined)
         gathering = _delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_remaining_ms
         context = gateway_context.call_context(
@@ -298,6 +301,10 @@
                 pending.request, pending.route, pending.context
             )
             raise
+        finally:
+            self._gateway_context.record_run(
+                pending.request, has_reply=run.has_reply, servers_lost=run.servers_lost
+            )
 
     def _remote_starter(self, pending: _PendingQuery) -> StartRemoteCall:
         """Return a function that delegates parts of a query to another instance."""
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -112,6 +112,10 @@
         The retry-after time of the last "not run" reply, if it states one.
     attempts_sent : int
         Number of exchanges started.
+    has_reply : bool
+        Whether any server has run the request and replied.
+    servers_lost : int
+        Number of servers that closed the connection while they ran it.
     may_have_arrived : bool
         Whether any server may have received the request, even if it rejected it.
     """
@@ -128,10 +132,12 @@
         "_tried",
         "attempts_sent",
         "failure",
+        "has_reply",
         "last_error",
         "may_have_arrived",
         "reply",
         "retry_after_ms",
+        "servers_lost",
         "service",
     )
 
@@ -157,6 +163,8 @@
         self.attempts_sent = 0
         self._is_primary = False
         self.may_have_arrived = False
+        self.has_reply = False
+        self.servers_lost = 0
 
     @property
     def is_settled(self) -> bool:
@@ -377,7 +385,7 @@
                 # store may still list it for some time.
                 server.is_removed = True
             return
-        self._has_run = True
+        self._has_run = self.has_reply = True
         if reply.is_success:
             took_ms = now_ms - exchange.waiting_since_ms
             baseline = self._context.baseline
@@ -394,6 +402,7 @@
     def _record_error(self, exchange: Exchange) -> None:
         error = exchange.error
         assert error is not None
+        self.servers_lost += error.is_server_lost
         if error.may_have_run:
             self._has_run = True
         elif error.kind is not ExchangeErrorKind.WITHDRAWN:
--- a/ibisfront/gateway/servers/exchange.py
+++ b/ibisfront/gateway/servers/exchange.py
@@ -125,10 +125,11 @@
             self.reply = reply
             self._on_end(self)
 
-    def fail(self, kind: ExchangeErrorKind) -> None:
-        """End it without a reply."""
+    def fail(self, kind: ExchangeErrorKind, *, is_server_lost: bool = False) -> None:
+        """End it without a reply; see ``ExchangeError``."""
         if not self.has_ended:
-            self.error = ExchangeError(kind, may_have_run=self.sent_at_ms is not None)
+            was_sent = self.sent_at_ms is not None
+            self.error = ExchangeError(kind, was_sent, is_server_lost)
             self._on_end(self)
 
     def fail_fast(self) -> None:
--- a/ibisfront/http1/backend_connection.py
+++ b/ibisfront/http1/backend_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import os
 import socket
@@ -79,6 +80,7 @@
         "_is_closed",
         "_is_dirty",
         "_is_sending",
+        "_is_server_lost",
         "_nursery",
         "_reader",
         "_scope",
@@ -103,6 +105,7 @@
         self._is_closed = False
         self._is_dirty = False
         self._is_sending = False
+        self._is_server_lost = False
         self._scope = trio.CancelScope()
         self.expires_at_ms = math.inf
 
@@ -154,7 +157,10 @@
             self._sock.close()
             if self._exchange is not None:
                 exchange, self._exchange = self._exchange, None
-                exchange.fail(ExchangeErrorKind.CONNECTION_LOST)
+                exchange.fail(
+                    ExchangeErrorKind.CONNECTION_LOST,
+                    is_server_lost=self._is_server_lost,
+                )
 
     async def _read_all(self, on_idle: Callable[[ServerConnection], None]) -> None:
         sock = self._sock
@@ -166,7 +172,8 @@
                 data = sock.recv(_READ_BYTES)
             except BlockingIOError:
                 continue
-            except OSError:
+            except OSError as error:
+                self._is_server_lost = error.errno == errno.ECONNRESET
                 return
             if data:
                 self._feed(data)
@@ -193,6 +200,7 @@
         self._reader.end()
         self._deliver()
         self._is_dirty = True
+        self._is_server_lost = True
         return False
 
     def _deliver(self) -> None:
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -189,7 +189,9 @@
             exchange, self._exchange = self._exchange, None
             if exchange is not None:
                 server.cancelled += 1
-                exchange.fail(ExchangeErrorKind.CONNECTION_LOST)
+                exchange.fail(
+                    ExchangeErrorKind.CONNECTION_LOST, is_server_lost=self._crashes
+                )
 
     async def _serve_one(self) -> None:
         server = self._server
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -15,6 +15,7 @@
 from ibisfront.gateway.gateway import Gateway
 from ibisfront.gateway.gateway_context import GatewayContext
 from ibisfront.gateway.instances.coordinators import Coordinators
+from ibisfront.gateway.instances.crash_reports import CrashReports
 from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.load.retry_budget import RetryBudgets
 from ibisfront.gateway.messages import ExchangeErrorKind, InboundRequest
@@ -161,6 +162,14 @@
             if only in (None, zone):
                 gateway.table = RouteTable(configuration)
 
+    def restart(self, zone: str) -> CrashReports:
+        """Replace the instance of a zone; return its crash reports."""
+        gateway = self.gateways[zone] = self._gateway(zone)
+        self.apply_configuration(1, self._route, only=zone)
+        crash_reports = gateway._gateway_context._crash_reports
+        assert crash_reports is not None
+        return crash_reports
+
     def request(self, path: str) -> InboundRequest:
         """Return a caller's request."""
         request_id = f"request-{next(self._ids)}"
@@ -268,13 +277,20 @@
         for other in self._zones:
             if other != zone:
                 peers.put(ServerEntry(f"instance-{other}", other, other, other))
+        observer = Observer()
         return Gateway(
             GatewayContext(
                 registry=registry,
                 budgets=RetryBudgets(self._bounds, instances=1),
                 wire=WIRE,
                 clock=self.clock,
-                observer=Observer(),
+                observer=observer,
+                crash_reports=CrashReports(
+                    peers=peers,
+                    wire=WIRE,
+                    clock=self.clock,
+                    counters=observer.counters,
+                ),
             ),
             delegation=Delegation(
                 registry=registry,
--- a/ibisfront/tests/front_zone.py
+++ b/ibisfront/tests/front_zone.py
@@ -63,6 +63,8 @@
             capacity=2.0 if self.has_fast_link else 0.5,
         )
         self.process = FrontProcess(settings, clock=zone.clock, nursery=nursery)
+        # Their addresses are no socket addresses.
+        self.process.peers._make_pool = lambda server: None
         self.process.state_sync._connect = functools.partial(FakeStateClient, self)
         self.process.state_sync._watch = self.watch
 
--- a/ibisfront/tests/test_http1_backend_connection.py
+++ b/ibisfront/tests/test_http1_backend_connection.py
@@ -102,6 +102,7 @@
         ):
             ended, _ = await exchange_with(Backend(reply, closes=True))
             self.assertIs(ended[0].error.kind, ExchangeErrorKind.CONNECTION_LOST)
+            self.assertTrue(ended[0].error.is_server_lost)
 
     @trio_test_real_clock
     async def test_reply_without_a_length_ends_with_its_connection(self):
--- a/ibisfront/tests/test_retries_over_budget.py
+++ b/ibisfront/tests/test_retries_over_budget.py
@@ -287,6 +287,22 @@
         """Guards against a crashed server for each copy of one request."""
         await self.check_copies()
 
+    @trio_test
+    async def test_restarted_instance_asks_which_requests_crash_servers(self):
+        """Guards against a copy at servers for each instance that restarts."""
+        zones = TwoZones(gather_route(6))
+        zones.crash_on(self.PATH)
+        async with zones.running():
+            for _ in range(3):
+                await zones.gateways["z0"].answer(zones.request(self.PATH))
+            restarted = zones.restart("z1")
+            restarted.request_known(restarted.peers)
+            await trio.sleep(0.1)
+            received = len(zones.received)
+            reply = await zones.gateways["z1"].answer(zones.request(self.PATH))
+        self.assertEqual((reply.status, reply.reason), (503, "quarantined"))
+        self.assertEqual(len(zones.received), received)
+
     @trio_test
     async def test_crashing_request_reaches_servers_through_coordinators(self):
         """Guards against the same where other instances run the queries."""
