Soak: a request that crashes servers, sent to all fronts the whole time

The soak had no such request, so that nothing with real processes, restarts and cuts proved that it is stopped everywhere. Now a caller sends its copies to all fronts in turn; each crash resets the server's connections and refuses new ones for a second. Once all faults have been over for the contact bound, three copies may still reach servers.

--- a/ibisfront/testing/soak/backends.py
+++ b/ibisfront/testing/soak/backends.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
-from ibisfront.testing.soak.proxy import FaultyProxy
+from ibisfront.testing.processes import free_address
+from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
 from ibisfront.testing.soak.servers import ServerRecords, SoakServer
 
 if TYPE_CHECKING:
@@ -17,6 +19,8 @@
 __all__ = ["SoakBackend", "SoakBackends"]
 
 _SLOTS = 4
+_CRASHED_S = 1.0
+"""Time until a crashed server accepts connections again."""
 
 
 class SoakBackend(msgspec.Struct):
@@ -60,6 +64,7 @@
         backend = SoakBackend(
             server, FaultyProxy(server.address), trio.CancelScope(), zone
         )
+        server.on_crash = partial(nursery.start_soon, _crash, backend)
         self._all[server_id] = backend
         await nursery.start(_serve, backend)
         self._publish_entry(backend, "ready")
@@ -99,6 +104,16 @@
         self._store.put("servers", backend.server.server_id, entry)
 
 
+async def _crash(backend: SoakBackend) -> None:
+    """Reset all connections of a server, and refuse new ones for some time."""
+    proxy = backend.proxy
+    proxy.target = free_address()
+    proxy.set_fault(ProxyFault.RESET)
+    await trio.sleep(_CRASHED_S)
+    proxy.set_fault(ProxyFault.NONE)
+    proxy.target = backend.server.address
+
+
 async def _serve(
     backend: SoakBackend,
     *,
--- a/ibisfront/testing/soak/callers.py
+++ b/ibisfront/testing/soak/callers.py
@@ -25,11 +25,15 @@
 
 
 class RequestPath(StrEnum):
-    """Request paths; each matches a route of the configuration."""
+    """Request paths; each matches a route of the configuration.
+
+    A request for the last one crashes each server that runs it.
+    """
 
     SEARCH = "/search/a"
     FETCH = "/fetch/a"
     ORDER = "/order/a"
+    CRASH = "/search/crash"
 
 
 class Outcome(msgspec.Struct):
--- a/ibisfront/testing/soak/checks.py
+++ b/ibisfront/testing/soak/checks.py
@@ -23,6 +23,7 @@
     "Shape",
     "Span",
     "check_budget",
+    "check_crashes",
     "check_drained",
     "check_orders",
     "check_responses",
@@ -32,6 +33,9 @@
 ]
 
 _OK = 200
+_TOLERATED_CRASHES = 3
+_TOLERATED_COPIES = 3
+"""Copies of a crashing request that may reach servers after the third crash."""
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _STAMPS_HEADER = b"x-shard-stamps"
 _MISSING_HEADER = b"x-shards-missing"
@@ -75,8 +79,10 @@
         for sent_ms in by_path.values():
             sent_ms.sort()
         services = {name for names in self.generations for name in names}
+        searched_ms = [*by_path[RequestPath.SEARCH], *by_path[RequestPath.CRASH]]
+        searched_ms.sort()
         return {
-            **dict.fromkeys(services, by_path[RequestPath.SEARCH]),
+            **dict.fromkeys(services, searched_ms),
             self.fetch: by_path[RequestPath.FETCH],
             self.order: by_path[RequestPath.ORDER],
         }
@@ -123,7 +129,7 @@
 
 def _response_error(outcome: Outcome, shape: Shape) -> str:
     """Return what is wrong with a success; empty if it is correct."""
-    if outcome.path is RequestPath.SEARCH:
+    if outcome.path in (RequestPath.SEARCH, RequestPath.CRASH):
         return _search_error(outcome, shape)
     service = shape.fetch if outcome.path is RequestPath.FETCH else shape.order
     stamp = outcome.headers.get(_STAMP_HEADER, b"").decode()
@@ -324,6 +330,31 @@
     ]
 
 
+def check_crashes(
+    executions: Iterable[Execution],
+    outcomes: Iterable[Outcome],
+    *,
+    quiet_from_ms: float,
+) -> list[Failure]:
+    """Check that a request known to crash servers hardly reaches any.
+
+    Parameters
+    ----------
+    executions : iterable of Execution
+        Requests that servers executed.
+    outcomes : iterable of Outcome
+        All requests.
+    quiet_from_ms : float
+        When all faults have been over for the contact bound.
+    """
+    copies = {item.request_id for item in outcomes if item.path is RequestPath.CRASH}
+    crashes = [item for item in executions if item.request_id in copies]
+    late = {item.request_id for item in crashes if item.at_ms >= quiet_from_ms}
+    if len(crashes) <= _TOLERATED_CRASHES or len(late) <= _TOLERATED_COPIES:
+        return []
+    return [Failure("crashes", min(late), f"{len(late)} copies crashed servers")]
+
+
 def check_stops(
     outcomes: Iterable[Outcome],
     executions: Iterable[Execution],
--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -17,8 +17,15 @@
 if TYPE_CHECKING:
     from ibisfront.core.types import Address
 
-__all__ = ["EXTRA_ALLOWANCE", "EXTRA_RATIO", "EXTRA_WINDOW_MS", "SoakFront"]
-
+__all__ = [
+    "CONTACT_MS",
+    "EXTRA_ALLOWANCE",
+    "EXTRA_RATIO",
+    "EXTRA_WINDOW_MS",
+    "SoakFront",
+]
+
+CONTACT_MS = 4_000.0
 EXTRA_RATIO = 0.2
 EXTRA_WINDOW_MS = 10_000.0
 EXTRA_ALLOWANCE = 60.0
@@ -96,7 +103,7 @@
             "limits": {"cpuShare": 1.0, "cpus": 1},
             "bounds": {
                 "graceS": 6,
-                "contactMs": 4000,
+                "contactMs": int(CONTACT_MS),
                 "configApplyMs": 3000,
                 "drainMs": 3000,
                 "retryRatio": EXTRA_RATIO,
--- a/ibisfront/testing/soak/servers.py
+++ b/ibisfront/testing/soak/servers.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import socket
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +15,7 @@
 from ibisfront.http1.caller_listener import CallerListener
 from ibisfront.http1.listening import listening_socket
 from ibisfront.platform.headers import WIRE
+from ibisfront.testing.soak.callers import RequestPath
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
@@ -95,6 +97,8 @@
         Whether it rejects requests without running them, as with a full queue.
     records : ServerRecords
         Arrivals and executions, shared by all servers.
+    on_crash : callable
+        Called when a request crashes it.
     """
 
     def __init__(
@@ -106,6 +110,7 @@
         self.is_failing = False
         self.is_rejecting = False
         self.records = records
+        self.on_crash: Callable[[], None] = lambda: None
         self._clock = clock
         self._sock: socket.socket = listening_socket("127.0.0.1:0")
 
@@ -140,6 +145,9 @@
         if self.is_rejecting:
             return self._reply(503, request, b"", (b"X-Not-Executed", b"1"))
         self.records.executions.append(seen)
+        if request.path == RequestPath.CRASH:
+            self.on_crash()
+            await trio.sleep_forever()
         await trio.sleep(self.latency_ms / 1000.0)
         if self.is_failing:
             return self._reply(500, request, b"failed")
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 from collections import Counter
 from contextlib import asynccontextmanager, contextmanager
@@ -19,6 +20,7 @@
     Shape,
     Span,
     check_budget,
+    check_crashes,
     check_drained,
     check_orders,
     check_responses,
@@ -34,6 +36,7 @@
     draw_overload,
 )
 from ibisfront.testing.soak.fronts import (
+    CONTACT_MS,
     EXTRA_ALLOWANCE,
     EXTRA_RATIO,
     EXTRA_WINDOW_MS,
@@ -53,6 +56,7 @@
 _COPIES = 2
 _SLOW_MS = 400.0
 _CALLER_PAUSE_S = 0.02
+_CRASH_PAUSE_S = 0.25
 _FAULT_MARGIN_MS = 100.0
 """How long after a fault its effects last: bytes held back arrive late."""
 
@@ -81,6 +85,8 @@
         Faults to inject instead of those drawn from the seed.
     settle_s : float
         Pause between the last fault and the final requests.
+    has_crashing_requests : bool
+        Whether copies of a request that crashes servers are sent all the time.
 
     Attributes
     ----------
@@ -98,6 +104,7 @@
         length_s: float,
         faults: Sequence[Fault] | None = None,
         settle_s: float = _SETTLE_S,
+        has_crashing_requests: bool = True,
     ) -> None:
         if faults is None:
             faults = [
@@ -118,6 +125,9 @@
         ]
         self._backends = SoakBackends(self._store, clock=self._clock)
         self._outcomes: list[Outcome] = []
+        self._crash_outcomes: list[Outcome] = []
+        self._has_crashing_requests = has_crashing_requests
+        self._faults_ended_ms = 0.0
         self._stops: list[Span] = []
         self._disruptions: list[Span] = []
         self._version = 0
@@ -134,11 +144,13 @@
         """Run the deployment under faults and check the results."""
         async with self._running() as nursery:
             first = await self._wait_until_served("first")
+            nursery.start_soon(self._send_crashing_requests)
             async with trio.open_nursery() as load:
                 for caller in self._callers:
                     load.start_soon(self._run_caller, caller)
                 await self._inject_faults(nursery)
                 load.cancel_scope.cancel()
+            self._faults_ended_ms = self._clock.now_ms()
             await trio.sleep(self._settle_s)
             last = await self._wait_until_served("last")
         return self._report(first, last)
@@ -189,6 +201,18 @@
             self._outcomes.append(outcome)
             await trio.sleep(_CALLER_PAUSE_S)
 
+    async def _send_crashing_requests(self) -> None:
+        """Send copies of a request that crashes servers, to all fronts in turn."""
+        caller = SoakCaller(f"crash{self._seed}", clock=self._clock)
+        for front in itertools.cycle(self.fronts):
+            if not self._has_crashing_requests:
+                return
+            outcome = await caller.send_request(
+                RequestPath.CRASH, front.label, front.callers_proxy
+            )
+            self._crash_outcomes.append(outcome)
+            await trio.sleep(_CRASH_PAUSE_S)
+
     async def _wait_until_served(self, phase: str) -> list[Outcome]:
         """Wait until each front serves a search; return the requests sent."""
         outcomes: list[Outcome] = []
@@ -335,7 +359,7 @@
         self._put_configuration()
 
     def _report(self, first: list[Outcome], last: list[Outcome]) -> SoakReport:
-        outcomes = [*first, *self._outcomes, *last]
+        outcomes = [*first, *self._outcomes, *self._crash_outcomes, *last]
         require_unique_ids(outcomes)
         records = self._backends.records
         windows = extra_windows(
@@ -357,6 +381,11 @@
             ),
             *check_drained(records.executions, last, self._backends.retired),
             *check_budget(windows),
+            *check_crashes(
+                records.executions,
+                outcomes,
+                quiet_from_ms=self._faults_ended_ms + CONTACT_MS,
+            ),
         ]
         if self._fault_counts.pop("unserved", 0):
             failures.append(Failure("recovery", "", "a front did not recover"))
--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -16,6 +16,7 @@
     Shape,
     Span,
     check_budget,
+    check_crashes,
     check_drained,
     check_orders,
     check_responses,
@@ -161,6 +162,21 @@
         self.assertTrue(failures(6.5))
         self.assertFalse(failures(7.0))
 
+    def test_crashing_request_that_keeps_reaching_servers_is_detected(self):
+        copies = [
+            Outcome(f"c{number}", RequestPath.CRASH, "f", float(number))
+            for number in range(8)
+        ]
+        runs = [
+            execution("a", item.request_id, at_ms=item.sent_at_ms) for item in copies
+        ]
+
+        def failures(quiet_from_ms):
+            return check_crashes(runs, copies, quiet_from_ms=quiet_from_ms)
+
+        self.assertTrue(failures(4.0))
+        self.assertFalse(failures(5.0))
+
     def test_requests_of_other_routes_add_nothing_to_a_budget(self):
         """Guards against a bound that grows with requests for other services."""
         requested_ms = SHAPE.requested_ms([order(200), search("abcd")])
@@ -274,7 +290,18 @@
                 length_s=12.0,
                 faults=faults,
                 settle_s=0.0,
+                has_crashing_requests=False,
             )
             report = await world.run()
         self.assertEqual(report.failures, [])
         self.assertGreater(report.fullest_window, 0.0)
+
+    @trio_test_real_clock
+    async def test_crashing_request_is_stopped_at_all_fronts(self):
+        """Guards against servers lost to each copy of a request, at any front."""
+        with tempfile.TemporaryDirectory() as folder:
+            world = SoakWorld(
+                5, Path(folder), fronts=4, callers=3, length_s=1.0, faults=[]
+            )
+            report = await world.run()
+        self.assertEqual(report.failures, [])
