Ignore the reload signal until the daemon handles it

A front that got SIGHUP while it started was gone: by default the signal ends a process. On the platform it would be started again, and count as a process that ended by itself.

The signal is ignored as the first thing the daemon does; a settings file that changes meanwhile is found by its time, which is now the time before it was read. Left: the interpreter's own start, some 50 ms before any of our code.

Test: EarlyReloadTest; before, the process ended with the signal.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -90,7 +90,7 @@
         nursery.start_soon(process.zone_path_monitor.run)
         nursery.start_soon(handler.run)
         nursery.start_soon(collect_garbage, clock)
-        nursery.start_soon(_watch_settings, process, path, clock)
+        nursery.start_soon(_watch_settings, process, path, start.modified_ns, clock)
         fields = {"zone": settings.zone, "early": start.callers_socket is not None}
         _LOG.info("%s starts.", settings.instance, extra=fields)
         await _wait_for_stop(process, path)
@@ -156,9 +156,10 @@
         _reload(process, path)
 
 
-async def _watch_settings(process: FrontProcess, path: Path, clock: Clock) -> None:
+async def _watch_settings(
+    process: FrontProcess, path: Path, last_modified_ns: int, clock: Clock
+) -> None:
     """Reload the settings when their file changes without a signal."""
-    last_modified_ns = _modified_ns(path)
     while True:
         await clock.sleep_ms(_SETTINGS_POLL_MS)
         modified_ns = _modified_ns(path)
--- a/ibisfront/front/early_start.py
+++ b/ibisfront/front/early_start.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import select
+import signal
 import socket
 import sys
 from pathlib import Path
@@ -37,6 +38,8 @@
     ----------
     path : Path
         The settings file.
+    modified_ns : int
+        When that file was last modified before it was read.
     settings : GatewaySettings
         Its content.
     callers_socket : socket.socket or None
@@ -44,6 +47,7 @@
     """
 
     path: Path
+    modified_ns: int
     settings: GatewaySettings
     callers_socket: socket.socket | None
 
@@ -53,9 +57,14 @@
 
     While other instances serve, a refused connection is better for a caller: one
     of them accepts its next connection at once.
+
+    A signal to reload the settings is ignored until the daemon handles it; by default
+    it ends the process. A file that changes meanwhile is reloaded by its time.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         path = settings_path()
+        modified_ns = _modified_ns(path)
         settings = read_platform_settings(path)
     except IbisfrontError as error:
         sys.stderr.write(f"ibisfront: {error.detail}\n")
@@ -64,7 +73,16 @@
     callers_socket = None
     if not is_any_listening(others):
         callers_socket = listening_socket(settings.callers_address)
-    return EarlyStart(path, settings, callers_socket)
+    return EarlyStart(path, modified_ns, settings, callers_socket)
+
+
+def _modified_ns(path: Path) -> int:
+    """Return when a file was modified; 0 if that is unknown."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        # Reading it fails too, and says why.
+        return 0
 
 
 def is_any_listening(addresses: list[Address]) -> bool:
--- a/ibisfront/tests/test_front_start.py
+++ b/ibisfront/tests/test_front_start.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import tempfile
 import unittest
+from pathlib import Path
 
 import trio
 
@@ -18,9 +20,11 @@
     RoutedService,
 )
 from ibisfront.http1.listening import listening_socket
+from ibisfront.platform.settings import SETTINGS_PATH_VARIABLE
 from ibisfront.testing.gateway_fixture import HOST, forward_route
-from ibisfront.testing.processes import free_address
-from ibisfront.tests import trio_test
+from ibisfront.testing.processes import RunningProcess, free_address
+from ibisfront.testing.soak.fronts import SoakFront
+from ibisfront.tests import trio_test, trio_test_real_clock
 
 
 class EarlyListeningTest(unittest.TestCase):
@@ -59,6 +63,33 @@
                 sock.close()
 
 
+RELOADED_WHILE_STARTING = """
+import os, signal
+from ibisfront.front.early_start import start_early
+start_early()
+os.kill(os.getpid(), signal.SIGHUP)
+print("listening alive", flush=True)
+"""
+
+
+class EarlyReloadTest(unittest.TestCase):
+    """A settings file that changes while the process starts."""
+
+    @trio_test_real_clock
+    async def test_reload_signal_does_not_end_a_starting_process(self):
+        """Guards against a process that ends when it is told to reload too early."""
+        with tempfile.TemporaryDirectory() as folder:
+            front = SoakFront(0, Path(folder))
+            front.store_proxy.address = free_address()
+            front.write_settings([])
+            environment = {SETTINGS_PATH_VARIABLE: f"{folder}/{front.name}.toml"}
+            async with RunningProcess(
+                ["-c", RELOADED_WHILE_STARTING], environment=environment
+            ) as process:
+                self.assertEqual(await process.read_prefixed("listening "), "alive")
+            await front.close()
+
+
 class EarlyRequestTest(unittest.TestCase):
     """Requests that arrive before the state that they need."""
 
