Soak: fronts that end are started again, as the platform does, and odd exits fail

A fault that meets another one's restart left a front down for good, and the run ended with "a front did not recover" without a word on why. Each front is now started again whenever it ends; an exit that no signal of the soak explains is a failure of its own.

--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -59,6 +59,8 @@
         Proxies on its connections from callers and to the store.
     incarnation : int
         Number of starts.
+    is_closed : bool
+        Whether it is ended for good.
     """
 
     def __init__(self, number: int, folder: Path) -> None:
@@ -73,6 +75,7 @@
         self.callers_proxy = FaultyProxy(address_of(self._reserved["front"]))
         self.store_proxy = FaultyProxy()
         self.incarnation = 0
+        self.is_closed = False
 
     @property
     def label(self) -> str:
@@ -144,6 +147,7 @@
 
     async def close(self) -> None:
         """End the process and release its ports."""
+        self.is_closed = True
         await self._stack.aclose()
         for reserved in self._reserved.values():
             reserved.close()
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -57,6 +57,10 @@
 _SLOW_MS = 400.0
 _CALLER_PAUSE_S = 0.02
 _CRASH_PAUSE_S = 0.25
+_EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP)
+"""Exit codes after the signals that are sent; the last two before the interpreter runs
+the daemon."""
+
 _FAULT_MARGIN_MS = 100.0
 """How long after a fault its effects last: bytes held back arrive late."""
 
@@ -128,6 +132,7 @@
         self._crash_outcomes: list[Outcome] = []
         self._has_crashing_requests = has_crashing_requests
         self._faults_ended_ms = 0.0
+        self._bad_exits: list[str] = []
         self._stops: list[Span] = []
         self._disruptions: list[Span] = []
         self._version = 0
@@ -170,6 +175,7 @@
                 await nursery.start(front.callers_proxy.run)
                 front.write_settings(seeds)
                 await front.start()
+                nursery.start_soon(self._restart_ended, front)
             try:
                 yield nursery
             finally:
@@ -178,6 +184,16 @@
                         await front.close()
                 nursery.cancel_scope.cancel()
 
+    async def _restart_ended(self, front: SoakFront) -> None:
+        """Start a front again whenever it ends, as the platform does."""
+        while True:
+            exit_code = await front.wait()
+            if front.is_closed:
+                return
+            if exit_code not in _EXIT_CODES:
+                self._bad_exits.append(f"{front.label} ended with {exit_code}")
+            await front.start()
+
     def _put_configuration(self) -> None:
         self._version += 3
         document = configuration_document(
@@ -280,13 +296,10 @@
             front.send(signal.SIGHUP)
             return
         is_kill = fault.kind is FaultKind.FRONT_KILL
-        incarnation = front.incarnation
         with self._recording_span(self._disruptions if is_kill else self._stops, front):
             front.send(signal.SIGCONT)
             front.send(signal.SIGKILL if is_kill else signal.SIGTERM)
             await front.wait()
-        if front.incarnation == incarnation and not front.is_running:
-            await front.start()
 
     async def _kill_all_fronts(self, fault: Fault) -> None:
         kill = msgspec.structs.replace(fault, kind=FaultKind.FRONT_KILL)
@@ -387,6 +400,7 @@
                 quiet_from_ms=self._faults_ended_ms + CONTACT_MS,
             ),
         ]
+        failures += [Failure("exit", "", detail) for detail in self._bad_exits]
         if self._fault_counts.pop("unserved", 0):
             failures.append(Failure("recovery", "", "a front did not recover"))
         served = sum(outcome.status == 200 for outcome in self._outcomes)
