Front: a stop that has begun ignores further signals

Cause: the signals were handled only until the first SIGTERM. From then on both had their default action, which ends the process. A reload during a rolling restart did the same.

Now they are handled from before the first listener to the end, and logged while a stop runs. The product's own daemon waits for a second signal on purpose; left as it is.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -67,6 +67,9 @@
     """Serve until SIGTERM, then stop gracefully."""
     settings, path = start.settings, start.path
     async with AsyncExitStack() as stack:
+        signals = stack.enter_context(
+            trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP)
+        )
         nursery = await stack.enter_async_context(trio.open_nursery())
         process = FrontProcess(settings, clock=clock, nursery=nursery)
         listen = partial(_listen, nursery, clock)
@@ -93,7 +96,9 @@
         nursery.start_soon(_watch_settings, process, path, start.modified_ns, clock)
         fields = {"zone": settings.zone, "early": start.callers_socket is not None}
         _LOG.info("%s starts.", settings.instance, extra=fields)
-        await _wait_for_stop(process, path)
+        await _handle_signals(signals, process, path)
+        # A signal without a handler would end the process in the middle of the stop.
+        nursery.start_soon(_ignore_signals, signals)
         await stop_gracefully(process, callers, clock=clock)
         nursery.cancel_scope.cancel()
 
@@ -142,20 +147,21 @@
     )
 
 
-async def _wait_for_stop(process: FrontProcess, path: Path) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        await _handle_signals(signals, process, path)
-
-
 async def _handle_signals(
     signals: AsyncIterator[int], process: FrontProcess, path: Path
 ) -> None:
+    """Reload the settings when told to; return when told to stop."""
     async for number in signals:
         if number == signal.SIGTERM:
             return
         _reload(process, path)
 
 
+async def _ignore_signals(signals: AsyncIterator[int]) -> None:
+    async for number in signals:
+        _LOG.info("Signal %d is ignored: a stop has begun.", number)
+
+
 async def _watch_settings(
     process: FrontProcess, path: Path, last_modified_ns: int, clock: Clock
 ) -> None:
--- a/ibisfront/tests/test_front_start.py
+++ b/ibisfront/tests/test_front_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import tempfile
 import unittest
@@ -90,6 +91,38 @@
             await front.close()
 
 
+class RepeatedStopTest(unittest.TestCase):
+    """Signals that arrive while a process stops."""
+
+    @trio_test_real_clock
+    async def test_signals_during_a_stop_do_not_cut_it_short(self):
+        """Guards against requests cut off by a second signal within the grace."""
+        with tempfile.TemporaryDirectory() as folder:
+            front = SoakFront(0, Path(folder))
+            front.store_proxy.address = free_address()
+            front.write_settings([])
+            await front.start()
+            log = Path(folder) / f"{front.name}.log"
+            for message, number in (
+                ("starts", signal.SIGTERM),
+                ("shutdown started", signal.SIGTERM),
+                ("shutdown started", signal.SIGHUP),
+            ):
+                await self.logged(log, message)
+                front.send(number)
+            self.assertEqual(await front.wait(), 0)
+            self.assertIn("shutdown ended", log.read_text())
+            await front.close()
+
+    async def logged(self, log, message):
+        """Wait until a process has logged a message."""
+        for _ in range(1_000):
+            if message in log.read_text():
+                return
+            await trio.sleep(0.05)
+        self.fail(f"not logged: {message}")
+
+
 class EarlyRequestTest(unittest.TestCase):
     """Requests that arrive before the state that they need."""
 
