Crash reports: an instance of an earlier version is no unreadable report

During a rolling update an earlier version answers a report with 400 and no body; each logged 'cannot be read'. It is counted as not understood now. Found by reading; no run with both versions was made.

--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -30,6 +30,7 @@
 _LOG = part_logger(LogPart.PEERS)
 
 _TARGET = b"/ibisfront/crashes"
+_OK = 200
 _TIMEOUT_MS = 1_000.0
 _MAX_REPORTS_PER_S = 5.0
 """Reports sent to all other instances; more come from failing servers, not requests."""
@@ -152,7 +153,7 @@
             known = self._known_for_reply(report)
         headers = [self._wire.request_id(request.request_id)]
         body = msgspec.msgpack.encode(CrashReport(failed=known))
-        return CallerReply(200, headers, body, "crash_report")
+        return CallerReply(_OK, headers, body, "crash_report")
 
     def _known_for_reply(self, report: CrashReport) -> list[FailedRuns]:
         if not report.failed and not report.answered:
@@ -213,6 +214,10 @@
         if exchange.reply is None:
             return
         exchange.server.record_alive(self._clock.now_ms())
+        if exchange.reply.status != _OK:
+            # An instance of an earlier version does not know reports.
+            self._counters.add(CounterKind.QUARANTINES, "not_understood")
+            return
         report = _decode(exchange.reply.body)
         if report is not None:
             self._merge(report)
