An instance registers again when the lists no longer have it

An instance whose entry the store had lost never came back into the list: `is_registered` was set once. The others then divided budgets, connections and the choice of coordinators among too few for as long as it lived; keeping recent instances for 30 s only bridges that.

Now an instance that the lists received have lacked for 10 s, from the store or from its state source, writes its entry again; with the poll that is 16 s at most, within the 30 s for which it still counts.

Test: test_entry_that_the_store_has_lost_is_written_again; before, the entry stayed away. A list that is stale by 4 s causes no second write.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -141,6 +141,7 @@
             on_list=process.apply_instances,
             on_first_poll=process.state_sync.record_first_poll,
             is_needed=lambda: process.state_sync.watches_store,
+            is_listed=lambda: process.is_listed,
             is_first_start=settings.is_first_start,
             clock=clock,
         )
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -335,6 +335,11 @@
             self.connections.warm_up(self.registry)
         self.source.record_change()
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether the last list received has this instance."""
+        return any(entry.name == self.own.name for entry in self._listed)
+
     @property
     def instance_count(self) -> int:
         """Number of instances that share the connections that servers accept."""
--- a/ibisfront/gateway/instances/directory.py
+++ b/ibisfront/gateway/instances/directory.py
@@ -46,6 +46,10 @@
 """Delay of the first read when all instances start for the first time: they start
 within 0.3 s of each other, and a start takes about as long again."""
 
+_LOST_ENTRY_MS = 10_000.0
+"""How long this instance may be missing from the lists received before it registers
+again: longer than a list is stale."""
+
 ASSUMED_INSTANCES = 16
 """Number of instances assumed to share connections until the list is read: about twice
 the entry instances of a typical deployment."""
@@ -89,6 +93,7 @@
     on_list: Callable[[Sequence[InstanceEntry]], None],
     on_first_poll: Callable[[], None],
     is_needed: Callable[[], bool],
+    is_listed: Callable[[], bool],
     is_first_start: bool,
     clock: Clock,
 ) -> None:
@@ -108,6 +113,9 @@
     is_needed : callable
         Returns whether the list must be read here: a subscriber of another
         instance gets it from there.
+    is_listed : callable
+        Returns whether the last list received, from the store or from another
+        instance, has this instance. The store may lose its entry.
     is_first_start : bool
         Whether all instances start for the first time, and the list is not
         complete yet.
@@ -116,6 +124,7 @@
     """
     random = Random()
     is_registered = False
+    listed_at_ms = clock.now_ms()
     if is_first_start:
         is_registered = await _register(directory, own)
         await clock.sleep_ms(_SETTLE_MS)
@@ -129,6 +138,13 @@
                 on_list(listed)
         if polls == 0:
             on_first_poll()
+        now_ms = clock.now_ms()
+        if is_listed() or not is_registered:
+            listed_at_ms = now_ms
+        elif now_ms >= listed_at_ms + _LOST_ENTRY_MS:
+            _LOG.warning("This instance is no longer listed; registering again.")
+            is_registered = False
+            listed_at_ms = now_ms
         is_registered = is_registered or await _register(directory, own)
         polls += 1
         wait_ms = (
--- a/ibisfront/tests/test_gateway_instances.py
+++ b/ibisfront/tests/test_gateway_instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import trio
@@ -23,15 +24,20 @@
         self.is_unavailable = False
         self.writes = 0
         self.reads = 0
+        self.stale_s = 0.0
+        self.written_at_s = -math.inf
 
     async def register(self, entry):
         self._check()
         self.writes += 1
+        self.written_at_s = trio.current_time()
         self.entries.append(entry)
 
     async def instances(self):
         self._check()
         self.reads += 1
+        if trio.current_time() < self.written_at_s + self.stale_s:
+            return self.entries[:-1]
         return list(self.entries)
 
     def _check(self):
@@ -54,6 +60,7 @@
             on_list=self.listed.append,
             on_first_poll=self.record_first_poll,
             is_needed=lambda: self.is_needed,
+            is_listed=lambda: bool(self.listed) and OWN in self.listed[-1],
             is_first_start=is_first_start,
             clock=Clock(),
         )
@@ -73,6 +80,29 @@
         self.assertEqual((directory.writes, directory.reads), (1, 1))
         self.assertEqual(self.listed, [[OTHER, OWN]])
 
+    @trio_test
+    async def test_entry_that_the_store_has_lost_is_written_again(self):
+        """Guards against an instance that no other counts for the rest of its life."""
+        directory = FakeDirectory(OTHER)
+
+        async def lose_entry():
+            await trio.sleep(10.0)
+            directory.entries.remove(OWN)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lose_entry)
+            await self.run_for(40.0, directory, is_first_start=True)
+        self.assertIn(OWN, directory.entries)
+        self.assertEqual(directory.writes, 2)
+
+    @trio_test
+    async def test_stale_list_does_not_cause_another_write(self):
+        """Guards against writes by all instances that start, as lists are stale."""
+        directory = FakeDirectory(OTHER)
+        directory.stale_s = 4.0
+        await self.run_for(40.0, directory, is_first_start=True)
+        self.assertEqual(directory.writes, 1)
+
     @trio_test
     async def test_restart_reads_first_and_does_not_write_again(self):
         directory = FakeDirectory(OTHER, OWN)
