Watches start anew when the store comes back from an older copy

Once the users' store can come back from a copy, its revisions are given out again: a watch that goes on from one of them misses what was written under it, without a 410, and a server that the copy lacks is dropped at once although it writes its entry again within two seconds.

Now each answer's era is read, refusals and 410 included; if it differs from that of the objects watched, the kind is listed again as after an outage, and an answer of an older era is not used. A store that states no era is served as before (tested). Red before, on: three changes under reused revisions, of which one arrived; a list that did not count as one after an outage; an older answer that was taken; a refusal that told nothing.

The stand-in gets the drill: a copy, coming back from it, 410 for revisions that it does not have, the era in all answers.

--- a/ibisfront/gateway/state/kind_watch.py
+++ b/ibisfront/gateway/state/kind_watch.py
@@ -149,7 +149,8 @@
     """List the objects of a kind, then watch them, until cancelled.
 
     After any failure other than an expired history, the listing counts as one after
-    an outage: entries missing from it may only have expired meanwhile.
+    an outage: entries missing from it may only have expired meanwhile. If the store
+    came back from an older copy, their owners may write them again.
 
     Parameters
     ----------
@@ -186,6 +187,11 @@
                 _LOG.info("The history of %s has expired; listing again.", target.name)
                 await clock.sleep_ms(_COALESCE_MS)
                 continue
+            if error.kind is StoreErrorKind.ERA_CHANGED:
+                _LOG.warning("Listing %s again: %s.", target.name, error)
+                was_unavailable = True
+                await clock.sleep_ms(_COALESCE_MS)
+                continue
             if not was_unavailable:
                 _LOG.warning("The store is unavailable for %s: %s.", target.name, error)
             was_unavailable = True
--- a/ibisfront/gateway/state/store.py
+++ b/ibisfront/gateway/state/store.py
@@ -67,11 +67,16 @@
 
 
 class StoreErrorKind(StrEnum):
-    """Reason why a call to the store failed."""
+    """Reason why a call to the store failed.
+
+    After ``ERA_CHANGED`` the store has come back from an older copy: what was
+    acknowledged in between is lost, and its revisions are given out again.
+    """
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     HISTORY_GONE = "history_gone"
+    ERA_CHANGED = "era_changed"
     BAD_ANSWER = "bad_answer"
 
 
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -58,6 +58,9 @@
 _MAXIMUM_BODY_BYTES = 8 * 1024 * 1024
 """A larger answer is an error: lists are paged by the megabyte."""
 
+_ERA_HEADER = b"store-era"
+"""Rises by one each time that the store comes back from an older copy."""
+
 _OK = 200
 _MULTIPLE_CHOICES = 300
 _CONFLICT = 409
@@ -117,13 +120,24 @@
 
 
 class _KindCalls:
-    """Calls of the store for one kind, on one connection."""
+    """Calls of the store for one kind, on one connection.
 
-    __slots__ = ("_client", "_kind")
+    Attributes
+    ----------
+    era : int or None
+        The newest era that an answer has stated; None if none has.
+    listed_era : int or None
+        The era of the objects that are watched; None before the first listing, and
+        if answers state none.
+    """
+
+    __slots__ = ("_client", "_kind", "era", "listed_era")
 
     def __init__(self, address: Address, kind: str) -> None:
         self._client = HttpClient(address, maximum_body_bytes=_MAXIMUM_BODY_BYTES)
         self._kind = kind
+        self.era: int | None = None
+        self.listed_era: int | None = None
 
     def close(self) -> None:
         """Close the connection."""
@@ -148,12 +162,30 @@
     async def get(self, suffix: str, *, timeout_ms: float = _CALL_TIMEOUT_MS) -> bytes:
         """Return the body of a successful read; raises ``StoreError``."""
         message = await self.call("GET", suffix, timeout_ms=timeout_ms)
+        self._check_era(message)
         if message.status == _OK:
             return message.body
         raise _rejection(self._kind, message)
 
+    def _check_era(self, message: RawMessage) -> None:
+        """Raise ``StoreError`` unless an answer is of the era that is watched.
+
+        A watch would go on from a revision that now stands for another change, and
+        an answer that was under way when the era changed is outdated.
+        """
+        era = _era_of(message)
+        if era is None:
+            return
+        expected = self.listed_era if self.listed_era is not None else self.era
+        self.era = era if self.era is None else max(era, self.era)
+        if expected is not None and era != expected:
+            self.listed_era = None
+            detail = f"{self._kind}: era {era} after {expected}"
+            raise StoreError(StoreErrorKind.ERA_CHANGED, detail)
+
     async def list_all(self, options: str = "") -> Listing:
         """Return all objects of the kind; raises ``StoreError``."""
+        self.listed_era = None
         objects: list[StoredObject] = []
         revision: int | None = None
         query = options
@@ -166,6 +198,7 @@
             # at the first page's revision.
             revision = page.current_rev if revision is None else revision
             if not page.more or not page.items:
+                self.listed_era = self.era
                 return Listing(objects, revision)
             after = f"after={quote(page.items[-1].meta.name, safe='')}"
             query = f"{options}&{after}" if options else after
@@ -259,6 +292,16 @@
         self._calls.close()
 
 
+def _era_of(message: RawMessage) -> int | None:
+    """Return the era that an answer states; None if it states none."""
+    for name, value in message.headers:
+        if name.lower() == _ERA_HEADER:
+            if value.isdigit():
+                return int(value)
+            _LOG.warning("The store's era is no number: %.40r.", value)
+    return None
+
+
 def _rejection(kind: str, message: RawMessage) -> StoreError:
     error = StoreErrorKind.REFUSED
     if message.status == _GONE:
--- a/ibisfront/testing/object_store.py
+++ b/ibisfront/testing/object_store.py
@@ -22,12 +22,19 @@
 
     from ibisfront.gateway.messages import InboundRequest
 
-__all__ = ["FakeObjectStore"]
+__all__ = ["FakeObjectStore", "StoreCopy"]
 
 _PAGE_OBJECTS = 500
 _LIMITS = CallerLimits(maximum_body_bytes=4 * 1024 * 1024, idle_timeout_ms=60_000.0)
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """A copy of a store's content, from which it may come back."""
+
+    revision: int
+    content: bytes
+
+
 class _Event(msgspec.Struct):
     """One change in the history."""
 
@@ -57,6 +64,8 @@
         The listening address, once running.
     page : int
         Maximum number of objects per list response.
+    era : int or None
+        How often it came back from a copy, stated in all answers; None to state none.
     """
 
     def __init__(self) -> None:
@@ -71,6 +80,7 @@
         self.calls: list[str] = []
         self.address = ""
         self.page = _PAGE_OBJECTS
+        self.era: int | None = None
 
     @asynccontextmanager
     async def running(self) -> AsyncIterator[FakeObjectStore]:
@@ -123,6 +133,20 @@
         self._compacted_revision = self._revision
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        return StoreCopy(self._revision, msgspec.msgpack.encode(self._objects))
+
+    def come_back_from(self, copy: StoreCopy) -> None:
+        """Lose what was written since a copy; its revisions are given out again."""
+        self._objects = msgspec.msgpack.decode(copy.content)
+        self._revision = copy.revision
+        self._history = [
+            item for item in self._history if item.revision <= copy.revision
+        ]
+        self.era = 1 if self.era is None else self.era + 1
+        self._notify_watches()
+
     def names(self, kind: str) -> list[str]:
         """Return the names of a kind's objects."""
         return sorted(self._objects.get(kind, {}))
@@ -143,6 +167,12 @@
         self.calls.append(f"{request.method.decode()} {request.target.decode()}")
         if self.is_silent:
             await trio.sleep_forever()
+        reply = await self._respond(request)
+        if self.era is not None:
+            reply.headers.append((b"Store-Era", b"%d" % self.era))
+        return reply
+
+    async def _respond(self, request: InboundRequest) -> CallerReply:
         if self.error_status:
             return CallerReply(self.error_status, [], b"", "refused")
         parts = urlsplit(request.target.decode())
@@ -173,7 +203,7 @@
     ) -> CallerReply:
         with trio.move_on_after(int(options.get("waitMs", "0")) / 1000.0):
             while True:
-                if revision < self._compacted_revision:
+                if not self._compacted_revision <= revision <= self._revision:
                     return _json(410, {})
                 if self._events(kind, revision):
                     break
--- a/ibisfront/tests/test_platform_store.py
+++ b/ibisfront/tests/test_platform_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 
 import trio
@@ -164,6 +165,85 @@
         self.assertEqual(recorder.lists, [False, True])
 
 
+class OlderCopyTest(unittest.TestCase):
+    """A store that comes back from a copy some seconds old."""
+
+    async def watched_store(self, nursery, store):
+        """Watch a store whose copy lacks the last two of four things."""
+        store.era = 1
+        for name in ("a", "b"):
+            store.put("things", name, 1)
+        copy = store.copy()
+        for name in ("c", "d"):
+            store.put("things", name, 1)
+        target = RecordingTarget()
+        client = client_of(store, "things", wait_ms=200.0)
+        nursery.start_soon(
+            functools.partial(watch_kind, client, target.target(), clock=Clock())
+        )
+        await target.until("abcd")
+        return copy, target
+
+    @trio_test_real_clock
+    async def test_change_under_a_reused_revision_is_not_missed(self):
+        """Guards against a watch that goes on from a revision given out again."""
+        store = FakeObjectStore()
+        async with store.running(), trio.open_nursery() as nursery:
+            copy, target = await self.watched_store(nursery, store)
+            store.come_back_from(copy)
+            for name in ("e", "f", "g"):
+                store.put("things", name, 1)
+            await target.until("abefg")
+            nursery.cancel_scope.cancel()
+
+    @trio_test_real_clock
+    async def test_list_of_another_era_counts_as_one_after_an_outage(self):
+        """Guards against dropping servers that have not been written again yet."""
+        store = FakeObjectStore()
+        async with store.running(), trio.open_nursery() as nursery:
+            copy, target = await self.watched_store(nursery, store)
+            store.come_back_from(copy)
+            await target.until("ab")
+            nursery.cancel_scope.cancel()
+        self.assertEqual(target.lists, [False, True])
+
+    @trio_test_real_clock
+    async def test_answer_of_an_older_era_is_not_used(self):
+        """Guards against state that goes back with a late answer."""
+        store = FakeObjectStore()
+        store.era = 3
+        async with store.running():
+            client = client_of(store, "things")
+            await client.list_all()
+            store.era = 2
+            with self.assertRaises(StoreError) as caught:
+                await client.list_all()
+        self.assertIs(caught.exception.kind, StoreErrorKind.ERA_CHANGED)
+
+    @trio_test_real_clock
+    async def test_refusals_state_the_era_too(self):
+        store = FakeObjectStore()
+        store.era = 1
+        async with store.running():
+            client = client_of(store, "things")
+            listing = await client.list_all()
+            store.era, store.error_status = 2, 503
+            with self.assertRaises(StoreError) as caught:
+                await client.watch(listing.revision)
+        self.assertIs(caught.exception.kind, StoreErrorKind.ERA_CHANGED)
+
+    @trio_test_real_clock
+    async def test_store_without_an_era_works_as_before(self):
+        store = FakeObjectStore()
+        store.put("things", "a", 1)
+        async with store.running():
+            client = client_of(store, "things")
+            listing = await client.list_all()
+            store.put("things", "b", 1)
+            changes = await client.watch(listing.revision)
+        self.assertEqual(len(changes.changes), 1)
+
+
 class DirectoryTest(unittest.TestCase):
     """The list of instances."""
 
