--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 from urllib.parse import quote
 
 import msgspec
 
-from ibisfront.core.lenient_json import repair_json
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.state.store import (
@@ -18,6 +17,8 @@
     StoreError,
     StoreErrorKind,
 )
+from ibisfront.gateway.state.store_answers import decode, decode_leniently
+from ibisfront.gateway.state.store_era import WatchedEra
 from ibisfront.http1.client import HttpClient
 
 if TYPE_CHECKING:
@@ -66,8 +67,6 @@
 _CONFLICT = 409
 _GONE = 410
 
-_T = TypeVar("_T")
-
 
 class _Meta(msgspec.Struct, rename="camel"):
     """An object's metadata in the store."""
@@ -120,24 +119,14 @@
 
 
 class _KindCalls:
-    """Calls of the store for one kind, on one connection.
-
-    Attributes
-    ----------
-    era : int or None
-        The newest era that an answer has stated; None if none has.
-    listed_era : int or None
-        The era of the objects that are watched; None before the first listing, and
-        if answers state none.
-    """
+    """Calls of the store for one kind, on one connection."""
 
-    __slots__ = ("_client", "_kind", "era", "listed_era")
+    __slots__ = ("_client", "_era", "_kind")
 
     def __init__(self, address: Address, kind: str) -> None:
         self._client = HttpClient(address, maximum_body_bytes=_MAXIMUM_BODY_BYTES)
         self._kind = kind
-        self.era: int | None = None
-        self.listed_era: int | None = None
+        self._era = WatchedEra()
 
     def close(self) -> None:
         """Close the connection."""
@@ -162,43 +151,25 @@
     async def get(self, suffix: str, *, timeout_ms: float = _CALL_TIMEOUT_MS) -> bytes:
         """Return the body of a successful read; raises ``StoreError``."""
         message = await self.call("GET", suffix, timeout_ms=timeout_ms)
-        self._check_era(message)
+        self._era.check(_era_of(message), self._kind)
         if message.status == _OK:
             return message.body
         raise _rejection(self._kind, message)
 
-    def _check_era(self, message: RawMessage) -> None:
-        """Raise ``StoreError`` unless an answer is of the era that is watched.
-
-        A watch would go on from a revision that now stands for another change, and
-        an answer that was under way when the era changed is outdated.
-        """
-        era = _era_of(message)
-        if era is None:
-            return
-        expected = self.listed_era if self.listed_era is not None else self.era
-        self.era = era if self.era is None else max(era, self.era)
-        if expected is not None and era != expected:
-            self.listed_era = None
-            detail = f"{self._kind}: era {era} after {expected}"
-            raise StoreError(StoreErrorKind.ERA_CHANGED, detail)
-
     async def list_all(self, options: str = "") -> Listing:
         """Return all objects of the kind; raises ``StoreError``."""
-        self.listed_era = None
+        self._era.start_listing()
         objects: list[StoredObject] = []
         revision: int | None = None
         query = options
         while True:
-            page = _decode_leniently(
-                await self.get(f"?{query}" if query else ""), _Page
-            )
+            page = decode_leniently(await self.get(f"?{query}" if query else ""), _Page)
             objects += [_stored_object(item) for item in page.items]
             # The watch returns changes made between two pages only if it starts
             # at the first page's revision.
             revision = page.current_rev if revision is None else revision
             if not page.more or not page.items:
-                self.listed_era = self.era
+                self._era.record_listed()
                 return Listing(objects, revision)
             after = f"after={quote(page.items[-1].meta.name, safe='')}"
             query = f"{options}&{after}" if options else after
@@ -232,7 +203,7 @@
     async def instances(self) -> Sequence[InstanceEntry]:
         """Return all entries; they may be a few seconds old."""
         listing = await self._calls.list_all("allowStale=1")
-        return [_decode(item.spec, InstanceEntry) for item in listing.objects]
+        return [decode(item.spec, InstanceEntry) for item in listing.objects]
 
     def close(self) -> None:
         """Close the connection."""
@@ -280,7 +251,7 @@
             f"?watch={revision}&waitMs={self._watch_wait_ms}",
             timeout_ms=self._watch_wait_ms + _WATCH_SLACK_MS,
         )
-        answer = _decode_leniently(raw, _Events)
+        answer = decode_leniently(raw, _Events)
         changes = [
             ObjectChange(_stored_object(item.object), item.deleted)
             for item in answer.events
@@ -309,25 +280,5 @@
     return StoreError(error, f"{kind}: status {message.status}")
 
 
-def _decode(raw: bytes, body_type: type[_T]) -> _T:
-    try:
-        return msgspec.json.decode(raw, type=body_type)
-    except msgspec.DecodeError as error:
-        raise StoreError(StoreErrorKind.BAD_ANSWER, str(error)) from error
-
-
-def _decode_leniently(raw: bytes, body_type: type[_T]) -> _T:
-    """Decode an answer with objects from other writers.
-
-    One object that is not valid JSON invalidates the whole answer, and with it
-    the list of all servers. Lenient decoding limits the damage to that object.
-    """
-    try:
-        return msgspec.json.decode(raw, type=body_type)
-    except msgspec.DecodeError as error:
-        _LOG.warning("A reply from the store is not valid JSON: %s.", error)
-    return _decode(repair_json(raw), body_type)
-
-
 def _stored_object(item: _Object) -> StoredObject:
     return StoredObject(item.meta.name, item.meta.rev, bytes(item.spec))
