Do not refuse a sound request for long that ran beside one that crashes servers

A crash takes all requests that run on the server, so that two runs of the sound search lost their servers too, at fronts that had all just been killed and had seen no answer to it in the last minute. Both were quarantined at the same moment for 10 s, tried again at the same moment, and again for 40 s.

Ruled out: the cap of eight (two were quarantined), reports lost (all fronts refused both).

Now the first quarantine lasts 1 to 2 s, and how much longer than its minimum each lasts depends on the request, so that a sound one is tried without the other and its first answer clears it everywhere. The later ones take 4, 16 and 64 s at least, so that with the contact bound of some seconds three late copies remain the most. A reply to a report also says if the request was answered in the last minute, which the reporter may have missed.

Before: suspects of one crash end their quarantines together (1 distinct time for 5 requests); after: 5. Whether a sound request can still be hit in another way is open: from one instance's view it looks as the other one does.

--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -147,19 +147,26 @@
         if request.target != _TARGET:
             return None
         report = _decode(request.body)
-        known: list[FailedRuns] = []
+        reply = CrashReport()
         if report is not None:
             self._merge(report)
-            known = self._known_for_reply(report)
+            reply = self._reply_to(report)
         headers = [self._wire.request_id(request.request_id)]
-        body = msgspec.msgpack.encode(CrashReport(failed=known))
+        body = msgspec.msgpack.encode(reply)
         return CallerReply(_OK, headers, body, "crash_report")
 
-    def _known_for_reply(self, report: CrashReport) -> list[FailedRuns]:
+    def _reply_to(self, report: CrashReport) -> CrashReport:
+        """Return what is known here about the requests of a report, or about all."""
+        suspects = self._suspects
         if not report.failed and not report.answered:
-            return list(self._suspects.all_known())[:_MAX_SUSPECTS_IN_REPLY]
-        known = (self._suspects.known(item.fingerprint) for item in report.failed)
-        return [item for item in known if item is not None]
+            return CrashReport(list(suspects.all_known())[:_MAX_SUSPECTS_IN_REPLY])
+        now_ms = self._clock.now_ms()
+        names = [item.fingerprint for item in report.failed]
+        known = (suspects.known(name) for name in names)
+        return CrashReport(
+            failed=[item for item in known if item is not None],
+            answered=[name for name in names if suspects.is_answered(name, now_ms)],
+        )
 
     def _merge(self, report: CrashReport) -> None:
         now_ms = self._clock.now_ms()
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -31,9 +31,14 @@
 """Servers lost, and runs that lost them, before a request is quarantined. In one run
 alone, the servers may have been lost for another reason at the same moment."""
 
-_QUARANTINES_MS = (10_000.0, 40_000.0, 160_000.0, 3_600_000.0)
+_QUARANTINES_MS = (1_000.0, 4_000.0, 16_000.0, 64_000.0, 3_600_000.0)
 """Durations of a request's quarantines. Each ends with a copy that may reach servers;
-three such copies are tolerated in all."""
+three such copies are tolerated later than the contact bound of some seconds. The first
+is short, since requests that ran beside the one that crashes servers lose them too."""
+
+_MAX_EXTENSION = 1.0
+"""Largest share by which a quarantine is extended. The extension depends on the
+request: one that only ran beside another is not tried again at the same moment."""
 
 _ANSWERED_TTL_MS = 60_000.0
 """How long an answer proves that a request does not crash servers."""
@@ -148,8 +153,7 @@
 
     def merge(self, report: FailedRuns, now_ms: float) -> None:
         """Add what another instance knows about a request."""
-        answered_at_ms = self._answered_at_ms.get(report.fingerprint, -math.inf)
-        if now_ms < answered_at_ms + _ANSWERED_TTL_MS:
+        if self.is_answered(report.fingerprint, now_ms):
             return
         suspect = self._suspect(report.fingerprint, now_ms)
         has_new_run = suspect.add_runs(report.servers_lost)
@@ -158,6 +162,11 @@
         if suspect.is_evident and (is_behind or (is_free and has_new_run)):
             self._quarantine(report.fingerprint, suspect, report.quarantines, now_ms)
 
+    def is_answered(self, fingerprint: str, now_ms: float) -> bool:
+        """Return whether a server has replied to a request a short time ago."""
+        answered_at_ms = self._answered_at_ms.get(fingerprint, -math.inf)
+        return now_ms < answered_at_ms + _ANSWERED_TTL_MS
+
     def clear(self, fingerprint: str) -> None:
         """Clear a request that another instance has seen answered."""
         self._suspects.pop(fingerprint, None)
@@ -204,7 +213,8 @@
             return
         suspect.quarantines = max(suspect.quarantines + 1, reported)
         index = min(suspect.quarantines, len(_QUARANTINES_MS)) - 1
-        duration_ms = _QUARANTINES_MS[index]
+        extension = _MAX_EXTENSION * int(fingerprint[:4], 16) / 0xFFFF
+        duration_ms = _QUARANTINES_MS[index] * (1.0 + extension)
         suspect.quarantined_until_ms = now_ms + duration_ms
         fields = {
             "fingerprint": fingerprint,
