--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -48,6 +48,9 @@
         connect if there was one.
     closes : bool
         Whether the caller closes the connection after the answer.
+    workspace : str
+        Workspace that it counts against; empty if the configuration has none, or if
+        its route is public and it carries no key.
     """
 
     method: bytes
@@ -60,6 +63,7 @@
     arrived_at_ms: float
     network_ms: float = 0.0
     closes: bool = False
+    workspace: str = ""
 
     @property
     def path(self) -> str:
--- /dev/null
+++ b/ibisfront/gateway/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of workspaces over all instances."""
--- a/ibisfront/gateway/state/configuration.py
+++ b/ibisfront/gateway/state/configuration.py
@@ -18,6 +18,7 @@
     "RouteTable",
     "RoutedService",
     "WeightedService",
+    "Workspace",
 ]
 
 
@@ -110,6 +111,8 @@
         Services that share its requests.
     gathering : Gathering or None
         Set if each request is sent to all services of a list.
+    is_public : bool
+        Whether its requests need no key where there are workspaces.
     """
 
     name: str
@@ -122,6 +125,7 @@
     rank: int
     services: tuple[WeightedService, ...] = ()
     gathering: Gathering | None = None
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -157,6 +161,36 @@
     cold_per_s: float = 0.0
 
 
+class Workspace(msgspec.Struct, frozen=True, array_like=True):
+    """A group of callers with its own keys, priority and rate limit.
+
+    Attributes
+    ----------
+    name : str
+        Name of the workspace.
+    key_digests : tuple of str
+        Digests of the keys that its callers send; the keys themselves are not kept.
+    rank : int or None
+        Priority of its requests, which replaces that of their route; None to keep it.
+    limit_per_s : float
+        Requests per second that it may send to all instances together; 0 for no
+        limit.
+    limit_burst : float
+        Requests that it may send in addition at any time.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    rank: int | None = None
+    limit_per_s: float = 0.0
+    limit_burst: float = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether its requests are limited."""
+        return self.limit_per_s > 0.0
+
+
 class CallerLimits(msgspec.Struct, frozen=True):
     """Size limits and timeouts for requests of callers.
 
@@ -170,12 +204,16 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """A complete version of the configuration."""
+    """A complete version of the configuration.
+
+    Without ``workspaces``, requests need no key and are not limited.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, RoutedService]
     limits: CallerLimits
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class RouteTable:
--- /dev/null
+++ b/ibisfront/gateway/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: whose key a request carries, and what follows from that."""
