Workspaces: a key is checked, removed, and replaced by its workspace's name

Cause: a configuration may list workspaces with keys. Keys were forwarded to servers, a caller could name any workspace, unknown and revoked keys were served, and the rank of a workspace was ignored.

A request is authorized once its route is found, and again after each wait. Its keys are digested and looked up in one dictionary that is built with the table; keys stand in no state, message or log line. The request then carries the workspace's name and rank: first attempts, hedges, retries and delegated parts send them. A delegated query is run only where the configuration has the same workspace. A change of one key is relayed as its workspace alone. A request of a limited workspace takes a ticket if the gateway is given a quota, and returns it if no server was reached.

Freshness is not that of a state source, which only the few instances that watch the store have: with it, nearly all instances would answer 503 to unknown keys. A subscriber to a fresh source is fresh too.

--- a/ibisfront/front/early_start.py
+++ b/ibisfront/front/early_start.py
@@ -16,11 +16,15 @@
 
 import msgspec
 
+from ibisfront.core.environment import settings_path
 from ibisfront.core.errors import IbisfrontError
 from ibisfront.core.types import Address
 from ibisfront.gateway.settings import GatewaySettings
 from ibisfront.http1.listening import listening_socket
-from ibisfront.platform.settings import read_platform_settings, settings_path
+from ibisfront.platform.settings import (
+    SETTINGS_PATH_VARIABLE,
+    read_platform_settings,
+)
 
 __all__ = ["EarlyStart", "is_any_listening", "start_early"]
 
@@ -63,7 +67,7 @@
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        path = settings_path()
+        path = settings_path(SETTINGS_PATH_VARIABLE)
         modified_ns = _modified_ns(path)
         settings = read_platform_settings(path)
     except IbisfrontError as error:
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -231,6 +231,7 @@
                 clock=clock,
                 observer=self.observer,
                 crash_reports=self.crash_reports,
+                is_fresh=lambda: self.state_sync.has_fresh_state,
             ),
             delegation=Delegation(
                 registry=self.registry,
@@ -481,7 +482,7 @@
             counters.add(CounterKind.TABLE_CHANGES, "not_newer")
             return
         before = None if known is None else known.configuration.version
-        self.gateway.table = RouteTable(configuration)
+        self.gateway.table = RouteTable(configuration, previous=known)
         counters.add(CounterKind.TABLE_CHANGES, "in_force")
         fields = {"version": version, "before": before}
         _TABLE_LOG.info("Configuration %d is in force.", version, extra=fields)
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -18,11 +18,13 @@
 from ibisfront.gateway.queries.delegated_query import parse_delegated_query
 from ibisfront.gateway.queries.forwarding import ForwardRun
 from ibisfront.gateway.queries.scatter_gather import ScatterGather
+from ibisfront.gateway.quotas.quota import QuotaRefusal
 from ibisfront.gateway.route_state import give_up_at_ms
 
 if TYPE_CHECKING:
     from ibisfront.gateway.messages import BackendReply, InboundRequest
     from ibisfront.gateway.queries.delegation import Delegation
+    from ibisfront.gateway.quotas.quota import TakeQuota
     from ibisfront.gateway.state.configuration import Route, RouteTable
 
 __all__ = ["Gateway"]
@@ -35,6 +37,7 @@
 """Share of its deadline that a caller waits for the initial state; there is still
 time to try another instance."""
 
+_TOO_MANY_REQUESTS = 429
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -47,6 +50,8 @@
         The context that all requests share.
     delegation : Delegation, optional
         Delegates to other instances the sub-requests to servers in their zones.
+    take_quota : TakeQuota, optional
+        Counts requests against the limits of workspaces; without it none is limited.
     """
 
     __slots__ = (
@@ -57,12 +62,18 @@
         "_round_robin",
         "_scatter_gather",
         "_started_ms",
+        "_take_quota",
     )
 
     def __init__(
-        self, gateway_context: GatewayContext, *, delegation: Delegation | None = None
+        self,
+        gateway_context: GatewayContext,
+        *,
+        delegation: Delegation | None = None,
+        take_quota: TakeQuota | None = None,
     ) -> None:
         self._gateway_context = gateway_context
+        self._take_quota = take_quota
         self._delegation = delegation
         self._reachability = Reachability(
             registry=gateway_context.registry, clock=gateway_context.clock
@@ -145,16 +156,55 @@
             return gateway_context.refuse(
                 request, CallerReply(404, [], b"", "no_route")
             )
+        refusal = gateway_context.authorize(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
         if not self._reachability.can_serve(route):
             self.report_readiness()
             return gateway_context.refuse(request, gateway_context.unreachable_reply())
         quarantined = gateway_context.quarantine_reply(request)
         if quarantined is not None:
             return gateway_context.refuse(request, quarantined)
+        workspace = self.table.workspaces.named(request.workspace)
+        if self._take_quota is None or workspace is None or not workspace.is_limited:
+            return await self._run(request, route)
+        ticket = await self._take_quota(workspace, give_up_at_ms(request, route))
+        if isinstance(ticket, QuotaRefusal):
+            return gateway_context.refuse(request, self._over_limit_reply(ticket))
+        try:
+            return await self._run_counted(request)
+        finally:
+            if not request.reached_servers:
+                ticket.give_back()
+
+    async def _run(self, request: InboundRequest, route: Route) -> CallerReply:
+        """Run an authorized request."""
         if route.gathering is not None:
             return await self._scatter_gather.answer(request, route, route.gathering)
         return await self._forward(request, route)
 
+    async def _run_counted(self, request: InboundRequest) -> CallerReply:
+        """Run a request that may have waited to be counted against a limit.
+
+        The configuration may have changed meanwhile, and with it the route and the
+        workspace of the key.
+        """
+        gateway_context = self._gateway_context
+        assert self.table is not None
+        route = self.table.find(request.host, request.path)
+        if route is None:
+            return gateway_context.refuse(
+                request, CallerReply(404, [], b"", "no_route")
+            )
+        refusal = gateway_context.authorize(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
+        return await self._run(request, route)
+
+    def _over_limit_reply(self, refusal: QuotaRefusal) -> CallerReply:
+        retry_after = self._gateway_context.wire.retry_after(refusal.retry_after_ms)
+        return CallerReply(_TOO_MANY_REQUESTS, [retry_after], b"", refusal.reason)
+
     async def answer_instance(self, request: InboundRequest) -> CallerReply:
         """Return the answer to another instance: query parts or a liveness reply."""
         liveness_reply = answer_liveness_probe(request, self._gateway_context.wire)
@@ -208,6 +258,7 @@
         finally:
             gateway_context.record_run(
                 request,
+                may_have_arrived=run.call.may_have_arrived,
                 has_reply=run.call.has_reply,
                 servers_lost=run.call.servers_lost,
             )
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -8,9 +8,21 @@
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observability import RequestTrace
 from ibisfront.gateway.queries.service_call import CallContext
-from ibisfront.gateway.route_state import RouteStates, caller_deadline_at_ms
+from ibisfront.gateway.route_state import (
+    RouteStates,
+    caller_deadline_at_ms,
+    rank_of,
+)
+from ibisfront.gateway.workspaces.authentication import (
+    KeyRefusal,
+    accepts_delegated,
+    authenticate,
+)
+from ibisfront.gateway.workspaces.keys import digest_key, split_credentials
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.instances.crash_reports import CrashReports
     from ibisfront.gateway.load.retry_budget import RetryBudgets
@@ -25,6 +37,7 @@
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+_UNAUTHORIZED = 401
 _UNAVAILABLE = 503
 
 _RETRY_AFTER_MS = 150.0
@@ -49,6 +62,9 @@
         Counters and log lines.
     crash_reports : CrashReports, optional
         Tracks requests that crash servers; without it none is refused for that.
+    is_fresh : callable, optional
+        Returns whether this instance knows the newest configuration; by default it
+        always does.
 
     Attributes
     ----------
@@ -63,6 +79,7 @@
     __slots__ = (
         "_budgets",
         "_crash_reports",
+        "_is_fresh",
         "_observer",
         "clock",
         "registry",
@@ -81,9 +98,11 @@
         clock: Clock,
         observer: Observer,
         crash_reports: CrashReports | None = None,
+        is_fresh: Callable[[], bool] = lambda: True,
     ) -> None:
         self._budgets = budgets
         self._crash_reports = crash_reports
+        self._is_fresh = is_fresh
         self._observer = observer
         self.registry = registry
         self.wire = wire
@@ -118,7 +137,7 @@
             payload=payload,
             is_idempotent=route.is_idempotent,
             attempts=route.attempts,
-            rank=route.rank,
+            rank=rank_of(request, route),
             has_reply_body=request.method != b"HEAD",
             baseline=self.states.for_route(route).baseline,
             registry=self.registry,
@@ -129,6 +148,56 @@
             is_repeat=is_repeat,
         )
 
+    def authorize(self, request: InboundRequest, route: Route) -> CallerReply | None:
+        """Authorize a caller's request, or return its refusal.
+
+        The request loses its keys and gets its workspace. One that has waited is
+        authorized again: its key may have been revoked meanwhile.
+        """
+        assert self.table is not None
+        directory = self.table.workspaces
+        if not directory:
+            return None
+        before = request.workspace
+        request.headers, keys = split_credentials(request.headers, self.wire)
+        if keys:
+            request.key_digests = tuple(digest_key(key) for key in keys)
+        outcome = authenticate(
+            directory,
+            request.key_digests,
+            is_public=route.is_public,
+            is_fresh=self._is_fresh,
+        )
+        if isinstance(outcome, KeyRefusal):
+            request.workspace = ""
+            if outcome.is_final:
+                return CallerReply(_UNAUTHORIZED, [], b"", outcome.value)
+            return self.not_run_reply(outcome.value)
+        request.workspace = "" if outcome is None else outcome.name
+        request.rank = None if outcome is None else outcome.rank
+        if before and before != request.workspace:
+            # It has been counted against the limit of the other workspace.
+            return self.not_run_reply("workspace_changed")
+        return None
+
+    def authorize_delegated(
+        self, request: InboundRequest, route: Route
+    ) -> CallerReply | None:
+        """Authorize a query that another instance delegates, or return its refusal.
+
+        An instance without workspaces in its configuration leaves a caller's keys in
+        the request; the servers must not get them.
+        """
+        assert self.table is not None
+        directory = self.table.workspaces
+        if not accepts_delegated(
+            directory, request.workspace, is_public=route.is_public
+        ):
+            return self.not_run_reply("other_workspaces")
+        if directory:
+            request.headers, _ = split_credentials(request.headers, self.wire)
+        return None
+
     def not_run_reply(
         self, reason: str, retry_after_ms: float | None = None
     ) -> CallerReply:
@@ -163,9 +232,15 @@
         return self.not_run_reply("quarantined", left_ms) if left_ms else None
 
     def record_run(
-        self, request: InboundRequest, *, has_reply: bool, servers_lost: int
+        self,
+        request: InboundRequest,
+        *,
+        may_have_arrived: bool,
+        has_reply: bool,
+        servers_lost: int,
     ) -> None:
-        """Record what became of the servers that ran a request."""
+        """Record whether a request reached servers, and what became of these."""
+        request.reached_servers = request.reached_servers or may_have_arrived
         if self._crash_reports is not None:
             self._crash_reports.record_run(
                 request, has_reply=has_reply, servers_lost=servers_lost
--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -51,6 +51,12 @@
     workspace : str
         Workspace that it counts against; empty if the configuration has none, or if
         its route is public and it carries no key.
+    rank : int or None
+        Priority that replaces that of its route; None to keep it.
+    key_digests : tuple of str
+        Digests of the keys that it carried; only where it was received.
+    reached_servers : bool
+        Whether any server may have received it so far, even if it rejected it.
     """
 
     method: bytes
@@ -64,6 +70,9 @@
     network_ms: float = 0.0
     closes: bool = False
     workspace: str = ""
+    rank: int | None = None
+    key_digests: tuple[str, ...] = ()
+    reached_servers: bool = False
 
     @property
     def path(self) -> str:
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -9,6 +9,7 @@
 from ibisfront.core.counters import CounterKind, Counters
 from ibisfront.core.latencies import RouteLatencies
 from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.gateway.workspaces.keys import loggable_digest
 
 if TYPE_CHECKING:
     from ibisfront.gateway.load.baseline_latency import BaselineLatency
@@ -139,6 +140,8 @@
             "late_after_ms": round(baseline.late_ms, 1),
             "extras": trace.extras,
         }
+        if request.workspace:
+            fields["workspace"] = request.workspace
         if parts:
             fields["parts"] = parts
         # Whether delegated parts are late is decided by the requesting instance.
@@ -175,7 +178,7 @@
     ) -> None:
         """Record a request that was refused before any decision."""
         self.counters.add(CounterKind.REFUSALS, reply.reason)
-        fields = {
+        fields: dict[str, Any] = {
             "request_id": request.request_id,
             "host": request.host,
             "path": request.path,
@@ -183,4 +186,10 @@
             "status": reply.status,
             "reason": reply.reason,
         }
+        if request.workspace:
+            fields["workspace"] = request.workspace
+        elif request.key_digests:
+            fields["key_digests"] = [
+                loggable_digest(digest) for digest in request.key_digests
+            ]
         _LOG.warning("Refused %d: %s.", reply.status, reply.reason, extra=fields)
--- a/ibisfront/gateway/queries/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -31,10 +31,26 @@
 _WHOLE = b"x-ibisfront-whole"
 _MINIMUM = b"x-ibisfront-minimum"
 _REPEAT = b"x-ibisfront-repeat"
+_WORKSPACE = b"x-ibisfront-workspace"
+_RANK = b"x-ibisfront-rank"
 _SIGNATURES = b"x-ibisfront-signatures"
 _UNREACHABLE = b"x-ibisfront-out-of-reach"
 _REACHED = b"x-ibisfront-reached"
 
+_INTERNAL = frozenset(
+    (
+        _GATHERING,
+        _SERVICES,
+        _OBJECTIVE,
+        _WHOLE,
+        _MINIMUM,
+        _REPEAT,
+        _WORKSPACE,
+        _RANK,
+    )
+)
+"""Headers that only instances set; those of a caller are dropped."""
+
 
 class DelegatedQuery(msgspec.Struct, frozen=True):
     """Parts of a query requested by another instance.
@@ -42,7 +58,8 @@
     Attributes
     ----------
     request : InboundRequest
-        The caller's request, unchanged.
+        The caller's request, with the workspace and the rank that the sender has
+        decided, and otherwise unchanged.
     gathering : str
         The digest of the sender's gathering.
     services : int
@@ -79,11 +96,15 @@
 def parse_delegated_query(request: InboundRequest) -> DelegatedQuery | None:
     """Parse a request from another instance; return None if it is malformed."""
     values = {name.lower(): value for name, value in request.headers}
-    internal = (_GATHERING, _SERVICES, _OBJECTIVE, _WHOLE, _MINIMUM, _REPEAT)
-    headers = [item for item in request.headers if item[0].lower() not in internal]
+    rank = values.get(_RANK)
     try:
         return DelegatedQuery(
-            request=msgspec.structs.replace(request, headers=headers),
+            request=msgspec.structs.replace(
+                request,
+                headers=_without_internal(request.headers),
+                workspace=values.get(_WORKSPACE, b"").decode(),
+                rank=None if rank is None else int(rank),
+            ),
             gathering=values[_GATHERING].decode("ascii"),
             services=int(values[_SERVICES], 16),
             objective_remaining_ms=float(values[_OBJECTIVE]),
@@ -127,7 +148,7 @@
 def format_delegated_query(query: DelegatedQuery) -> InboundRequest:
     """Return the request that :func:`parse_delegated_query` parses to this query."""
     headers: list[Header] = [
-        *query.request.headers,
+        *_without_internal(query.request.headers),
         (_GATHERING, query.gathering.encode("ascii")),
         (_SERVICES, b"%x" % query.services),
         (_OBJECTIVE, b"%.1f" % query.objective_remaining_ms),
@@ -138,7 +159,15 @@
         headers.append((_MINIMUM, b"%d" % query.minimum_parts))
     if query.is_repeat:
         headers.append((_REPEAT, b"1"))
-    return msgspec.structs.replace(query.request, headers=headers)
+    if query.request.workspace:
+        headers.append((_WORKSPACE, query.request.workspace.encode()))
+    if query.request.rank is not None:
+        headers.append((_RANK, b"%d" % query.request.rank))
+    return msgspec.structs.replace(query.request, headers=headers, workspace="")
+
+
+def _without_internal(headers: Sequence[Header]) -> list[Header]:
+    return [item for item in headers if item[0].lower() not in _INTERNAL]
 
 
 def service_bitmask(gathering: Gathering, selected: Sequence[str]) -> int:
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -192,7 +192,7 @@
             may differ: most change other routes only, and they take seconds to
             reach all instances while the store rejects some.
         rank : int
-            The route's rank.
+            The request's rank.
         end_at_ms : float
             When the query ends with the parts received.
         give_up_at_ms : float
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -23,7 +23,7 @@
 from ibisfront.gateway.queries.gather_run import GatherRun
 from ibisfront.gateway.queries.records import top_records
 from ibisfront.gateway.queries.remote_call import RemoteCall
-from ibisfront.gateway.route_state import give_up_at_ms
+from ibisfront.gateway.route_state import give_up_at_ms, rank_of
 
 if TYPE_CHECKING:
     from ibisfront.gateway.gateway_context import GatewayContext
@@ -174,6 +174,9 @@
             return gateway_context.refuse(
                 request, gateway_context.not_run_reply("other_gathering")
             )
+        refusal = gateway_context.authorize_delegated(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
         if query.is_whole and not self._reachability.can_serve(route):
             reply = gateway_context.unreachable_reply()
             reply.headers.append(unreachable_header())
@@ -234,6 +237,9 @@
             return gateway_context.refuse(
                 request, gateway_context.not_run_reply(_NO_COORDINATOR)
             )
+        refusal = gateway_context.authorize(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
         return await self._gather(request, route, route.gathering)
 
     async def _run_locally(
@@ -303,7 +309,10 @@
             raise
         finally:
             self._gateway_context.record_run(
-                pending.request, has_reply=run.has_reply, servers_lost=run.servers_lost
+                pending.request,
+                may_have_arrived=run.may_have_arrived,
+                has_reply=run.has_reply,
+                servers_lost=run.servers_lost,
             )
 
     def _remote_starter(self, pending: _PendingQuery) -> StartRemoteCall:
@@ -320,7 +329,7 @@
                 pending.request,
                 wire=gateway_context.wire,
                 gathering=pending.gathering,
-                rank=pending.route.rank,
+                rank=rank_of(pending.request, pending.route),
                 end_at_ms=pending.effective_end_at_ms,
                 give_up_at_ms=pending.give_up_at_ms,
                 objective_ms=pending.route.objective_ms,
--- a/ibisfront/gateway/route_state.py
+++ b/ibisfront/gateway/route_state.py
@@ -18,6 +18,7 @@
     "RouteStates",
     "caller_deadline_at_ms",
     "give_up_at_ms",
+    "rank_of",
     "retain_routes",
 ]
 
@@ -104,6 +105,11 @@
         retain_routes(self._by_name, names)
 
 
+def rank_of(request: InboundRequest, route: Route) -> int:
+    """Return the priority of a request: that of its workspace before its route's."""
+    return route.rank if request.rank is None else request.rank
+
+
 def caller_deadline_at_ms(request: InboundRequest, route: Route) -> float:
     """Return when the caller's deadline or the route's timeout expires."""
     deadline_ms = request.deadline_ms
--- a/ibisfront/gateway/state/configuration.py
+++ b/ibisfront/gateway/state/configuration.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from ibisfront.gateway.workspaces.directory import WorkspaceDirectory
+
 __all__ = [
     "CallerLimits",
     "Configuration",
@@ -223,9 +225,13 @@
     ----------
     configuration : Configuration
         The active version.
+    previous : RouteTable, optional
+        Table of the version before, whose unchanged parts are shared.
 
     Attributes
     ----------
+    workspaces : WorkspaceDirectory
+        The workspaces.
     gathered_services : frozenset of str
         Services of scatter-gather routes.
     service_names : frozenset of str
@@ -244,10 +250,17 @@
         "gathered_services",
         "route_names",
         "service_names",
+        "workspaces",
     )
 
-    def __init__(self, configuration: Configuration) -> None:
+    def __init__(
+        self, configuration: Configuration, *, previous: RouteTable | None = None
+    ) -> None:
         self.configuration = configuration
+        directory = WorkspaceDirectory() if previous is None else previous.workspaces
+        self.workspaces: WorkspaceDirectory = directory.updated(
+            configuration.workspaces
+        )
         self._by_host: dict[str, dict[str, Route]] = {}
         by_target: dict[str | tuple[str, ...] | Gathering, Route] = {}
         # One pass of plain loops, since queries wait while the table is built.
--- a/ibisfront/gateway/state/configuration_change.py
+++ b/ibisfront/gateway/state/configuration_change.py
@@ -9,6 +9,7 @@
     Configuration,
     Route,
     RoutedService,
+    Workspace,
 )
 
 __all__ = [
@@ -41,6 +42,10 @@
         All services, if one of them has changed.
     limits : CallerLimits or None
         Limits for callers, if changed.
+    workspaces : tuple of Workspace
+        Workspaces that were added or changed.
+    removed_workspaces : tuple of str
+        Names of removed workspaces.
     """
 
     before: int
@@ -49,6 +54,8 @@
     removed: tuple[str, ...] = ()
     services: dict[str, RoutedService] | None = None
     limits: CallerLimits | None = None
+    workspaces: tuple[Workspace, ...] = ()
+    removed_workspaces: tuple[str, ...] = ()
 
 
 def apply_change(before: Configuration, change: ConfigurationChange) -> Configuration:
@@ -64,9 +71,23 @@
         routes=tuple(routes.values()),
         services=before.services if services is None else services,
         limits=before.limits if limits is None else limits,
+        workspaces=_changed_workspaces(before.workspaces, change),
     )
 
 
+def _changed_workspaces(
+    before: tuple[Workspace, ...], change: ConfigurationChange
+) -> tuple[Workspace, ...]:
+    """Return the later workspaces; the same object if none has changed."""
+    if not change.workspaces and not change.removed_workspaces:
+        return before
+    workspaces = {item.name: item for item in before}
+    for name in change.removed_workspaces:
+        workspaces.pop(name, None)
+    workspaces.update((item.name, item) for item in change.workspaces)
+    return tuple(workspaces.values())
+
+
 def compute_change(
     before: Configuration, after: Configuration
 ) -> ConfigurationChange | None:
@@ -80,6 +101,8 @@
     """
     before_routes = {route.name: route for route in before.routes}
     names = {route.name for route in after.routes}
+    before_workspaces = {item.name: item for item in before.workspaces}
+    workspace_names = {item.name for item in after.workspaces}
     change = ConfigurationChange(
         before=before.version,
         version=after.version,
@@ -89,6 +112,14 @@
         removed=tuple(name for name in before_routes if name not in names),
         services=None if before.services == after.services else after.services,
         limits=None if before.limits == after.limits else after.limits,
+        workspaces=tuple(
+            item
+            for item in after.workspaces
+            if before_workspaces.get(item.name) != item
+        ),
+        removed_workspaces=tuple(
+            name for name in before_workspaces if name not in workspace_names
+        ),
     )
     return change if apply_change(before, change) == after else None
 
--- a/ibisfront/gateway/state/route_cache.py
+++ b/ibisfront/gateway/state/route_cache.py
@@ -1,28 +1,30 @@
-"""Cache of decoded routes, by their encoded text."""
+"""Cache of decoded routes and workspaces, by their encoded text."""
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ibisfront.gateway.state.configuration import Route
+    from ibisfront.gateway.state.configuration import Route, Workspace
 
 __all__ = ["RouteCache"]
 
 
 class RouteCache:
-    """Reuses the decoded routes of the previous configuration version.
+    """Reuses the decoded routes and workspaces of the previous configuration version.
 
-    Routes whose text is unchanged are shared by both versions, since queries wait
+    Those whose text is unchanged are shared by both versions, since queries wait
     while thousands of routes are decoded.
     """
 
-    __slots__ = ("_by_text",)
+    __slots__ = ("_by_text", "_workspaces")
 
     def __init__(self) -> None:
         self._by_text: dict[bytes, Route] = {}
+        self._workspaces: dict[bytes, Workspace] = {}
 
     def routes(
         self, texts: Iterable[bytes], decode: Callable[[bytes], Route]
@@ -36,3 +38,21 @@
             routes[text] = self._by_text.get(text) or decode(text)
         self._by_text = routes
         return tuple(routes.values())
+
+    def workspaces(
+        self, texts: Iterable[bytes], decode: Callable[[bytes], Workspace]
+    ) -> tuple[Workspace, ...]:
+        """Return the workspaces with these texts, decoding only new ones.
+
+        Their texts contain keys, so only digests of them are kept. Errors of the
+        decoder propagate and leave the cache unchanged.
+        """
+        known: dict[bytes, Workspace] = {}
+        workspaces: list[Workspace] = []
+        for text in texts:
+            digest = hashlib.blake2b(text, digest_size=16).digest()
+            workspace = self._workspaces.get(digest) or decode(text)
+            known[digest] = workspace
+            workspaces.append(workspace)
+        self._workspaces = known
+        return tuple(workspaces)
--- a/ibisfront/gateway/state/state_sync.py
+++ b/ibisfront/gateway/state/state_sync.py
@@ -224,6 +224,14 @@
         """
         return self._mode is _Mode.WATCHING and not self.unavailable
 
+    @property
+    def has_fresh_state(self) -> bool:
+        """Whether the configuration here is the newest, but for a short delay.
+
+        It is if the store answers this instance, or the source to which it subscribes.
+        """
+        return self._mode is _Mode.SUBSCRIBED or self.is_fresh
+
     @property
     def may_become_fresh(self) -> bool:
         """Whether requests should wait for this instance to become fresh.
--- a/ibisfront/gateway/state/store_era.py
+++ b/ibisfront/gateway/state/store_era.py
@@ -2,9 +2,37 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 
-__all__ = ["WatchedEra"]
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ibisfront.gateway.messages import Header
+
+__all__ = ["WatchedEra", "stated_era"]
+
+_LOG = part_logger(LogPart.PLATFORM)
+
+
+def stated_era(headers: Iterable[Header], era_header: bytes) -> int | None:
+    """Return the era that an answer's headers state; None if they state none.
+
+    Parameters
+    ----------
+    headers : iterable of Header
+        The headers.
+    era_header : bytes
+        Name of the header that states it, in lower case.
+    """
+    for name, value in headers:
+        if name.lower() == era_header:
+            if value.isdigit():
+                return int(value)
+            _LOG.warning("The store's era is no number: %.40r.", value)
+    return None
 
 
 class WatchedEra:
--- a/ibisfront/gateway/wire.py
+++ b/ibisfront/gateway/wire.py
@@ -31,7 +31,11 @@
         Decodes a request, given the current time and the time that the network adds
         to the caller's wait, both in milliseconds.
     encode_request : callable
-        Returns the encoder of a request for a server.
+        Returns the encoder of a request for a server; states its workspace, if any.
+    key_header : bytes
+        Name of the header with a caller's key, in lower case.
+    workspace_header : bytes
+        Name of the header that tells a server the request's workspace, likewise.
     decode_reply : callable
         Decodes a backend server's reply.
     gathered_headers : callable
@@ -47,6 +51,8 @@
 
     decode_request: Callable[[RawMessage, float, float], InboundRequest]
     encode_request: Callable[[InboundRequest], EncodeFor]
+    key_header: bytes
+    workspace_header: bytes
     decode_reply: Callable[[RawMessage], BackendReply]
     gathered_headers: Callable[[Sequence[bytes], int], list[Header]]
     request_id: Callable[[str], Header]
--- a/ibisfront/http1/fields.py
+++ b/ibisfront/http1/fields.py
@@ -39,6 +39,7 @@
 
 _REASON_PHRASES = {
     200: b"OK",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/ibisfront/lab/connections.py
+++ b/ibisfront/lab/connections.py
@@ -77,6 +77,8 @@
 LAB_WIRE_CODEC = WireCodec(
     decode_request=_decode_request,
     encode_request=_encode_request,
+    key_header=b"key",
+    workspace_header=b"workspace",
     decode_reply=_decode_reply,
     gathered_headers=_gathered_headers,
     request_id=_request_id,
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Literal
 
 import msgspec
 
-from ibisfront.core.lenient_json import REPLACEMENT_CHARACTER
+from ibisfront.gateway.servers.entry_fields import (
+    Count,
+    NonEmptyText,
+    ReadableText,
+    RemainingMs,
+    Slots,
+    SocketAddress,
+)
 from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import (
     CallerLimits,
@@ -16,8 +23,11 @@
     Route,
     RoutedService,
     WeightedService,
+    Workspace,
 )
 from ibisfront.gateway.state.route_cache import RouteCache
+from ibisfront.gateway.workspaces.directory import check_workspaces
+from ibisfront.gateway.workspaces.keys import digest_key
 
 __all__ = ["CONFIGURATION_NAME", "configuration_from", "server_entry_from"]
 
@@ -49,6 +59,19 @@
     # The number of records in an answer.
     top_k: int = 0
     min_coverage: float = 1.0
+    public: bool = False
+
+
+class _Workspace(msgspec.Struct, rename="camel"):
+    """A workspace as stored."""
+
+    name: str
+    api_keys: tuple[str, ...]
+    # Replaces the priority of the route.
+    priority: int | None = None
+    # Requests over all instances together; 0 for no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -78,27 +101,11 @@
     routes: list[msgspec.Raw]
     services: tuple[_Service, ...]
     limits: _Limits
+    tenants: list[msgspec.Raw] = []
 
 
 _MILLISECONDS_PER_SECOND = 1000.0
 
-_ReadableText = Annotated[
-    str, msgspec.Meta(pattern=f"^[^{REPLACEMENT_CHARACTER}]*$", max_length=256)
-]
-_NonEmptyText = Annotated[_ReadableText, msgspec.Meta(min_length=1)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-
-_MAX_SLOTS = 100_000
-"""Slots above which an entry is invalid: three orders of magnitude above those of
-real servers."""
-
-_MAX_WARM_UP_MS = 600_000.0
-"""Remaining warm-up above which an entry is invalid; a real one takes seconds."""
-
-_Address = Annotated[
-    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[1-9][0-9]{0,4}$")
-]
-
 
 class _Server(msgspec.Struct, rename="camel"):
     """A server's entry; its id is the name of the object.
@@ -107,18 +114,18 @@
     impossible value is invalid.
     """
 
-    service: _NonEmptyText
-    addr: _Address
-    zone: _NonEmptyText
+    service: NonEmptyText
+    addr: SocketAddress
+    zone: NonEmptyText
     # Version of the server's software; validated but unused.
-    version: _ReadableText
-    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+    version: ReadableText
+    slots: Slots
     state: Literal["ready", "draining"]
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_WARM_UP_MS)]
+    warmup_left_ms: RemainingMs
     # Rises with each write of one incarnation; validated but unused.
-    seq: _Count
+    seq: Count
     # When this incarnation started; entries written by older software lack it.
-    born: _Count = 0
+    born: Count = 0
 
 
 def configuration_from(spec: bytes, cache: RouteCache) -> Configuration:
@@ -130,6 +137,8 @@
         If it is invalid.
     """
     raw = msgspec.json.decode(spec, type=_Configuration)
+    workspaces = cache.workspaces((bytes(item) for item in raw.tenants), _workspace)
+    check_workspaces(workspaces)
     return Configuration(
         version=raw.version,
         routes=cache.routes((bytes(item) for item in raw.routes), _route),
@@ -148,6 +157,18 @@
             header_timeout_ms=raw.limits.header_timeout_ms,
             idle_timeout_ms=raw.limits.idle_timeout_ms,
         ),
+        workspaces=workspaces,
+    )
+
+
+def _workspace(data: bytes) -> Workspace:
+    raw = msgspec.json.decode(data, type=_Workspace)
+    return Workspace(
+        name=raw.name,
+        key_digests=tuple(digest_key(key.encode()) for key in raw.api_keys),
+        rank=raw.priority,
+        limit_per_s=raw.rate_per_s,
+        limit_burst=raw.burst,
     )
 
 
@@ -172,6 +193,7 @@
         rank=raw.priority,
         services=services,
         gathering=gathering,
+        is_public=raw.public,
     )
 
 
--- a/ibisfront/platform/headers.py
+++ b/ibisfront/platform/headers.py
@@ -72,6 +72,8 @@
 def _encode_request(request: InboundRequest) -> EncodeFor:
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in request.headers]
+    if request.workspace:
+        lines.append(b"X-Tenant-Id: " + request.workspace.encode())
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(request.body))
     head = b"\r\n".join(lines)
@@ -160,6 +162,8 @@
 WIRE = WireCodec(
     decode_request=_decode_request,
     encode_request=_encode_request,
+    key_header=b"x-key",
+    workspace_header=b"x-tenant-id",
     decode_reply=_decode_reply,
     gathered_headers=_gathered_headers,
     request_id=_request_id,
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import os
 import tomllib
-from collections.abc import Mapping
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.gateway.settings import Bounds, GatewaySettings
 
-__all__ = ["SETTINGS_PATH_VARIABLE", "read_platform_settings", "settings_path"]
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["SETTINGS_PATH_VARIABLE", "read_platform_settings"]
 
 SETTINGS_PATH_VARIABLE = "IBISFRONT_BOOT"
 """The environment variable that holds the path of the settings file."""
@@ -83,24 +84,6 @@
     bootstrap: bool = False
 
 
-def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
-    """Return the path of the settings file.
-
-    Raises
-    ------
-    IbisfrontError
-        ``bad_settings`` if the variable is not set.
-    """
-    value = environment.get(SETTINGS_PATH_VARIABLE, "")
-    if not value:
-        raise IbisfrontError(
-            ErrorKind.BAD_SETTINGS,
-            f"{SETTINGS_PATH_VARIABLE} is not set:"
-            " set it to the path of the settings file",
-        )
-    return Path(value)
-
-
 def read_platform_settings(path: Path) -> GatewaySettings:
     """Read the settings file.
 
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.state.store import (
     Changes,
@@ -18,7 +17,7 @@
     StoreErrorKind,
 )
 from ibisfront.gateway.state.store_answers import decode, decode_leniently
-from ibisfront.gateway.state.store_era import WatchedEra
+from ibisfront.gateway.state.store_era import WatchedEra, stated_era
 from ibisfront.http1.client import HttpClient
 
 if TYPE_CHECKING:
@@ -35,8 +34,6 @@
     "PlatformKindClient",
 ]
 
-_LOG = part_logger(LogPart.PLATFORM)
-
 CONFIGURATION_KIND = "config"
 """The kind whose object ``main`` is the configuration in force."""
 
@@ -151,7 +148,7 @@
     async def get(self, suffix: str, *, timeout_ms: float = _CALL_TIMEOUT_MS) -> bytes:
         """Return the body of a successful read; raises ``StoreError``."""
         message = await self.call("GET", suffix, timeout_ms=timeout_ms)
-        self._era.check(_era_of(message), self._kind)
+        self._era.check(stated_era(message.headers, _ERA_HEADER), self._kind)
         if message.status == _OK:
             return message.body
         raise _rejection(self._kind, message)
@@ -263,16 +260,6 @@
         self._calls.close()
 
 
-def _era_of(message: RawMessage) -> int | None:
-    """Return the era that an answer states; None if it states none."""
-    for name, value in message.headers:
-        if name.lower() == _ERA_HEADER:
-            if value.isdigit():
-                return int(value)
-            _LOG.warning("The store's era is no number: %.40r.", value)
-    return None
-
-
 def _rejection(kind: str, message: RawMessage) -> StoreError:
     error = StoreErrorKind.REFUSED
     if message.status == _GONE:
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -37,13 +37,16 @@
     RoutedService,
     RouteTable,
     WeightedService,
+    Workspace,
 )
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Sequence
 
     from ibisfront.core.types import Address
+    from ibisfront.gateway.messages import Header
+    from ibisfront.gateway.quotas.quota import TakeQuota
     from ibisfront.gateway.servers.exchange import Exchange
     from ibisfront.gateway.servers.pool import ServerConnection
 
@@ -86,6 +89,8 @@
         Body of its replies.
     received : list of Exchange
         Received exchanges, in order.
+    payloads : list of bytes
+        Requests as received, in order.
     remaining_ms : list of float
         Remaining time stated by each request.
     running, connections, opened : int
@@ -105,6 +110,7 @@
         "latency_ms",
         "not_run",
         "opened",
+        "payloads",
         "received",
         "remaining_ms",
         "running",
@@ -121,6 +127,7 @@
         self.accepts_connections = True
         self.body = b""
         self.received: list[Exchange] = []
+        self.payloads: list[bytes] = []
         self.remaining_ms: list[float] = []
         self.running = 0
         self.connections = 0
@@ -165,6 +172,7 @@
         remaining = payload.split(b"X-Deadline-Ms: ")[1].split(b"\r\n")[0]
         self._server.remaining_ms.append(float(remaining))
         self._server.received.append(exchange)
+        self._server.payloads.append(payload)
         path = self._server.crash_path
         self._crashes = path is not None and b" " + path + b" " in payload
         exchange.sent_at_ms = now_ms
@@ -282,6 +290,12 @@
         Whether partitions of other zones are detected; set before it runs.
     zone_changes : int
         Number of times that a partition was detected or found to have ended.
+    workspaces : tuple of Workspace
+        Workspaces of the configuration; set before it runs.
+    is_fresh : bool
+        Whether the gateway knows the newest configuration.
+    take_quota : TakeQuota or None
+        Counts requests against limits; set before it runs.
     """
 
     def __init__(
@@ -294,6 +308,9 @@
     ) -> None:
         self._zone = zone
         self.monitors_zone_paths = True
+        self.workspaces: tuple[Workspace, ...] = ()
+        self.is_fresh = True
+        self.take_quota: TakeQuota | None = None
         self.zone_changes = 0
         self.clock = Clock()
         self.routes = routes
@@ -327,14 +344,20 @@
                 wire=WIRE,
                 clock=self.clock,
                 observer=self.observer,
+                is_fresh=lambda: self.is_fresh,
             )
-            self.gateway = Gateway(self.gateway_context)
-            limits = CallerLimits()
-            configuration = Configuration(1, self.routes, self._services, limits)
-            self.gateway.table = RouteTable(configuration)
+            self.gateway = Gateway(self.gateway_context, take_quota=self.take_quota)
+            self.apply_configuration(1)
             yield self.gateway
             nursery.cancel_scope.cancel()
 
+    def apply_configuration(self, version: int) -> None:
+        """Apply a version with the current routes and workspaces."""
+        configuration = Configuration(
+            version, self.routes, self._services, CallerLimits(), self.workspaces
+        )
+        self.gateway.table = RouteTable(configuration, previous=self.gateway.table)
+
     def _zone_path_monitor(self, paths: ZonePaths) -> ZonePathMonitor:
         return ZonePathMonitor(
             paths=paths,
@@ -351,16 +374,20 @@
         self.zone_changes += 1
 
     async def send_request(
-        self, path: str = "/search/a", *, deadline_ms: float = 1000.0
+        self,
+        path: str = "/search/a",
+        *,
+        deadline_ms: float = 1000.0,
+        headers: Sequence[Header] = (),
     ) -> CallerReply:
-        """Send a request to the gateway as a caller."""
+        """Send a request to the gateway as a caller, with some more headers."""
         request = InboundRequest(
             method=b"GET",
             target=path.encode(),
             host=HOST,
             request_id=f"request-{next(self._ids)}",
             deadline_ms=deadline_ms,
-            headers=[(b"Host", HOST.encode())],
+            headers=[(b"Host", HOST.encode()), *headers],
             body=b"",
             arrived_at_ms=self.clock.now_ms(),
         )
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -47,10 +47,10 @@
     from collections.abc import AsyncIterator
 
     from ibisfront.core.types import Address
-    from ibisfront.gateway.messages import CallerReply
+    from ibisfront.gateway.messages import CallerReply, Header
     from ibisfront.gateway.servers.exchange import Exchange
     from ibisfront.gateway.servers.pool import OpenServerConnection, ServerConnection
-    from ibisfront.gateway.state.configuration import Route
+    from ibisfront.gateway.state.configuration import Route, Workspace
 
 __all__ = ["TwoZones"]
 
@@ -110,6 +110,10 @@
         Number of delegated queries.
     frozen : bool
         Whether the instance in ``z1`` accepts queries and never replies.
+    workspaces : tuple of Workspace
+        Workspaces of the next configuration version.
+    headers : list of Header
+        Headers that callers add to their requests.
     peer_connect_ms : float
         Time to open a connection between the instances.
     """
@@ -129,6 +133,8 @@
         self.clock = _CountingClock()
         self.delegated = 0
         self.frozen = False
+        self.workspaces: tuple[Workspace, ...] = ()
+        self.headers: list[Header] = []
         self.peer_connect_ms = CONNECT_MS
         self._route = route
         routes = [route] if extra_route is None else [route, extra_route]
@@ -157,7 +163,9 @@
     ) -> None:
         """Apply a configuration version at all instances, or at one of them."""
         services = {name: RoutedService(name, 25) for name in self._service_names}
-        configuration = Configuration(version, (route,), services, CallerLimits())
+        configuration = Configuration(
+            version, (route,), services, CallerLimits(), self.workspaces
+        )
         for zone, gateway in self.gateways.items():
             if only in (None, zone):
                 gateway.table = RouteTable(configuration)
@@ -179,7 +187,11 @@
             host=HOST,
             request_id=request_id,
             deadline_ms=1000.0,
-            headers=[(b"Host", HOST.encode()), WIRE.request_id(request_id)],
+            headers=[
+                (b"Host", HOST.encode()),
+                WIRE.request_id(request_id),
+                *self.headers,
+            ],
             body=b"",
             arrived_at_ms=self.clock.now_ms(),
         )
@@ -261,6 +273,11 @@
         """The sub-requests that servers have received."""
         return [item for server in self._servers.values() for item in server.received]
 
+    @property
+    def payloads(self) -> list[bytes]:
+        """The sub-requests that servers have received, as bytes."""
+        return [item for server in self._servers.values() for item in server.payloads]
+
     def running_requests(self) -> int:
         """Return how many requests the servers are running."""
         return sum(server.running for server in self._servers.values())
--- a/ibisfront/tests/test_gateway_configuration_change.py
+++ b/ibisfront/tests/test_gateway_configuration_change.py
@@ -5,6 +5,8 @@
 import random
 import unittest
 
+import msgspec
+
 from ibisfront.gateway.state.configuration import (
     CallerLimits,
     Configuration,
@@ -12,8 +14,10 @@
     Route,
     RoutedService,
     WeightedService,
+    Workspace,
 )
 from ibisfront.gateway.state.configuration_change import (
+    ConfigurationChange,
     ConfigurationHistory,
     apply_change,
     compute_change,
@@ -42,7 +46,11 @@
     routes = tuple(route(name, rng.choice((1000.0, 2000.0))) for name in names)
     services = {"s": RoutedService("s", rng.choice((10, 20)))}
     limits = CallerLimits(idle_timeout_ms=rng.choice((1000.0, 2000.0)))
-    return Configuration(version, routes, services, limits)
+    workspaces = tuple(
+        Workspace(name, (f"{name}{rng.randrange(2)}",))
+        for name in rng.sample("xyz", rng.randrange(4))
+    )
+    return Configuration(version, routes, services, limits, workspaces)
 
 
 class ChangeTest(unittest.TestCase):
@@ -65,6 +73,35 @@
         self.assertEqual((change.routes, change.removed), ((), ("b",)))
         self.assertEqual(apply_change(before, change), after)
 
+    def test_change_of_one_key_contains_only_its_workspace(self):
+        """Guards against links that a change of one key saturates."""
+        before = configuration(1, [str(number) for number in range(3000)])
+        before = msgspec.structs.replace(
+            before, workspaces=(Workspace("a", ("k",)), Workspace("b", ("l",)))
+        )
+        after = msgspec.structs.replace(
+            before, version=2, workspaces=(before.workspaces[0], Workspace("b", ("m",)))
+        )
+        change = compute_change(before, after)
+        self.assertEqual((change.routes, change.workspaces), ((), after.workspaces[1:]))
+        self.assertLess(len(msgspec.msgpack.encode(change)), 200)
+        self.assertEqual(apply_change(before, change), after)
+
+    def test_peer_without_workspaces_reads_and_is_read(self):
+        """Guards against instances that drop out while a tier is updated."""
+
+        class OldChange(msgspec.Struct):
+            before: int
+            version: int
+
+        new = ConfigurationChange(1, 2, workspaces=(Workspace("a", ("k",)),))
+        data = msgspec.msgpack.encode(new)
+        self.assertEqual(msgspec.msgpack.decode(data, type=ConfigurationChange), new)
+        self.assertEqual(msgspec.msgpack.decode(data, type=OldChange), OldChange(1, 2))
+        data = msgspec.msgpack.encode(OldChange(1, 2))
+        change = msgspec.msgpack.decode(data, type=ConfigurationChange)
+        self.assertEqual(change.workspaces, ())
+
     def test_any_two_versions(self):
         rng = random.Random(7)
         applied = 0
--- a/ibisfront/tests/test_platform_boundary.py
+++ b/ibisfront/tests/test_platform_boundary.py
@@ -10,6 +10,7 @@
 WIRE_NAMES = re.compile(
     r"X-(Expect-Instance|Backend-Stamp|Not-Executed|Shard|Instance-Id)"
     r"|pathPrefix|timeoutMs|sloMs|minCoverage|topK|currentRev|allowStale"
+    r"|(?i:X-Key|X-Tenant)|apiKeys|ratePerS"
     r"|waitMs|warmupLeftMs|maxConns|nodeName|peerPorts|retryAllowance|graceS"
 )
 MAX_LINES = 800
--- a/ibisfront/tests/test_platform_documents.py
+++ b/ibisfront/tests/test_platform_documents.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibisfront.gateway.state.route_cache import RouteCache
+from ibisfront.gateway.workspaces.keys import digest_key
 from ibisfront.platform.documents import configuration_from, server_entry_from
 
 VALID = {
@@ -81,7 +82,7 @@
     return {"name": name, **common, **times, **changes}
 
 
-def configuration_of(version, *routes):
+def configuration_of(version, *routes, **changes):
     """Return a configuration document with the given version and routes."""
     limits = ("maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs")
     document = {
@@ -89,6 +90,7 @@
         "routes": routes,
         "services": [{"name": "s", "maxConns": 10}],
         "limits": dict.fromkeys(limits, 1),
+        **changes,
     }
     return json.dumps(document).encode()
 
@@ -116,3 +118,60 @@
                 configuration_from(invalid, cache)
         after = configuration_from(configuration_of(3, route_of("a")), cache)
         self.assertEqual((after.version, len(after.routes)), (3, 1))
+
+
+def workspace_of(name="desk", *keys, **changes):
+    """Return a workspace as operators write it."""
+    return {"name": name, "apiKeys": keys or [f"{name}-s3cret"], **changes}
+
+
+class WorkspacesTest(unittest.TestCase):
+    """Workspaces of a configuration."""
+
+    def _decode(self, *workspaces, cache=None):
+        spec = configuration_of(1, route_of("a", public=True), tenants=workspaces)
+        return configuration_from(spec, cache or RouteCache())
+
+    def test_fields_are_read(self):
+        full = workspace_of("desk", "a", "b", priority=2, ratePerS=9, burst=4.5)
+        decoded = self._decode(full, workspace_of("guard"))
+        desk, guard = decoded.workspaces
+        self.assertEqual(desk.key_digests, (digest_key(b"a"), digest_key(b"b")))
+        self.assertEqual((desk.rank, desk.limit_per_s, desk.limit_burst), (2, 9, 4.5))
+        self.assertEqual((guard.rank, guard.is_limited), (None, False))
+        self.assertTrue(decoded.routes[0].is_public)
+        self.assertNotIn("s3cret", str(decoded))
+
+    def test_invalid_workspace_is_named_without_its_key(self):
+        """Guards against a list of workspaces in which one key means two of them."""
+        for invalid, stated in (
+            ([workspace_of("desk", "s3cret", "s3cret")], "'desk': keys: one is listed"),
+            (
+                [workspace_of("desk", "s3cret"), workspace_of("guard", "s3cret")],
+                "'guard': keys: one also belongs to 'desk'",
+            ),
+            ([workspace_of("desk", "s3cret", "")], "'desk': keys: one is empty"),
+            ([workspace_of("desk", "a"), workspace_of("", "b")], "2 of the list: name"),
+            (
+                [workspace_of("desk", "a"), workspace_of("desk", "b")],
+                "name: used twice",
+            ),
+            ([workspace_of("d\r\nX-Key: 1")], "name: not fit for a header"),
+            ([workspace_of(ratePerS=-1)], "'desk': rate: negative"),
+            ([workspace_of(burst=-1)], "'desk': burst: negative"),
+            ([workspace_of(ratePerS="s3cret")], "ratePerS"),
+            ([workspace_of("desk", 7, "s3cret")], "apiKeys"),
+            ([{"name": "desk"}], "apiKeys"),
+        ):
+            with self.subTest(stated), self.assertRaises(ValueError) as raised:
+                self._decode(*invalid)
+            self.assertIn(stated, str(raised.exception))
+            self.assertNotIn("s3cret", str(raised.exception))
+
+    def test_unchanged_workspace_is_shared(self):
+        cache = RouteCache()
+        before = self._decode(workspace_of("a"), workspace_of("b"), cache=cache)
+        after = self._decode(workspace_of("a"), workspace_of("b", "n"), cache=cache)
+        self.assertIs(after.workspaces[0], before.workspaces[0])
+        self.assertNotEqual(after.workspaces[1], before.workspaces[1])
+        self.assertNotIn("s3cret", str(cache._workspaces))
