--- a/ibisfront/cli/causes.py
+++ b/ibisfront/cli/causes.py
@@ -12,6 +12,7 @@
 from ibisfront.cli.command import JSON_OPTION, ToolCommand
 from ibisfront.cli.exits import CommandError, ExitCode
 from ibisfront.cli.log_lines import read_log_lines
+from ibisfront.cli.refusal_reasons import explain_reason
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -84,6 +85,11 @@
                 f"{item.from_s:6} s {item.requests:6}  {route:12} {item.cause}"
             )
         self.print_text(f"{sum(item.requests for item in counts):15}  total")
+        for cause in sorted({item.cause for item in counts}):
+            # A cause begins with status and reason.
+            meaning = explain_reason(" ".join(cause.split()[1:2]))
+            if meaning is not None:
+                self.print_text(f"{cause}: {meaning}")
         return ExitCode.DONE
 
 
--- a/ibisfront/tests/test_cli_causes.py
+++ b/ibisfront/tests/test_cli_causes.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import json
+import tempfile
 import unittest
+from pathlib import Path
 
-from ibisfront.cli.causes import CauseCount, cause_of, count_causes
+from cleo.testers.command_tester import CommandTester
+
+from ibisfront.cli.causes import CauseCount, Causes, cause_of, count_causes
+from ibisfront.cli.explain import Explain
 from ibisfront.cli.log_lines import parse_log_line, read_log_lines
 from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
 from ibisfront.tests import trio_test
@@ -63,6 +69,26 @@
         self.assertEqual(list(read_log_lines([])), [])
 
 
+class RefusalForKeyTest(unittest.TestCase):
+    """Refusals for a key, as the commands tell them."""
+
+    def test_refusal_for_a_key_is_told_in_one_sentence(self):
+        """Guards against operators who cannot tell a revoked key from a late one."""
+        refused = {"status": 401, "reason": "unknown_key", "request_id": "r1"}
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder, "i1.log")
+            file.write_text(json.dumps(line(1, **refused).fields))
+            for command, arguments in (
+                (Explain(), f"r1 {file}"),
+                (Causes(), str(file)),
+            ):
+                tester = CommandTester(command)
+                tester.execute(arguments)
+                with self.subTest(command.name):
+                    output = tester.io.fetch_output()
+                    self.assertEqual(output.count("No workspace of the"), 1, output)
+
+
 class LateReplyTest(unittest.TestCase):
     """Log lines of late replies."""
 
