--- a/ibisfront/gateway/workspaces/directory.py
+++ b/ibisfront/gateway/workspaces/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import TYPE_CHECKING
 
 from ibisfront.gateway.workspaces.keys import EMPTY_KEY_DIGEST
@@ -33,9 +33,7 @@
         self.workspaces = workspaces
         self._by_name = {item.name: item for item in workspaces}
         self._by_digest: dict[str, Workspace] = {}
-        # Requests wait meanwhile; ``fromkeys`` does not loop in Python.
-        for item in workspaces:
-            self._by_digest.update(dict.fromkeys(item.key_digests, item))
+        self._add_keys(workspaces)
 
     def __bool__(self) -> bool:
         """Return whether there are any workspaces."""
@@ -50,11 +48,31 @@
         return self._by_name.get(name)
 
     def updated(self, workspaces: tuple[Workspace, ...]) -> WorkspaceDirectory:
-        """Return the directory of these workspaces; this one if they are the same."""
-        return self if workspaces == self.workspaces else type(self)(workspaces)
+        """Return the directory of these workspaces; this one if they are the same.
+
+        Only the keys of changed workspaces are looked at, since requests wait.
+        """
+        if workspaces == self.workspaces:
+            return self
+        after = WorkspaceDirectory()
+        after.workspaces = workspaces
+        after._by_name = {item.name: item for item in workspaces}
+        after._by_digest = self._by_digest.copy()
+        for item in self.workspaces:
+            if after._by_name.get(item.name) != item:
+                for digest in item.key_digests:
+                    del after._by_digest[digest]
+        after._add_keys(
+            item for item in workspaces if self._by_name.get(item.name) != item
+        )
+        return after
+
+    def _add_keys(self, workspaces: Iterable[Workspace]) -> None:
+        for item in workspaces:
+            self._by_digest.update(dict.fromkeys(item.key_digests, item))
 
 
-def check_workspaces(workspaces: Iterable[Workspace]) -> None:
+def check_workspaces(workspaces: Collection[Workspace]) -> None:
     """Check that each request belongs to at most one workspace.
 
     Raises
@@ -63,7 +81,7 @@
         If one is invalid; names the workspace and the field, and never a key.
     """
     names: set[str] = set()
-    owners: dict[str, str] = {}
+    digests: set[str] = set()
     for position, item in enumerate(workspaces):
         _check_name(item.name, position)
         if item.name in names:
@@ -72,14 +90,21 @@
         _check_limits(item)
         if EMPTY_KEY_DIGEST in item.key_digests:
             raise ValueError(f"workspace {item.name!r}: keys: one is empty")
-        for digest in item.key_digests:
-            owner = owners.setdefault(digest, item.name)
-            if owner is not item.name:
-                raise ValueError(
-                    f"workspace {item.name!r}: keys: one also belongs to {owner!r}"
-                )
-        if len(set(item.key_digests)) < len(item.key_digests):
-            raise ValueError(f"workspace {item.name!r}: keys: one is listed twice")
+        known = len(digests)
+        digests.update(item.key_digests)
+        if len(digests) < known + len(item.key_digests):
+            _reject_repeated_key(item, workspaces)
+
+
+def _reject_repeated_key(repeating: Workspace, workspaces: Iterable[Workspace]) -> None:
+    """Raise the error of a workspace with a key that was listed before."""
+    digests = set(repeating.key_digests)
+    for item in workspaces:
+        if item is not repeating and not digests.isdisjoint(item.key_digests):
+            raise ValueError(
+                f"workspace {repeating.name!r}: keys: one also belongs to {item.name!r}"
+            )
+    raise ValueError(f"workspace {repeating.name!r}: keys: one is listed twice")
 
 
 def _check_name(name: str, position: int) -> None:
--- a/ibisfront/tests/test_gateway_workspaces.py
+++ b/ibisfront/tests/test_gateway_workspaces.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from itertools import islice
 
 import msgspec
 import trio
@@ -11,6 +13,7 @@
 from ibisfront.gateway.load.crash_suspects import fingerprint_of
 from ibisfront.gateway.quotas.quota import QuotaRefusal
 from ibisfront.gateway.state.configuration import Workspace
+from ibisfront.gateway.workspaces.directory import WorkspaceDirectory
 from ibisfront.gateway.workspaces.keys import digest_key
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
@@ -394,3 +397,21 @@
             fixture.workspaces = msgspec.json.decode(data, type=tuple[Workspace, ...])
             fixture.apply_configuration(2)
             self.assertIs(gateway.table.workspaces, before)
+
+    def test_any_two_versions_have_the_directory_of_the_later_one(self):
+        """Guards against a key that is revoked or moved and stays known."""
+        rng = random.Random(3)
+        directory = WorkspaceDirectory()
+        for _ in range(300):
+            keys = iter(rng.sample("abcdefghij", 10))
+            workspaces = tuple(
+                Workspace(name, tuple(islice(keys, rng.randrange(4))))
+                for name in rng.sample("xyz", rng.randrange(4))
+            )
+            directory = directory.updated(workspaces)
+            expected = {
+                digest: item for item in workspaces for digest in item.key_digests
+            }
+            for digest in "abcdefghij":
+                self.assertEqual(directory.find(digest), expected.get(digest))
+            self.assertEqual(bool(directory), bool(workspaces))
