--- a/ibisfront/tests/test_gateway_workspaces.py
+++ b/ibisfront/tests/test_gateway_workspaces.py
@@ -253,6 +253,29 @@
                 count = refused.value(CounterKind.REFUSALS, "other_workspaces")
                 self.assertGreater(count, 0)
 
+    @trio_test
+    async def test_key_revoked_while_no_coordinator_takes_the_query_is_refused(self):
+        """Guards against a revoked key that is served since its query was sent twice.
+
+        The coordinators have a newer list of services for a moment.
+        """
+        zones = self._zones(delegates=True)
+        replies = []
+
+        async def send():
+            replies.append(await zones.send_request("z0"))
+
+        async with zones.running(), trio.open_nursery() as nursery:
+            for zone in ("z1", "z2"):
+                zones.apply_configuration(2, gather_route(19), only=zone)
+            nursery.start_soon(send)
+            await trio.sleep(0.03)
+            self.assertEqual(replies, [])
+            zones.workspaces = (workspace("desk", b"n3w"),)
+            zones.apply_configuration(3, gather_route(20))
+        self.assertEqual([item.reason for item in replies], ["unknown_key"])
+        self.assertEqual(zones.payloads, [])
+
     @trio_test
     async def test_query_of_an_instance_without_workspaces_is_not_run(self):
         """Guards against a key that one instance does not know as a key.
