Requests wait for a new lease after an instance was not scheduled

An instance refused requests as over the limit with none running, on a busy host: its lease expires while it is not scheduled, and until the next report is answered it has only the reserved share. A row that was idle waits for its first grant in that state; an active row whose lease was lost did not. Now it does, for a second after the loss, at most 0.5 s a request; both limits still hold.

--- a/ibisfront/core/row_limit.py
+++ b/ibisfront/core/row_limit.py
@@ -37,12 +37,14 @@
     changed : trio.Event
         Set and replaced when a waiting request may have become able to start.
     active_since_ms, last_arrival_at_ms : float
-        When the row last became active, and when its last request arrived.
+        When the row last became active or lost its lease, and when its last request
+        arrived.
     """
 
     __slots__ = (
         "_arrivals",
         "_bucket",
+        "_had_lease",
         "_in_flight_demand",
         "_measured_at_ms",
         "_peak_in_flight",
@@ -63,16 +65,27 @@
         self.active_since_ms = now_ms
         self.last_arrival_at_ms = now_ms
         self._bucket = TokenBucket()
+        self._had_lease = False
         self._arrivals = 0
         self._rate_per_s = 0.0
         self._peak_in_flight = 0
         self._in_flight_demand = 0.0
         self._measured_at_ms = now_ms
 
-    def record_arrival(self, *, now_ms: float) -> None:
-        """Record an arriving request, whether or not it will start."""
-        if not self.is_active(now_ms=now_ms):
+    def record_arrival(self, *, now_ms: float, has_lease: bool = False) -> None:
+        """Record an arriving request, whether or not it will start.
+
+        Parameters
+        ----------
+        now_ms : float
+            The current time.
+        has_lease : bool, optional
+            Whether a valid lease includes the row.
+        """
+        has_lost_lease = self._had_lease and not has_lease
+        if has_lost_lease or not self.is_active(now_ms=now_ms):
             self.active_since_ms = now_ms
+        self._had_lease = has_lease
         self.last_arrival_at_ms = now_ms
         self._arrivals += 1
         self._peak_in_flight = max(
--- a/ibisfront/core/shares.py
+++ b/ibisfront/core/shares.py
@@ -184,10 +184,14 @@
                 nursery.start_soon(self._send_report, owner, report)
 
     async def _start(self, row: Row, limit: RowLimit, deadline_at_ms: float) -> None:
-        limit.record_arrival(now_ms=self._clock.now_ms())
+        limit.record_arrival(
+            now_ms=self._clock.now_ms(),
+            has_lease=self.holder.has_lease(row_key(row), now_ms=self._clock.now_ms()),
+        )
         if not limit.waiting and self._try_start(row, limit):
             return
-        # A row that was idle has no share here, or a small one, until its demand is
+        # A row that was idle, or whose lease expired because this process was not
+        # scheduled, has no share here, or a small one, until its demand is
         # reported. The tier may have capacity for its first requests, so they wait
         # and trigger an early report instead of being rejected.
         is_new_demand = (
--- a/ibisfront/tests/test_shares.py
+++ b/ibisfront/tests/test_shares.py
@@ -8,6 +8,7 @@
 import trio
 
 from ibisfront.core.clock import Clock
+from ibisfront.core.errors import IbisfrontError
 from ibisfront.core.rendezvous import rendezvous_order
 from ibisfront.core.share_messages import bucket_of, row_key, static_share
 from ibisfront.core.table import Row
@@ -213,6 +214,33 @@
             self.assert_limits_held(tier)
             self.assert_not_stranded(tier, part=0.8)
 
+    @trio_test
+    async def test_a_resumed_instance_refuses_no_request_below_the_limit(self):
+        """Guards against requests refused as over the limit while capacity is free.
+
+        The lease of an instance expires while it is not scheduled. It refused the
+        requests that had arrived meanwhile, though its report was about to be answered.
+        """
+        async with cluster(loads=[3.0, 0, 0, 0, 0, 0, 0, 0, 0]) as tier:
+            await tier.pause("i1", 1_500.0)
+            tier.nodes["i1"].load = Load()
+            shares = tier.nodes["i1"].shares
+            deadline_at_ms = tier.clock.now_ms() + 2_000.0
+
+            async def start():
+                try:
+                    async with shares.acquire(ROW, deadline_at_ms=deadline_at_ms):
+                        pass
+                except IbisfrontError as error:
+                    refused.append(error.kind)
+
+            refused = []
+            async with trio.open_nursery() as nursery:
+                for _ in range(6):
+                    nursery.start_soon(start)
+            self.assertEqual(refused, [])
+            self.assert_limits_held(tier)
+
 
 class IdleRowTest(ShareCase):
     """An idle row has no lease at any instance."""
