--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -35,6 +35,7 @@
     SERVER_LOADS = "server_loads"
     CLAIMS = "claims"
     SHARES = "shares"
+    QUOTAS = "quotas"
 
 
 COUNTER_HELP: dict[CounterKind, str] = {
@@ -60,6 +61,7 @@
     CounterKind.SERVER_LOADS: "Ignored load reports of backend servers, by reason.",
     CounterKind.CLAIMS: "Claims of non-idempotent requests, by outcome.",
     CounterKind.SHARES: "Shares of limits, by event.",
+    CounterKind.QUOTAS: "Requests counted against workspaces' limits, by event.",
 }
 """Description of each kind, for operators."""
 
--- a/ibisfront/gateway/settings.py
+++ b/ibisfront/gateway/settings.py
@@ -51,6 +51,12 @@
         Multiple of its warm-up rate that a cold server may get in a second.
     cold_slack : float
         Requests that it may get in a second in addition.
+    quota_window_ms : float
+        Sliding window over which the requests of a workspace are counted.
+    quota_excess : float
+        Share of a workspace's limit by which it may be exceeded in a window.
+    quota_slack : float
+        Requests by which it may be exceeded in addition.
     """
 
     stop_grace_ms: float = 6_000.0
@@ -62,6 +68,9 @@
     evacuation_ms: float | None = None
     cold_excess: float = 1.0
     cold_slack: float = 0.0
+    quota_window_ms: float = 5_000.0
+    quota_excess: float = 0.0
+    quota_slack: float = 0.0
 
     def cold_bound_per_s(self, warm_up_per_s: float) -> float:
         """Return a cold server's limit over all instances, in requests per second."""
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -57,6 +57,10 @@
     # Limits on requests to a cold server, not on the length of its warm-up.
     warmup_excess: float = 1.0
     warmup_slack: float = 0.0
+    # Missing where workspaces have no limits.
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.0
+    quota_slack: float = 0.0
 
 
 class _Store(msgspec.Struct):
@@ -137,6 +141,9 @@
             evacuation_ms=bounds.evacuate_ms,
             cold_excess=bounds.warmup_excess,
             cold_slack=bounds.warmup_slack,
+            quota_window_ms=bounds.quota_window_s * _MILLISECONDS_PER_SECOND,
+            quota_excess=bounds.quota_excess,
+            quota_slack=bounds.quota_slack,
         ),
         zones=frozenset(file.zones),
     )
