--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -30,6 +30,8 @@
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observability import Observer
 from ibisfront.gateway.queries.delegation import Delegation
+from ibisfront.gateway.quotas.quota_messages import PeerQuotaMessages
+from ibisfront.gateway.quotas.quotas import Quotas
 from ibisfront.gateway.servers.server_event_log import ServerEventLog
 from ibisfront.gateway.servers.server_registry import ServerRegistry
 from ibisfront.gateway.state.configuration import CallerLimits, RouteTable
@@ -103,6 +105,8 @@
         Which instances coordinate queries for the others.
     crash_reports : CrashReports
         Shares with other instances which requests crash servers.
+    quotas : Quotas
+        Counts requests against the limits of workspaces.
     source : StateSource
         Relays the store's state to other instances.
     topology : RelayTopology
@@ -130,6 +134,7 @@
         "observer",
         "own",
         "peers",
+        "quotas",
         "registry",
         "settings",
         "source",
@@ -223,6 +228,15 @@
             clock=clock,
             counters=self.observer.counters,
         )
+        self.quotas = Quotas(
+            own=own,
+            bounds=settings.bounds,
+            messages=PeerQuotaMessages(peers=self.peers, wire=WIRE, clock=clock),
+            request_id_header=WIRE.request_id,
+            clock=clock,
+            counters=self.observer.counters,
+            is_first_start=settings.is_first_start,
+        )
         self.gateway = Gateway(
             GatewayContext(
                 registry=self.registry,
@@ -240,6 +254,8 @@
                 coordinators=self.coordinators,
                 clock=clock,
             ),
+            take_quota=self.quotas.take,
+            answer_quota=self.quotas.answer,
         )
         self.is_stopping = False
         self._reported_ready = False
@@ -310,6 +326,7 @@
         """Apply changed settings, except for those that need a restart."""
         self.settings = settings
         self.budgets.set_bounds(settings.bounds, self._clock.now_ms())
+        self.quotas.set_bounds(settings.bounds)
 
     def apply_instances(self, listed: Sequence[InstanceEntry]) -> None:
         """Apply a new list of instances."""
@@ -325,6 +342,7 @@
         self.topology.update(instances)
         self.coordinators.update(instances, self.gateway.table)
         self._update_budgets(now_ms)
+        self.quotas.set_instances(instances)
         after = (self.instance_count, self.coordinators.is_coordinator)
         if is_first and not self.settings.is_first_start:
             peers = self.crash_reports.peers
@@ -356,6 +374,8 @@
         self._update_coordinator_count(now_ms)
         if recent.joined_at_ms == now_ms:
             self.budgets.hold_until(now_ms + _JOIN_MS)
+            if not self.settings.is_first_start:
+                self.quotas.hold_until(now_ms + _JOIN_MS)
 
     def _record_partition_report(self, name: str, is_partitioned: bool) -> None:
         """Record whether another instance of the zone reports a partition.
@@ -519,4 +539,5 @@
             ),
             Gauge("servers_out_of_reach", "Of these, silent or refusing.", unreachable),
             Gauge("instances", "Instances listed.", self.instance_count),
+            *self.quotas.gauges(),
         ]
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from ibisfront.gateway.messages import BackendReply, InboundRequest
     from ibisfront.gateway.queries.delegation import Delegation
-    from ibisfront.gateway.quotas.quota import TakeQuota
+    from ibisfront.gateway.quotas.quota import AnswerQuota, TakeQuota
     from ibisfront.gateway.state.configuration import Route, RouteTable
 
 __all__ = ["Gateway"]
@@ -52,9 +52,12 @@
         Delegates to other instances the sub-requests to servers in their zones.
     take_quota : TakeQuota, optional
         Counts requests against the limits of workspaces; without it none is limited.
+    answer_quota : AnswerQuota, optional
+        Answers the messages of other instances about these limits.
     """
 
     __slots__ = (
+        "_answer_quota",
         "_delegation",
         "_gateway_context",
         "_initial_state_loaded",
@@ -71,8 +74,10 @@
         *,
         delegation: Delegation | None = None,
         take_quota: TakeQuota | None = None,
+        answer_quota: AnswerQuota | None = None,
     ) -> None:
         self._gateway_context = gateway_context
+        self._answer_quota = answer_quota
         self._take_quota = take_quota
         self._delegation = delegation
         self._reachability = Reachability(
@@ -213,6 +218,10 @@
         report_reply = self._gateway_context.answer_crash_report(request)
         if report_reply is not None:
             return report_reply
+        if self._answer_quota is not None:
+            quota_reply = self._answer_quota(request)
+            if quota_reply is not None:
+                return quota_reply
         query = parse_delegated_query(request)
         if query is None:
             return CallerReply(400, [], b"", "not_delegated")
--- a/ibisfront/gateway/quotas/quota.py
+++ b/ibisfront/gateway/quotas/quota.py
@@ -8,9 +8,10 @@
 import msgspec
 
 if TYPE_CHECKING:
+    from ibisfront.gateway.messages import CallerReply, InboundRequest
     from ibisfront.gateway.state.configuration import Workspace
 
-__all__ = ["QuotaRefusal", "QuotaTicket", "TakeQuota"]
+__all__ = ["AnswerQuota", "QuotaRefusal", "QuotaTicket", "TakeQuota"]
 
 
 class QuotaTicket(Protocol):
@@ -41,3 +42,6 @@
 """Counts one request against a workspace's limit, given when its caller stops waiting,
 in milliseconds of the tier's clock. Called once for each request of a caller, at the
 instance that received it, before admission."""
+
+AnswerQuota: TypeAlias = "Callable[[InboundRequest], CallerReply | None]"
+"""Returns the reply to another instance's message about quotas; None if it is none."""
