--- a/ibisfront/gateway/quotas/quota_borrower.py
+++ b/ibisfront/gateway/quotas/quota_borrower.py
@@ -15,9 +15,10 @@
 from ibisfront.gateway.quotas.quota_messages import QuotaReturn
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable
 
     from ibisfront.gateway.quotas.quota_messages import QuotaGrant
+    from ibisfront.gateway.quotas.quota_owners import OwnerTiers
     from ibisfront.gateway.state.configuration import Workspace
 
 __all__ = ["BorrowedToken", "QuotaBorrower", "WorkspaceLoans"]
@@ -63,6 +64,7 @@
     """
 
     __slots__ = (
+        "_asked_at_ms",
         "_gap_ms",
         "_granted_at_ms",
         "_last_request_ms",
@@ -76,6 +78,7 @@
     def __init__(self) -> None:
         self._tokens: deque[BorrowedToken] = deque()
         self._not_before_ms: dict[str, float] = {}
+        self._asked_at_ms: dict[str, float] = {}
         self._silent: set[str] = set()
         self._granted_at_ms = -math.inf
         self._gap_ms = math.inf
@@ -115,14 +118,27 @@
         return max(min(int(lease_ms / self._gap_ms / 2.0), _MAX_WANTED), 1)
 
     def next_owner(
-        self, asked: Sequence[str], tried: set[str], now_ms: float
+        self, tiers: OwnerTiers, tried: set[str], now_ms: float
     ) -> str | None:
-        """Return the owner to ask next; None if none is likely to have a token."""
-        for name in asked:
-            if name not in tried and self._not_before_ms.get(name, 0.0) <= now_ms:
-                return name
+        """Return the owner to ask next; None if none is likely to have a token.
+
+        The nearest first; of these, the one that was asked longest ago, so that a busy
+        instance does not use up one owner's tokens while others are full.
+        """
+        for names in tiers:
+            ready = [
+                name
+                for name in names
+                if name not in tried and self._not_before_ms.get(name, 0.0) <= now_ms
+            ]
+            if ready:
+                return min(ready, key=lambda name: self._asked_at_ms.get(name, 0.0))
         return None
 
+    def record_asked(self, owner: str, now_ms: float) -> None:
+        """Record that an owner is asked."""
+        self._asked_at_ms[owner] = now_ms
+
     def record_grant(
         self,
         owner: str,
@@ -160,7 +176,7 @@
         self._silent.add(owner)
         self._not_before_ms[owner] = until_ms
 
-    def is_any_silent(self, owners: Sequence[str]) -> bool:
+    def is_any_silent(self, owners: Iterable[str]) -> bool:
         """Return whether any of some owners has not answered when last asked."""
         return not self._silent.isdisjoint(owners)
 
@@ -169,14 +185,15 @@
         age_ms = now_ms - self._granted_at_ms
         return None if math.isinf(age_ms) else round(age_ms, 1)
 
-    def block(self, asked: Sequence[str], now_ms: float) -> None:
+    def block(self, owners: Iterable[str], now_ms: float) -> None:
         """Refuse requests until the first of some owners may be asked again."""
-        times = [self._not_before_ms.get(name, now_ms) for name in asked]
+        times = [self._not_before_ms.get(name, now_ms) for name in owners]
         self.blocked_until_ms = min(times, default=now_ms)
 
     def unblock(self) -> None:
         """Ask the owners again, after a change of the limit or of the owners."""
         self._not_before_ms.clear()
+        self._asked_at_ms.clear()
         self._silent.clear()
         self.blocked_until_ms = -math.inf
         self._last_retry_ms = -math.inf
--- a/ibisfront/gateway/quotas/quota_owners.py
+++ b/ibisfront/gateway/quotas/quota_owners.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
 
@@ -19,12 +19,16 @@
     from ibisfront.gateway.settings import Bounds
     from ibisfront.gateway.state.configuration import Workspace
 
-__all__ = ["OwnerPlan", "OwnerRole", "QuotaOwners"]
+__all__ = ["OwnerPlan", "OwnerRole", "OwnerTiers", "QuotaOwners"]
 
 _MAX_PLANS = 4_096
 """Workspaces whose owners are kept; with more, they are computed again."""
 
 
+OwnerTiers: TypeAlias = tuple[tuple[str, ...], ...]
+"""Groups of owners; those of the first group are asked first."""
+
+
 class OwnerRole(StrEnum):
     """What an instance is to a workspace."""
 
@@ -40,17 +44,17 @@
     ----------
     division : QuotaDivision
         How its limit is divided.
-    asked : tuple of str
+    owners : OwnerTiers
         Its owners in the order in which this instance asks them.
-    reserves : tuple of str
+    reserves : OwnerTiers
         Its reserve owners in that order.
     role : OwnerRole
         What this instance is to it.
     """
 
     division: QuotaDivision
-    asked: tuple[str, ...]
-    reserves: tuple[str, ...]
+    owners: OwnerTiers
+    reserves: OwnerTiers
     role: OwnerRole
 
 
@@ -145,8 +149,8 @@
         division, owners, reserves = self._owners(workspace, self._by_zone)
         return OwnerPlan(
             division=division,
-            asked=self._asked_first(workspace, owners),
-            reserves=self._asked_first(workspace, reserves),
+            owners=self._tiers(workspace, owners),
+            reserves=self._tiers(workspace, reserves),
             role=self._role(owners, reserves),
         )
 
@@ -177,15 +181,15 @@
             return OwnerRole.RESERVE
         return OwnerRole.NONE
 
-    def _asked_first(
-        self, workspace: Workspace, zone_of: dict[str, str]
-    ) -> tuple[str, ...]:
-        """Order owners: this instance, its zone, then the others.
+    def _tiers(self, workspace: Workspace, zone_of: dict[str, str]) -> OwnerTiers:
+        """Group owners: this instance, the others of its zone, then the rest.
 
-        Instances ask the owners of a zone in different orders, so that these are
+        Instances ask the owners of a group in different orders, so that these are
         asked about equally often.
         """
         own = self._own
-        names = rendezvous_order(f"{workspace.name}\0{own.name}", zone_of)
-        names.sort(key=lambda name: (name != own.name, zone_of[name] != own.zone))
-        return tuple(names)
+        tiers: tuple[list[str], list[str], list[str]] = [], [], []
+        for name in rendezvous_order(f"{workspace.name}\0{own.name}", zone_of):
+            is_near = zone_of[name] == own.zone
+            tiers[0 if name == own.name else 1 if is_near else 2].append(name)
+        return tuple(tuple(names) for names in tiers if names)
--- a/ibisfront/gateway/quotas/quota_parts.py
+++ b/ibisfront/gateway/quotas/quota_parts.py
@@ -20,15 +20,18 @@
 _ROOM_SHARE = 0.5
 """Part of the room above a limit that is used."""
 
-_SAVED_SHARE = 0.4
-"""Part of the used room that buckets may save up: a token is whole only at one of
-them, so that the others keep fractions that serve no request."""
+_MIN_SAVED_SHARE = 0.4
+"""Part of the used room that buckets may at least save up: a token is whole only at
+one of them, so that the others keep fractions that serve no request. The rest is for
+start tokens, as far as they are needed."""
 
 _RESTARTS_PER_WINDOW = 2
 """Restarts of an owner in one window, each with start tokens."""
 
-_RESERVE_SHARE = 0.25
-"""Part of the used room that reserve owners may grant in a window."""
+_RESERVE_SAVED_SHARE = 0.5
+_RESERVE_RATE_SHARE = 0.25
+"""Parts of the other half of the room that reserve owners may save up, and gain in a
+window. It is used only while owners do not answer."""
 
 _MIN_PART_PER_WINDOW = 8.0
 """Requests per window that a part should allow; more parts would mostly be found
@@ -36,6 +39,9 @@
 
 _MAX_OWNERS_PER_ZONE = 4
 
+_LEAN_START_S = 1.0
+"""Time after a start in which a part should allow one request."""
+
 
 class QuotaPart(msgspec.Struct, frozen=True):
     """The part of a limit that one owner grants.
@@ -104,7 +110,7 @@
     window_s = bounds.quota_window_ms / 1_000.0
     whole = workspace.limit_per_s * window_s + workspace.limit_burst
     room = quota_room(workspace, bounds) * _ROOM_SHARE
-    saved = workspace.limit_burst + room * _SAVED_SHARE
+    saved = workspace.limit_burst + room * _MIN_SAVED_SHARE
     # A bucket that holds less than one token grants nothing.
     zones = max(min(zones, int(saved)), 1)
     most = int(whole / (zones * _MIN_PART_PER_WINDOW))
@@ -112,15 +118,19 @@
     while owners_per_zone > 1 and saved < zones * owners_per_zone * 2.0:
         owners_per_zone -= 1
     owners = zones * owners_per_zone
-    start_room = room * (1.0 - _SAVED_SHARE) / (_RESTARTS_PER_WINDOW * owners)
+    rate_per_s = workspace.limit_per_s / owners
+    start_room = room * (1.0 - _MIN_SAVED_SHARE) / (_RESTARTS_PER_WINDOW * owners)
+    start_tokens = min(start_room, max(1.0 - rate_per_s * _LEAN_START_S, 0.0))
+    saved_room = room - start_tokens * _RESTARTS_PER_WINDOW * owners
+    saved = workspace.limit_burst + saved_room
     part = QuotaPart(
-        rate_per_s=workspace.limit_per_s / owners,
+        rate_per_s=rate_per_s,
         capacity=max(saved / owners, 1.0),
-        start_tokens=min(start_room, 1.0),
+        start_tokens=start_tokens,
     )
     reserve = None
-    if room * _RESERVE_SHARE >= zones and smallest_zone > owners_per_zone:
-        rate_per_s = (room * _RESERVE_SHARE / zones) / window_s
+    if room * _RESERVE_SAVED_SHARE >= zones and smallest_zone > owners_per_zone:
+        rate_per_s = room * _RESERVE_RATE_SHARE / zones / window_s
         reserve = QuotaPart(
             rate_per_s=min(rate_per_s, workspace.limit_per_s / zones),
             capacity=1.0,
--- a/ibisfront/gateway/quotas/quotas.py
+++ b/ibisfront/gateway/quotas/quotas.py
@@ -35,6 +35,7 @@
     from ibisfront.gateway.messages import Header, InboundRequest
     from ibisfront.gateway.quotas.quota_borrower import BorrowedToken, WorkspaceLoans
     from ibisfront.gateway.quotas.quota_messages import QuotaMessages
+    from ibisfront.gateway.quotas.quota_owners import OwnerPlan, OwnerTiers
     from ibisfront.gateway.settings import Bounds
     from ibisfront.gateway.state.configuration import Workspace
 
@@ -171,6 +172,10 @@
         if self._owners.is_loaded:
             self._list_loaded.set()
 
+    def plan(self, workspace: Workspace) -> OwnerPlan:
+        """Return the owners of a workspace."""
+        return self._owners.plan(workspace)
+
     def hold_until(self, at_ms: float) -> None:
         """Lend nothing before a time: the others may not know of this instance."""
         self._lender.hold_until(at_ms)
@@ -275,16 +280,16 @@
     ) -> _Ticket | QuotaRefusal:
         """Ask the owners for a token, and the reserve owners if some are silent."""
         plan = self._owners.plan(workspace)
-        owners = plan.asked
-        token = await self._ask_in_turn(workspace, loans, owners, deadline_at_ms)
-        is_any_silent = loans.is_any_silent(owners)
+        token = await self._ask_in_turn(workspace, loans, plan.owners, deadline_at_ms)
+        names = [name for tier in plan.owners for name in tier]
+        is_any_silent = loans.is_any_silent(names)
         if token is None and is_any_silent and plan.reserves:
-            owners = plan.reserves
-            token = await self._ask_in_turn(workspace, loans, owners, deadline_at_ms)
-            owners = plan.asked + plan.reserves
+            reserves = plan.reserves
+            token = await self._ask_in_turn(workspace, loans, reserves, deadline_at_ms)
+            names += [name for tier in reserves for name in tier]
         if token is not None:
             return _Ticket(self, workspace, token)
-        loans.block(owners, self._clock.now_ms())
+        loans.block(names, self._clock.now_ms())
         reason = "owner_silent" if is_any_silent else "over_quota"
         return self._refuse(workspace, loans, reason)
 
@@ -292,7 +297,7 @@
         self,
         workspace: Workspace,
         loans: WorkspaceLoans,
-        owners: Sequence[str],
+        owners: OwnerTiers,
         deadline_at_ms: float,
     ) -> BorrowedToken | None:
         """Ask owners until one lends a token."""
@@ -302,6 +307,7 @@
             owner = loans.next_owner(owners, tried, now_ms)
             if owner is None:
                 return None
+            loans.record_asked(owner, now_ms)
             if owner == self._own_name:
                 grant = self._lender.grant(workspace, 1, now_ms)
                 self._record(loans, owner, grant, now_ms)
@@ -397,7 +403,7 @@
             "limit_burst": workspace.limit_burst,
             "tokens_held": loans.count(now_ms),
             "last_grant_age_ms": loans.granted_age_ms(now_ms),
-            "owners": None if plan is None else len(plan.asked),
+            "owners": None if plan is None else sum(map(len, plan.owners)),
             "retry_after_ms": round(retry_after_ms, 1),
             "version": self._version,
         }
