--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -503,6 +503,7 @@
             return
         before = None if known is None else known.configuration.version
         self.gateway.table = RouteTable(configuration, previous=known)
+        self.quotas.retain(configuration.workspaces, version)
         counters.add(CounterKind.TABLE_CHANGES, "in_force")
         fields = {"version": version, "before": before}
         _TABLE_LOG.info("Configuration %d is in force.", version, extra=fields)
--- a/ibisfront/testing/quota_cluster.py
+++ b/ibisfront/testing/quota_cluster.py
@@ -152,6 +152,18 @@
         for name in list(self._entries):
             self.start_node(name, is_first_start=is_first_start)
 
+    def add_entry(self) -> str:
+        """Add an instance that is not started yet; return its name."""
+        name = f"i{len(self._entries):03}"
+        zones = sorted({item.zone for item in self._entries.values()})
+        zone = zones[len(self._entries) % len(zones)]
+        self._entries[name] = InstanceEntry(name, zone, name)
+        return name
+
+    def entry_names(self) -> list[str]:
+        """Return the names of all instances."""
+        return list(self._entries)
+
     def start_node(
         self,
         name: str,
@@ -261,18 +273,29 @@
             self.request(self.random.choice(targets), workspace_name)
         await self.clock.sleep_ms(until_ms - self.clock.now_ms())
 
-    def limit(self, workspace_name: str) -> float:
-        """Return the requests per window that a workspace's limit allows."""
-        item = self.workspaces[workspace_name]
-        window_s = self.bounds.quota_window_ms / 1_000.0
-        return item.limit_per_s * window_s + item.limit_burst
-
-    def room_used(self, workspace_name: str, *, from_ms: float = 0.0) -> float:
-        """Return the worst excess over the limit, as a share of the room."""
+    def room_used(
+        self,
+        workspace_name: str,
+        *,
+        from_ms: float = 0.0,
+        item: Workspace | None = None,
+    ) -> float:
+        """Return the worst excess over the limit, as a share of the room.
+
+        Parameters
+        ----------
+        workspace_name : str
+            The workspace.
+        from_ms : float, optional
+            Windows before it do not count.
+        item : Workspace, optional
+            Its limit, by default the one in force.
+        """
+        item = self.workspaces[workspace_name] if item is None else item
         window_ms = self.bounds.quota_window_ms
         busiest = self.tallies[workspace_name].busiest(window_ms, from_ms=from_ms)
-        room = quota_room(self.workspaces[workspace_name], self.bounds)
-        return (busiest - self.limit(workspace_name)) / room
+        limit = item.limit_per_s * window_ms / 1_000.0 + item.limit_burst
+        return (busiest - limit) / quota_room(item, self.bounds)
 
     def start_message(
         self, node: QuotaNode, name: str, ask: QuotaAsk, on_grant: OnQuotaGrant
