--- a/ibisfront/gateway/quotas/quotas.py
+++ b/ibisfront/gateway/quotas/quotas.py
@@ -54,6 +54,9 @@
 _MIN_PATIENCE_MS = 10.0
 """Shortest wait: two round trips between zones, if a connection must be opened."""
 
+_UNKNOWN_MS = 150.0
+"""How long an instance that does not know a workspace is not asked again."""
+
 _LIST_WAIT_SHARE = 0.25
 """Part of the time left that a request waits for the list of instances."""
 
@@ -248,7 +251,8 @@
             self._lender.give_back(ask.workspace, ask.returned, now_ms)
         workspace = self._workspaces.get(ask.workspace)
         if workspace is None or ask.wanted < 1:
-            return QuotaGrant(0, 0, 0, _NO_REPLY_MS, is_owner=False)
+            # It has just started, or the configurations differ for a moment.
+            return QuotaGrant(0, 0, 0, _UNKNOWN_MS, is_owner=False)
         grant = self._lender.grant(workspace, ask.wanted, now_ms)
         if grant.tokens:
             self._counters.add(CounterKind.QUOTAS, "lent", grant.tokens)
--- a/ibisfront/tests/test_front_workspaces.py
+++ b/ibisfront/tests/test_front_workspaces.py
@@ -5,11 +5,17 @@
 import json
 import unittest
 
+import msgspec
 import trio
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.front.targets import configuration_target
 from ibisfront.gateway.messages import InboundRequest
+from ibisfront.gateway.quotas.quota_messages import (
+    QUOTA_TARGET,
+    QuotaAsk,
+    decode_grant,
+)
 from ibisfront.gateway.state.store import Listing, StoredObject
 from ibisfront.testing.large_configuration import configuration_spec
 from ibisfront.tests import trio_test
@@ -39,6 +45,17 @@
     return (await front.process.gateway.answer(request)).status
 
 
+def granted_to_all(front):
+    """Return how many tokens of the desk an instance lends to the others."""
+    ask = msgspec.msgpack.encode(QuotaAsk("desk", 100))
+    request = InboundRequest(b"POST", QUOTA_TARGET, "i0", "r", None, [], ask, 0.0)
+    granted = 0
+    for _ in range(20):
+        reply = front.process.quotas.answer(request)
+        granted += decode_grant(reply.body).tokens
+    return granted
+
+
 class FrontWorkspacesTest(unittest.TestCase):
     """Versions with workspaces, from the store to the callers."""
 
@@ -67,6 +84,24 @@
             self.assertEqual(process.gateway.table.configuration.version, 3)
             nursery.cancel_scope.cancel()
 
+    @trio_test
+    async def test_limits_of_each_version_are_shared_among_the_instances(self):
+        """Guards against limits that are decoded and never applied."""
+        async with trio.open_nursery() as nursery:
+            zone = FrontZone(nursery, 6, servers=4)
+            limited = {**desk(), "ratePerS": 2.0, "burst": 3.0}
+            zone.spec = spec_of(1, limited)
+            zone.start(nursery)
+            await trio.sleep(10.0)
+            granted = sum(map(granted_to_all, zone.fronts))
+            self.assertIn(granted, range(3, 5))
+            zone.version, zone.spec = 2, spec_of(2, {**limited, "burst": 40.0})
+            zone.revisions["config"] += 1
+            zone._notify_watchers()
+            await trio.sleep(2.0)
+            self.assertGreater(sum(map(granted_to_all, zone.fronts)), 35)
+            nursery.cancel_scope.cancel()
+
     @trio_test
     async def test_subscribers_know_keys_and_refuse_unknown_ones_for_good(self):
         """Guards against callers with a wrong key that are told to try again.
--- a/ibisfront/tests/test_gateway_quotas.py
+++ b/ibisfront/tests/test_gateway_quotas.py
@@ -243,32 +243,55 @@
         self,
     ):
         """Guards against two owners while lists of instances differ."""
-        async with cluster() as tier, trio.open_nursery() as nursery:
-            nursery.start_soon(send, tier, LARGE, 60.0, 13_000.0)
-            late = owners(tier, LARGE)[0]
-            others = [name for name in tier.nodes if name != late]
-            tier.stop_node(late)
+        item = workspace("middle", 7.0, 5.0)
+        async with (
+            cluster(12, workspaces=[item]) as tier,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(send, tier, item, 60.0, 22_000.0)
+            late = owners(tier, item)[:2]
+            others = [name for name in tier.nodes if name not in late]
+            for name in late:
+                tier.stop_node(name)
             for name in others:
                 tier.list_instances(name, others)
-            await tier.clock.sleep_ms(3_000.0)
-            node = tier.start_node(late)
-            node.quotas.hold_until(tier.clock.now_ms() + 5_000.0)
-            self.assertIs(node.quotas.plan(LARGE).role, OwnerRole.OWNER)
+            await tier.clock.sleep_ms(8_000.0)
+            for name in late:
+                node = tier.start_node(name)
+                node.quotas.hold_until(tier.clock.now_ms() + 8_000.0)
+                self.assertIs(node.quotas.plan(item).role, OwnerRole.OWNER)
             for name in others:
-                await tier.clock.sleep_ms(60.0)
-                tier.list_instances(name, [*others, late])
+                await tier.clock.sleep_ms(700.0)
+                tier.list_instances(name, [*others, *late])
             await tier.clock.sleep_ms(6_000.0)
-            self.assert_within(tier)
+            self.assert_within(tier, item, from_ms=6_000.0)
 
     @trio_test
     async def test_a_lower_limit_binds_one_window_later(self):
-        """Guards against tokens saved or lent under the former limit."""
-        async with cluster() as tier, trio.open_nursery() as nursery:
-            nursery.start_soon(send, tier, LARGE, 100.0, 12_000.0)
+        """Guards against tokens that were saved under the former limit."""
+        async with cluster() as tier:
             await tier.clock.sleep_ms(4_000.0)
+            for name in tier.nodes:
+                await tier.take(name, "large")
+            await tier.clock.sleep_ms(3_000.0)
             tier.set_limit(workspace("large", 3.0, 3.0))
-            await tier.clock.sleep_ms(8_500.0)
-            self.assert_within(tier, from_ms=4_000.0)
+            lowered_at_ms = tier.clock.now_ms()
+            await tier.send_load("large", 100.0, for_ms=8_000.0)
+            self.assert_within(tier, from_ms=lowered_at_ms)
+
+    @trio_test
+    async def test_a_borrower_that_wakes_uses_no_expired_token(self):
+        """Guards against tokens that their owner has granted to others since."""
+        async with cluster() as tier:
+            name = next(name for name in tier.nodes if name not in owners(tier, LARGE))
+            node = tier.nodes[name]
+            tier.request(name, "large")
+            await tier.clock.sleep_ms(0.1)
+            tier.freeze(name)
+            await tier.clock.sleep_ms(2_000.0)
+            tier.wake(name)
+            await tier.clock.sleep_ms(1.0)
+            self.assertEqual(gauge(node, "quota_tokens_held"), 0)
 
     @trio_test
     async def test_without_any_owner_the_caller_is_refused_in_time(self):
@@ -374,6 +397,11 @@
             self.assertIsNone(decode_grant(b"\xc1"))
 
 
+def gauge(node, name):
+    """Return the value of an instance's gauge."""
+    return next(item.value for item in node.quotas.gauges() if item.name == name)
+
+
 async def send(tier, item, rate_per_s, for_ms):
     """Send a workspace's requests to all instances."""
     await tier.send_load(item.name, rate_per_s, for_ms=for_ms)
