--- a/ibisfront/gateway/quotas/quotas.py
+++ b/ibisfront/gateway/quotas/quotas.py
@@ -15,8 +15,9 @@
 from ibisfront.core.metrics_text import Gauge
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.quotas.quota import QuotaRefusal
+from ibisfront.gateway.quotas.quota_asking import QuotaAsking
 from ibisfront.gateway.quotas.quota_borrower import QuotaBorrower
-from ibisfront.gateway.quotas.quota_lender import QuotaLender, lease_ms
+from ibisfront.gateway.quotas.quota_lender import QuotaLender
 from ibisfront.gateway.quotas.quota_messages import (
     QUOTA_TARGET,
     QuotaAsk,
@@ -35,7 +36,7 @@
     from ibisfront.gateway.messages import Header, InboundRequest
     from ibisfront.gateway.quotas.quota_borrower import BorrowedToken, WorkspaceLoans
     from ibisfront.gateway.quotas.quota_messages import QuotaMessages
-    from ibisfront.gateway.quotas.quota_owners import OwnerPlan, OwnerTiers
+    from ibisfront.gateway.quotas.quota_owners import OwnerPlan
     from ibisfront.gateway.settings import Bounds
     from ibisfront.gateway.state.configuration import Workspace
 
@@ -45,25 +46,12 @@
 
 _OK = 200
 
-_MAX_ASKS = 4
-"""Owners asked for one request: each costs it a round trip."""
-
-_PATIENCE_SHARE = 0.0625
-"""Part of the time left that is spent waiting for one owner."""
-
-_MIN_PATIENCE_MS = 10.0
-"""Shortest wait: two round trips between zones, if a connection must be opened."""
-
 _UNKNOWN_MS = 150.0
 """How long an instance that does not know a workspace is not asked again."""
 
 _LIST_WAIT_SHARE = 0.25
 """Part of the time left that a request waits for the list of instances."""
 
-_NO_REPLY_MS = 500.0
-"""How long an owner that has not answered is not asked again: longer than a process
-without CPU time pauses."""
-
 
 class _Ticket:
     """One token in use for a request."""
@@ -108,6 +96,7 @@
     """
 
     __slots__ = (
+        "_asking",
         "_borrower",
         "_bounds",
         "_clock",
@@ -146,6 +135,14 @@
             owners=self._owners, bounds=bounds, process=secrets.randbits(62)
         )
         self._borrower = QuotaBorrower()
+        self._asking = QuotaAsking(
+            own_name=own.name,
+            bounds=bounds,
+            lender=self._lender,
+            messages=messages,
+            clock=clock,
+            counters=counters,
+        )
         self._workspaces: dict[str, Workspace] = {}
         self._version = 0
         self._list_loaded = trio.Event()
@@ -156,6 +153,7 @@
         self._bounds = bounds
         self._owners.set_bounds(bounds)
         self._lender.set_bounds(bounds)
+        self._asking.set_bounds(bounds)
         self._lender.update(self._workspaces, self._clock.now_ms())
 
     def set_instances(self, entries: Sequence[InstanceEntry]) -> None:
@@ -284,12 +282,16 @@
     ) -> _Ticket | QuotaRefusal:
         """Ask the owners for a token, and the reserve owners if some are silent."""
         plan = self._owners.plan(workspace)
-        token = await self._ask_in_turn(workspace, loans, plan.owners, deadline_at_ms)
+        token = await self._asking.ask_in_turn(
+            workspace, loans, plan.owners, deadline_at_ms
+        )
         names = [name for tier in plan.owners for name in tier]
         is_any_silent = loans.is_any_silent(names)
         if token is None and is_any_silent and plan.reserves:
             reserves = plan.reserves
-            token = await self._ask_in_turn(workspace, loans, reserves, deadline_at_ms)
+            token = await self._asking.ask_in_turn(
+                workspace, loans, reserves, deadline_at_ms
+            )
             names += [name for tier in reserves for name in tier]
         if token is not None:
             return _Ticket(self, workspace, token)
@@ -297,87 +299,6 @@
         reason = "owner_silent" if is_any_silent else "over_quota"
         return self._refuse(workspace, loans, reason)
 
-    async def _ask_in_turn(
-        self,
-        workspace: Workspace,
-        loans: WorkspaceLoans,
-        owners: OwnerTiers,
-        deadline_at_ms: float,
-    ) -> BorrowedToken | None:
-        """Ask owners until one lends a token."""
-        tried: set[str] = set()
-        while len(tried) < _MAX_ASKS:
-            now_ms = self._clock.now_ms()
-            owner = loans.next_owner(owners, tried, now_ms)
-            if owner is None:
-                return None
-            loans.record_asked(owner, now_ms)
-            if owner == self._own_name:
-                grant = self._lender.grant(workspace, 1, now_ms)
-                self._record(loans, owner, grant, now_ms)
-                self._counters.add(CounterKind.QUOTAS, "own")
-                token = loans.use_token(now_ms)
-            elif self._messages.can_reach(owner):
-                token = await self._ask(workspace, loans, owner, deadline_at_ms)
-            else:
-                loans.record_no_reply(owner, now_ms + _NO_REPLY_MS)
-                continue
-            if token is not None:
-                return token
-            tried.add(owner)
-        return None
-
-    async def _ask(
-        self,
-        workspace: Workspace,
-        loans: WorkspaceLoans,
-        owner: str,
-        deadline_at_ms: float,
-    ) -> BorrowedToken | None:
-        """Ask one owner for tokens; return one of them."""
-        sent_at_ms = self._clock.now_ms()
-        ended = trio.Event()
-        is_answered = is_waiting = True
-        token: BorrowedToken | None = None
-
-        def on_grant(grant: QuotaGrant | None) -> None:
-            nonlocal is_answered, token
-            is_answered = grant is not None
-            if grant is not None:
-                self._record(loans, owner, grant, sent_at_ms)
-            if is_waiting:
-                # Taken here, before a request that arrived later finds it.
-                token = loans.use_token(self._clock.now_ms())
-            ended.set()
-
-        self._counters.add(CounterKind.QUOTAS, "asked")
-        ask = QuotaAsk(workspace.name, loans.wanted(lease_ms(self._bounds)))
-        stop_waiting = self._messages.send(owner, ask, on_grant)
-        left_ms = deadline_at_ms - sent_at_ms
-        patience_ms = max(left_ms * _PATIENCE_SHARE, _MIN_PATIENCE_MS)
-        try:
-            with self._clock.timeout_ms(patience_ms):
-                await ended.wait()
-        finally:
-            is_waiting = False
-            if not ended.is_set():
-                stop_waiting()
-        if not ended.is_set() or not is_answered:
-            self._counters.add(CounterKind.QUOTAS, "no_reply")
-            loans.record_no_reply(owner, self._clock.now_ms() + _NO_REPLY_MS)
-        return token
-
-    def _record(
-        self, loans: WorkspaceLoans, owner: str, grant: QuotaGrant, sent_at_ms: float
-    ) -> None:
-        loans.record_grant(
-            owner,
-            grant,
-            sent_at_ms=sent_at_ms,
-            until_ms=sent_at_ms + lease_ms(self._bounds),
-            now_ms=self._clock.now_ms(),
-        )
-
     def _refuse(
         self, workspace: Workspace, loans: WorkspaceLoans, reason: str
     ) -> QuotaRefusal:
