--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -23,6 +24,8 @@
 _MAX_DECISIONS = 40
 """Decisions in one log line; a query over many services may have more if all fail."""
 
+_OVER_LIMIT = 429
+
 _DELEGATED_PARTS = "delegated_parts"
 _ROUTINE_REASONS = frozenset(("whole", "answered", "partial", _DELEGATED_PARTS))
 """Reasons whose log lines are dropped in favour of those of failures."""
@@ -178,6 +181,10 @@
     ) -> None:
         """Record a request that was refused before any decision."""
         self.counters.add(CounterKind.REFUSALS, reply.reason)
+        # A flood over a limit has a line for each workspace and second instead.
+        level = logging.DEBUG if reply.status == _OVER_LIMIT else logging.WARNING
+        if not _LOG.isEnabledFor(level):
+            return
         fields: dict[str, Any] = {
             "request_id": request.request_id,
             "host": request.host,
@@ -192,4 +199,5 @@
             fields["key_digests"] = [
                 loggable_digest(digest) for digest in request.key_digests
             ]
-        _LOG.warning("Refused %d: %s.", reply.status, reply.reason, extra=fields)
+        message = "Refused %d: %s."
+        _LOG.log(level, message, reply.status, reply.reason, extra=fields)
