--- a/ibisfront/gateway/quotas/quota_asking.py
+++ b/ibisfront/gateway/quotas/quota_asking.py
@@ -11,19 +11,21 @@
 from ibisfront.gateway.quotas.quota_messages import QuotaAsk
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.gateway.quotas.quota_borrower import BorrowedToken, WorkspaceLoans
     from ibisfront.gateway.quotas.quota_lender import QuotaLender
     from ibisfront.gateway.quotas.quota_messages import QuotaGrant, QuotaMessages
-    from ibisfront.gateway.quotas.quota_owners import OwnerTiers
+    from ibisfront.gateway.quotas.quota_owners import OwnerGroup
     from ibisfront.gateway.settings import Bounds
     from ibisfront.gateway.state.configuration import Workspace
 
 __all__ = ["QuotaAsking"]
 
-_MAX_ASKS = 4
-"""Owners asked for one request: each costs it a round trip."""
+_ASKING_SHARE = 0.25
+"""Part of the time left after which no more owners are asked."""
 
 _PATIENCE_SHARE = 0.0625
 """Part of the time left that is spent waiting for one owner."""
@@ -82,7 +84,7 @@
         self,
         workspace: Workspace,
         loans: WorkspaceLoans,
-        owners: OwnerTiers,
+        owners: Sequence[OwnerGroup],
         deadline_at_ms: float,
     ) -> BorrowedToken | None:
         """Ask owners until one lends a token; return it.
@@ -93,41 +95,44 @@
             The workspace.
         loans : WorkspaceLoans
             Its loans at this instance; more tokens than one are kept there.
-        owners : OwnerTiers
+        owners : sequence of OwnerGroup
             The owners to ask.
         deadline_at_ms : float
             When the caller stops waiting.
         """
+        started_ms = self._clock.now_ms()
+        stop_at_ms = started_ms + (deadline_at_ms - started_ms) * _ASKING_SHARE
         tried: set[str] = set()
-        while len(tried) < _MAX_ASKS:
-            now_ms = self._clock.now_ms()
-            owner = loans.next_owner(owners, tried, now_ms)
-            if owner is None:
-                return None
+        while (now_ms := self._clock.now_ms()) <= stop_at_ms:
+            found = loans.next_owner(owners, tried, now_ms)
+            if found is None:
+                break
+            owner, group = found
+            tried.add(owner)
             loans.record_asked(owner, now_ms)
             if owner == self._own_name:
-                grant = self._lender.grant(workspace, 1, now_ms)
-                self._record(loans, owner, grant, now_ms)
                 self._counters.add(CounterKind.QUOTAS, "own")
+                grant = self._lender.grant(workspace, 1, now_ms)
+                self._record(loans, owner, group, grant, now_ms)
                 token = loans.use_token(now_ms)
             elif self._messages.can_reach(owner):
-                token = await self._ask(workspace, loans, owner, deadline_at_ms)
+                token = await self._ask(workspace, loans, found, deadline_at_ms)
             else:
                 loans.record_no_reply(owner, now_ms + _NO_REPLY_MS)
                 continue
             if token is not None:
                 return token
-            tried.add(owner)
         return None
 
     async def _ask(
         self,
         workspace: Workspace,
         loans: WorkspaceLoans,
-        owner: str,
+        found: tuple[str, OwnerGroup],
         deadline_at_ms: float,
     ) -> BorrowedToken | None:
         """Ask one owner for tokens; return one of them."""
+        owner, group = found
         sent_at_ms = self._clock.now_ms()
         ended = trio.Event()
         is_answered = is_waiting = True
@@ -137,7 +142,7 @@
             nonlocal is_answered, token
             is_answered = grant is not None
             if grant is not None:
-                self._record(loans, owner, grant, sent_at_ms)
+                self._record(loans, owner, group, grant, sent_at_ms)
             if is_waiting:
                 # Taken here, before a request that arrived later finds it.
                 token = loans.use_token(self._clock.now_ms())
@@ -161,12 +166,21 @@
         return token
 
     def _record(
-        self, loans: WorkspaceLoans, owner: str, grant: QuotaGrant, sent_at_ms: float
+        self,
+        loans: WorkspaceLoans,
+        owner: str,
+        group: OwnerGroup,
+        grant: QuotaGrant,
+        sent_at_ms: float,
     ) -> None:
+        now_ms = self._clock.now_ms()
         loans.record_grant(
             owner,
             grant,
             sent_at_ms=sent_at_ms,
             until_ms=sent_at_ms + lease_ms(self._bounds),
-            now_ms=self._clock.now_ms(),
+            now_ms=now_ms,
         )
+        is_refused = grant.is_owner and not grant.tokens
+        if is_refused and (grant.is_crowded or not group.is_near):
+            loans.defer(group, now_ms + grant.due_ms)
--- a/ibisfront/gateway/quotas/quota_borrower.py
+++ b/ibisfront/gateway/quotas/quota_borrower.py
@@ -18,7 +18,7 @@
     from collections.abc import Iterable
 
     from ibisfront.gateway.quotas.quota_messages import QuotaGrant
-    from ibisfront.gateway.quotas.quota_owners import OwnerTiers
+    from ibisfront.gateway.quotas.quota_owners import OwnerGroup
     from ibisfront.gateway.state.configuration import Workspace
 
 __all__ = ["BorrowedToken", "QuotaBorrower", "WorkspaceLoans"]
@@ -118,23 +118,34 @@
         return max(min(int(lease_ms / self._gap_ms / 2.0), _MAX_WANTED), 1)
 
     def next_owner(
-        self, tiers: OwnerTiers, tried: set[str], now_ms: float
-    ) -> str | None:
-        """Return the owner to ask next; None if none is likely to have a token.
+        self, groups: Iterable[OwnerGroup], tried: set[str], now_ms: float
+    ) -> tuple[str, OwnerGroup] | None:
+        """Return the owner to ask next and its group; None if none may have a token.
 
         The nearest first; of these, the one that was asked longest ago, so that a busy
         instance does not use up one owner's tokens while others are full.
         """
-        for names in tiers:
+        for group in groups:
             ready = [
                 name
-                for name in names
+                for name in group.names
                 if name not in tried and self._not_before_ms.get(name, 0.0) <= now_ms
             ]
             if ready:
-                return min(ready, key=lambda name: self._asked_at_ms.get(name, 0.0))
+                first = min(ready, key=lambda name: self._asked_at_ms.get(name, 0.0))
+                return first, group
         return None
 
+    def defer(self, group: OwnerGroup, until_ms: float) -> None:
+        """Ask no owner of a group before a time.
+
+        Load pattern: a flood through all instances. Their requests are spread evenly
+        over the owners of a zone, so that none of these has a token when one has not.
+        """
+        for name in group.names:
+            before_ms = self._not_before_ms.get(name, 0.0)
+            self._not_before_ms[name] = max(before_ms, until_ms)
+
     def record_asked(self, owner: str, now_ms: float) -> None:
         """Record that an owner is asked."""
         self._asked_at_ms[owner] = now_ms
--- a/ibisfront/gateway/quotas/quota_bucket.py
+++ b/ibisfront/gateway/quotas/quota_bucket.py
@@ -13,6 +13,14 @@
 __all__ = ["QuotaBucket"]
 
 
+_MAX_TURN_LEASES = 2.0
+"""Longest time that a refused borrower's turn lies after the next token, in leases.
+When a flood ends, it is refused for no longer."""
+
+_CROWD = 1.0
+"""Borrowers that wait for their turns from which on there are several."""
+
+
 class _Loan:
     """Tokens lent to one borrower until a time."""
 
@@ -160,18 +168,26 @@
             wait_ms = max(wait_ms, lean_ms)
         return wait_ms
 
-    def next_turn_ms(self, now_ms: float) -> float:
+    def next_turn_ms(self, now_ms: float) -> tuple[float, bool]:
         """Return when the next refused borrower should ask again, counted from now.
 
         Each gets the turn after the one before it, as tokens come due, so that they
         do not all ask for the same token.
+
+        Returns
+        -------
+        float
+            The time until its turn.
+        bool
+            Whether several borrowers have turns before it.
         """
         due_at_ms = now_ms + self.due_ms(now_ms)
         interval_ms = 1_000.0 / self._part.rate_per_s
-        latest_ms = due_at_ms + self._lease_ms
+        waiting = (self._next_slot_ms - due_at_ms) / interval_ms
+        latest_ms = due_at_ms + _MAX_TURN_LEASES * self._lease_ms
         turn_ms = min(max(due_at_ms, self._next_slot_ms), latest_ms)
         self._next_slot_ms = turn_ms + interval_ms
-        return turn_ms - now_ms
+        return turn_ms - now_ms, waiting >= _CROWD
 
     def is_idle(self, now_ms: float) -> bool:
         """Return whether it is as a new one would be, and may be dropped."""
--- a/ibisfront/gateway/quotas/quota_lender.py
+++ b/ibisfront/gateway/quotas/quota_lender.py
@@ -86,8 +86,11 @@
         if bucket is None:
             return QuotaGrant(self._process, 0, 0, _NOT_OWNER_MS, is_owner=False)
         loan_id, tokens = bucket.take(wanted, now_ms)
-        due_ms = bucket.due_ms(now_ms) if tokens else bucket.next_turn_ms(now_ms)
-        return QuotaGrant(self._process, loan_id, tokens, due_ms)
+        if tokens:
+            due_ms = bucket.due_ms(now_ms)
+            return QuotaGrant(self._process, loan_id, tokens, due_ms)
+        due_ms, is_crowded = bucket.next_turn_ms(now_ms)
+        return QuotaGrant(self._process, 0, 0, due_ms, is_crowded=is_crowded)
 
     def give_back(self, name: str, returned: QuotaReturn, now_ms: float) -> bool:
         """Take an unused token back; return whether it was accepted."""
--- a/ibisfront/gateway/quotas/quota_messages.py
+++ b/ibisfront/gateway/quotas/quota_messages.py
@@ -93,6 +93,8 @@
         How long the borrower should not ask again once these are used.
     is_owner : bool
         Whether the instance asked is an owner by its own list of instances.
+    is_crowded : bool
+        Whether several borrowers wait for its next tokens.
     """
 
     process: int
@@ -100,6 +102,7 @@
     tokens: int
     due_ms: float
     is_owner: bool = True
+    is_crowded: bool = False
 
 
 OnQuotaGrant: TypeAlias = Callable[[QuotaGrant | None], None]
--- a/ibisfront/gateway/quotas/quota_owners.py
+++ b/ibisfront/gateway/quotas/quota_owners.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from enum import StrEnum
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -19,14 +19,25 @@
     from ibisfront.gateway.settings import Bounds
     from ibisfront.gateway.state.configuration import Workspace
 
-__all__ = ["OwnerPlan", "OwnerRole", "OwnerTiers", "QuotaOwners"]
+__all__ = ["OwnerGroup", "OwnerPlan", "OwnerRole", "QuotaOwners"]
 
 _MAX_PLANS = 4_096
 """Workspaces whose owners are kept; with more, they are computed again."""
 
 
-OwnerTiers: TypeAlias = tuple[tuple[str, ...], ...]
-"""Groups of owners; those of the first group are asked first."""
+class OwnerGroup(msgspec.Struct, frozen=True):
+    """Owners of one zone.
+
+    Attributes
+    ----------
+    names : tuple of str
+        The owners.
+    is_near : bool
+        Whether they are in this instance's zone.
+    """
+
+    names: tuple[str, ...]
+    is_near: bool
 
 
 class OwnerRole(StrEnum):
@@ -44,17 +55,17 @@
     ----------
     division : QuotaDivision
         How its limit is divided.
-    owners : OwnerTiers
+    owners : tuple of OwnerGroup
         Its owners in the order in which this instance asks them.
-    reserves : OwnerTiers
+    reserves : tuple of OwnerGroup
         Its reserve owners in that order.
     role : OwnerRole
         What this instance is to it.
     """
 
     division: QuotaDivision
-    owners: OwnerTiers
-    reserves: OwnerTiers
+    owners: tuple[OwnerGroup, ...]
+    reserves: tuple[OwnerGroup, ...]
     role: OwnerRole
 
 
@@ -149,8 +160,8 @@
         division, owners, reserves = self._owners(workspace, self._by_zone)
         return OwnerPlan(
             division=division,
-            owners=self._tiers(workspace, owners),
-            reserves=self._tiers(workspace, reserves),
+            owners=self._groups(workspace, owners),
+            reserves=self._groups(workspace, reserves),
             role=self._role(owners, reserves),
         )
 
@@ -181,15 +192,21 @@
             return OwnerRole.RESERVE
         return OwnerRole.NONE
 
-    def _tiers(self, workspace: Workspace, zone_of: dict[str, str]) -> OwnerTiers:
-        """Group owners: this instance, the others of its zone, then the rest.
+    def _groups(
+        self, workspace: Workspace, zone_of: dict[str, str]
+    ) -> tuple[OwnerGroup, ...]:
+        """Group owners: this instance, the others of its zone, then the other zones.
 
-        Instances ask the owners of a group in different orders, so that these are
-        asked about equally often.
+        Instances ask the owners of a zone, and the other zones, in different orders,
+        so that these are asked about equally often.
         """
         own = self._own
-        tiers: tuple[list[str], list[str], list[str]] = [], [], []
+        by_zone: dict[str, list[str]] = {"": [], own.zone: []}
         for name in rendezvous_order(f"{workspace.name}\0{own.name}", zone_of):
-            is_near = zone_of[name] == own.zone
-            tiers[0 if name == own.name else 1 if is_near else 2].append(name)
-        return tuple(tuple(names) for names in tiers if names)
+            zone = "" if name == own.name else zone_of[name]
+            by_zone.setdefault(zone, []).append(name)
+        return tuple(
+            OwnerGroup(tuple(names), zone in ("", own.zone))
+            for zone, names in by_zone.items()
+            if names
+        )
--- a/ibisfront/gateway/quotas/quota_parts.py
+++ b/ibisfront/gateway/quotas/quota_parts.py
@@ -25,6 +25,9 @@
 one of them, so that the others keep fractions that serve no request. The rest is for
 start tokens, as far as they are needed."""
 
+_RATE_SHARE = 0.5
+"""Part of the room left by these that is added to the rate."""
+
 _RESTARTS_PER_WINDOW = 2
 """Restarts of an owner in one window, each with start tokens."""
 
@@ -122,7 +125,11 @@
     start_room = room * (1.0 - _MIN_SAVED_SHARE) / (_RESTARTS_PER_WINDOW * owners)
     start_tokens = min(start_room, max(1.0 - rate_per_s * _LEAN_START_S, 0.0))
     saved_room = room - start_tokens * _RESTARTS_PER_WINDOW * owners
-    saved = workspace.limit_burst + saved_room
+    # What is left makes up for tokens that lapse at one instance while another has
+    # a request.
+    rate_room = (saved_room - room * _MIN_SAVED_SHARE) * _RATE_SHARE
+    rate_per_s += max(rate_room, 0.0) / window_s / owners
+    saved = workspace.limit_burst + saved_room - max(rate_room, 0.0)
     part = QuotaPart(
         rate_per_s=rate_per_s,
         capacity=max(saved / owners, 1.0),
--- a/ibisfront/gateway/quotas/quotas.py
+++ b/ibisfront/gateway/quotas/quotas.py
@@ -285,14 +285,14 @@
         token = await self._asking.ask_in_turn(
             workspace, loans, plan.owners, deadline_at_ms
         )
-        names = [name for tier in plan.owners for name in tier]
+        names = [name for group in plan.owners for name in group.names]
         is_any_silent = loans.is_any_silent(names)
         if token is None and is_any_silent and plan.reserves:
             reserves = plan.reserves
             token = await self._asking.ask_in_turn(
                 workspace, loans, reserves, deadline_at_ms
             )
-            names += [name for tier in reserves for name in tier]
+            names += [name for group in reserves for name in group.names]
         if token is not None:
             return _Ticket(self, workspace, token)
         loans.block(names, self._clock.now_ms())
@@ -328,7 +328,9 @@
             "limit_burst": workspace.limit_burst,
             "tokens_held": loans.count(now_ms),
             "last_grant_age_ms": loans.granted_age_ms(now_ms),
-            "owners": None if plan is None else sum(map(len, plan.owners)),
+            "owners": None
+            if plan is None
+            else sum(len(group.names) for group in plan.owners),
             "retry_after_ms": round(retry_after_ms, 1),
             "version": self._version,
         }
