--- a/ibisfront/tests/test_gateway_workspaces.py
+++ b/ibisfront/tests/test_gateway_workspaces.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from itertools import islice
 
 import msgspec
 import trio
@@ -11,6 +13,7 @@
 from ibisfront.gateway.load.crash_suspects import fingerprint_of
 from ibisfront.gateway.quotas.quota import QuotaRefusal
 from ibisfront.gateway.state.configuration import Workspace
+from ibisfront.gateway.workspaces.directory import WorkspaceDirectory
 from ibisfront.gateway.workspaces.keys import digest_key
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
@@ -250,6 +253,29 @@
                 count = refused.value(CounterKind.REFUSALS, "other_workspaces")
                 self.assertGreater(count, 0)
 
+    @trio_test
+    async def test_key_revoked_while_no_coordinator_takes_the_query_is_refused(self):
+        """Guards against a revoked key that is served since its query was sent twice.
+
+        The coordinators have a newer list of services for a moment.
+        """
+        zones = self._zones(delegates=True)
+        replies = []
+
+        async def send():
+            replies.append(await zones.send_request("z0"))
+
+        async with zones.running(), trio.open_nursery() as nursery:
+            for zone in ("z1", "z2"):
+                zones.apply_configuration(2, gather_route(19), only=zone)
+            nursery.start_soon(send)
+            await trio.sleep(0.03)
+            self.assertEqual(replies, [])
+            zones.workspaces = (workspace("desk", b"n3w"),)
+            zones.apply_configuration(3, gather_route(20))
+        self.assertEqual([item.reason for item in replies], ["unknown_key"])
+        self.assertEqual(zones.payloads, [])
+
     @trio_test
     async def test_query_of_an_instance_without_workspaces_is_not_run(self):
         """Guards against a key that one instance does not know as a key.
@@ -394,3 +420,21 @@
             fixture.workspaces = msgspec.json.decode(data, type=tuple[Workspace, ...])
             fixture.apply_configuration(2)
             self.assertIs(gateway.table.workspaces, before)
+
+    def test_any_two_versions_have_the_directory_of_the_later_one(self):
+        """Guards against a key that is revoked or moved and stays known."""
+        rng = random.Random(3)
+        directory = WorkspaceDirectory()
+        for _ in range(300):
+            keys = iter(rng.sample("abcdefghij", 10))
+            workspaces = tuple(
+                Workspace(name, tuple(islice(keys, rng.randrange(4))))
+                for name in rng.sample("xyz", rng.randrange(4))
+            )
+            directory = directory.updated(workspaces)
+            expected = {
+                digest: item for item in workspaces for digest in item.key_digests
+            }
+            for digest in "abcdefghij":
+                self.assertEqual(directory.find(digest), expected.get(digest))
+            self.assertEqual(bool(directory), bool(workspaces))
