--- a/ibisfront/cli/refusal_reasons.py
+++ b/ibisfront/cli/refusal_reasons.py
@@ -22,6 +22,18 @@
         "This instance does not know the key, but did not have the newest configuration"
         " either; another instance may serve the same request."
     ),
+    "over_quota": (
+        "The workspace has used up its limit over all instances, or the part of it that"
+        " was in reach; the request did not run and may be sent again."
+    ),
+    "owner_silent": (
+        "Instances that own parts of the workspace's limit did not answer, and the"
+        " others had nothing left; the request did not run and may be sent again."
+    ),
+    "no_quota_owner": (
+        "This instance has just started and does not know yet which instances own the"
+        " workspace's limit; the request did not run and may be sent again."
+    ),
     "workspace_changed": (
         "The key moved to another workspace while the request waited; it did not run"
         " and may be sent again."
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -236,6 +236,7 @@
             clock=clock,
             counters=self.observer.counters,
             is_first_start=settings.is_first_start,
+            zones=len(settings.zones),
         )
         self.gateway = Gateway(
             GatewayContext(
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -181,8 +181,8 @@
     ) -> None:
         """Record a request that was refused before any decision."""
         self.counters.add(CounterKind.REFUSALS, reply.reason)
-        # A flood over a limit has a line for each workspace and second instead.
-        level = logging.DEBUG if reply.status == _OVER_LIMIT else logging.WARNING
+        # A flood over a limit would displace the warnings about failures.
+        level = logging.INFO if reply.status == _OVER_LIMIT else logging.WARNING
         if not _LOG.isEnabledFor(level):
             return
         fields: dict[str, Any] = {
--- a/ibisfront/gateway/quotas/quota_owners.py
+++ b/ibisfront/gateway/quotas/quota_owners.py
@@ -82,6 +82,8 @@
         This instance.
     bounds : Bounds
         The deployment's bounds.
+    zones : int
+        Zones of the deployment; a list may lack all instances of one.
     started_ms : float
         When this process may first have had a predecessor's parts; minus infinity at
         the first start of all instances.
@@ -94,11 +96,13 @@
         "_own",
         "_plans",
         "_started_ms",
+        "_zones",
     )
 
     def __init__(
-        self, own: InstanceEntry, *, bounds: Bounds, started_ms: float
+        self, own: InstanceEntry, *, bounds: Bounds, zones: int, started_ms: float
     ) -> None:
+        self._zones = zones
         self._own = own
         self._bounds = bounds
         self._by_zone: dict[str, list[str]] = {}
@@ -172,7 +176,7 @@
         division = divide_quota(
             workspace,
             self._bounds,
-            zones=max(len(by_zone), 1),
+            zones=max(len(by_zone), self._zones, 1),
             smallest_zone=min(map(len, by_zone.values()), default=1),
         )
         count = division.owners_per_zone
--- a/ibisfront/gateway/quotas/quotas.py
+++ b/ibisfront/gateway/quotas/quotas.py
@@ -93,6 +93,8 @@
     is_first_start : bool
         Whether all instances start for the first time, so that no predecessor has
         granted anything.
+    zones : int, optional
+        Zones of the deployment.
     """
 
     __slots__ = (
@@ -122,6 +124,7 @@
         clock: Clock,
         counters: Counters,
         is_first_start: bool,
+        zones: int = 1,
     ) -> None:
         started_ms = -math.inf if is_first_start else clock.now_ms()
         self._own_name = own.name
@@ -130,7 +133,9 @@
         self._request_id_header = request_id_header
         self._clock = clock
         self._counters = counters
-        self._owners = QuotaOwners(own, bounds=bounds, started_ms=started_ms)
+        self._owners = QuotaOwners(
+            own, bounds=bounds, zones=zones, started_ms=started_ms
+        )
         self._lender = QuotaLender(
             owners=self._owners, bounds=bounds, process=secrets.randbits(62)
         )
--- a/ibisfront/testing/quota_cluster.py
+++ b/ibisfront/testing/quota_cluster.py
@@ -181,6 +181,7 @@
             clock=self.clock,
             counters=Counters(),
             is_first_start=is_first_start,
+            zones=len({item.zone for item in self._entries.values()}),
         )
         self.nodes[name] = node
         node.quotas.retain(list(self.workspaces.values()))
--- a/ibisfront/tests/test_gateway_quotas.py
+++ b/ibisfront/tests/test_gateway_quotas.py
@@ -266,6 +266,20 @@
             await tier.clock.sleep_ms(6_000.0)
             self.assert_within(tier, item, from_ms=6_000.0)
 
+    @trio_test
+    async def test_a_short_list_after_a_restart_gives_no_more_than_a_part(self):
+        """Guards against a whole limit for each instance that knows no other."""
+        async with cluster(3, workspaces=[LARGE]) as tier:
+            await tier.clock.sleep_ms(6_000.0)
+            for name in list(tier.nodes):
+                tier.stop_node(name)
+                tier.start_node(name, listed=[name])
+            await tier.send_load("large", 100.0, for_ms=3_000.0)
+            for name in tier.nodes:
+                tier.list_instances(name, tier.entry_names())
+            await tier.send_load("large", 100.0, for_ms=6_000.0)
+            self.assert_within(tier)
+
     @trio_test
     async def test_a_lower_limit_binds_one_window_later(self):
         """Guards against tokens that were saved under the former limit."""
