Coordinators report their load with each reply

Cause: an entry instance chose among the coordinators of its zone by its own latencies alone, and took the time of a refusal as that of a query, so that a coordinator that refused at once seemed the fastest of its zone.

Replies to delegated queries carry the queries that run at the coordinator and how long they take over their usual.

--- a/ibisfront/gateway/instances/coordinators.py
+++ b/ibisfront/gateway/instances/coordinators.py
@@ -57,15 +57,18 @@
     ----------
     instances : sequence of InstanceEntry
         All instances, this one included.
+    capacities : dict of str to float
+        The number of cores of the coordinators by name.
     """
 
-    __slots__ = ("_by_zone", "_connection_limit", "_own", "instances")
+    __slots__ = ("_by_zone", "_connection_limit", "_own", "capacities", "instances")
 
     def __init__(self, own: InstanceEntry) -> None:
         self._own = own
         self._connection_limit = 0
         self._by_zone: dict[str, tuple[str, ...]] = {}
         self.instances: Sequence[InstanceEntry] = (own,)
+        self.capacities: dict[str, float] = {}
 
     @property
     def uses_coordinators(self) -> bool:
@@ -129,6 +132,10 @@
         zones = sorted({item.zone for item in instances})
         maximum = max(int(usable / (len(zones) * _COORDINATOR_CONNECTIONS)), 1)
         self._by_zone = {zone: self._select(zone, maximum) for zone in zones}
+        names = frozenset(self.names)
+        self.capacities = {
+            item.name: item.capacity for item in instances if item.name in names
+        }
 
     def _select(self, zone: str, maximum: int) -> tuple[str, ...]:
         """Return a zone's coordinators, at most ``maximum``."""
--- a/ibisfront/gateway/load/server_choice.py
+++ b/ibisfront/gateway/load/server_choice.py
@@ -12,6 +12,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ibisfront.gateway.servers.server import Server
 
 __all__ = ["choose_server", "server_cost"]
@@ -97,7 +99,12 @@
 
 
 def choose_server(
-    servers: list[Server], tried: list[Server], *, now_ms: float, baseline_ms: float
+    servers: list[Server],
+    tried: list[Server],
+    *,
+    now_ms: float,
+    baseline_ms: float,
+    cost_factor: Callable[[Server], float] | None = None,
 ) -> Server | None:
     """Return the cheapest server that may be used and was not tried, or None.
 
@@ -111,6 +118,8 @@
         The time.
     baseline_ms : float
         The route's baseline latency.
+    cost_factor : callable, optional
+        Returns a factor of a server's cost that this instance does not observe.
     """
     cheapest: Server | None = None
     least_cost = 0.0
@@ -122,6 +131,8 @@
         cost = server_cost(server, now_ms, baseline_ms)
         if server.pool is not None and not server.pool.has_room:
             cost += _POOL_FULL_PENALTY
+        if cost_factor is not None:
+            cost *= cost_factor(server)
         cost *= 1.0 + _COST_JITTER * random.random()
         if cheapest is None or cost < least_cost:
             cheapest, least_cost = server, cost
--- a/ibisfront/gateway/queries/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from ibisfront.gateway.load.coordinator_load import LoadReport
 from ibisfront.gateway.messages import BackendReply, Header, InboundRequest
 
 if TYPE_CHECKING:
@@ -15,7 +17,9 @@
 __all__ = [
     "DelegatedQuery",
     "format_delegated_query",
+    "load_header",
     "parse_delegated_query",
+    "parse_load",
     "parse_signatures",
     "reached_header",
     "reports_servers_reached",
@@ -36,6 +40,7 @@
 _SIGNATURES = b"x-ibisfront-signatures"
 _UNREACHABLE = b"x-ibisfront-out-of-reach"
 _REACHED = b"x-ibisfront-reached"
+_LOAD = b"x-ibisfront-load"
 
 _INTERNAL = frozenset(
     (
@@ -140,6 +145,23 @@
     return (_REACHED, b"1")
 
 
+def load_header(report: LoadReport) -> Header:
+    """Return the header of a reply that carries the coordinator's load."""
+    return (_LOAD, b"%d %.2f" % (report.running, report.slowness))
+
+
+def parse_load(reply: BackendReply) -> LoadReport | None:
+    """Return the load that a coordinator reports; None if missing or malformed."""
+    value = next((text for name, text in reply.headers if name.lower() == _LOAD), b"")
+    running, _, slowness = value.partition(b" ")
+    try:
+        report = LoadReport(int(running), float(slowness))
+    except ValueError:
+        return None
+    is_valid = report.running >= 0 and math.isfinite(report.slowness)
+    return report if is_valid else None
+
+
 def signatures_header(signatures: Sequence[bytes]) -> Header:
     """Return the header that lists the parts of a delegated answer."""
     return (_SIGNATURES, b",".join(signatures))
--- a/ibisfront/gateway/queries/delegation.py
+++ b/ibisfront/gateway/queries/delegation.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibisfront.gateway.load.baseline_latency import BaselineLatency
+from ibisfront.gateway.load.coordinator_load import CoordinatorChoice, QueryLoad
 from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.queries.remote_call import RemotePlan
 from ibisfront.gateway.route_state import retain_routes
@@ -57,16 +58,23 @@
         The instances that run scatter-gather queries.
     clock : Clock
         The tier's clock.
+
+    Attributes
+    ----------
+    load : QueryLoad
+        Load of this instance due to queries that others delegate to it.
     """
 
     __slots__ = (
         "_baselines",
+        "_choice",
         "_clock",
         "_coordinators",
         "_peers",
         "_placements",
         "_registry",
         "_zone",
+        "load",
     )
 
     def __init__(
@@ -85,6 +93,8 @@
         self._clock = clock
         self._placements: dict[str, _Placement] = {}
         self._baselines: dict[str, BaselineLatency] = {}
+        self._choice = CoordinatorChoice(lambda: coordinators.capacities)
+        self.load = QueryLoad()
 
     @property
     def uses_coordinators(self) -> bool:
@@ -135,29 +145,61 @@
             key=lambda zone: (zone != self._zone, zone),
         )
         for zone in zones:
-            candidates = self._available_peers(zone)
-            peer = choose_server(
-                candidates, list(tried), now_ms=now_ms, baseline_ms=baseline.median_ms
-            )
-            if peer is not None and not peer.is_overdue(now_ms, baseline.late_ms):
-                return RemotePlan(peer, gathering.services, baseline, is_whole=True)
+            peer = self._choose_coordinator(zone, tried, baseline, now_ms)
+            if peer is not None:
+                return RemotePlan(
+                    peer,
+                    gathering.services,
+                    baseline,
+                    is_whole=True,
+                    choice=self._choice,
+                )
         return None
 
+    def _choose_coordinator(
+        self,
+        zone: str,
+        tried: Sequence[Server],
+        baseline: BaselineLatency,
+        now_ms: float,
+    ) -> Server | None:
+        """Return the coordinator of a zone for a query, or None."""
+        available = [
+            peer
+            for peer in self._available_peers(zone)
+            if peer.is_usable
+            and peer.can_accept(now_ms)
+            and not peer.is_overdue(now_ms, baseline.late_ms)
+        ]
+        return self._choice.choose(
+            [peer for peer in self._coordinators_of(zone) if peer not in tried],
+            is_available=available.__contains__,
+            now_ms=now_ms,
+            baseline=baseline,
+        )
+
     def _available_peers(self, zone: str) -> list[Server]:
         """Return the available instances of a zone that run scatter-gather."""
         now_ms = self._clock.now_ms()
+        return [
+            peer
+            for peer in self._coordinators_of(zone)
+            if peer.is_reachable(now_ms) and now_ms >= peer.not_before_ms
+        ]
+
+    def _coordinators_of(self, zone: str) -> list[Server]:
+        """Return the instances of a zone that run scatter-gather."""
         coordinator_ids = self._coordinators.of_zone(zone)
         return [
             peer
             for peer in self._peers.of_service(zone)
-            if (not coordinator_ids or peer.entry.server_id in coordinator_ids)
-            and peer.is_reachable(now_ms)
-            and now_ms >= peer.not_before_ms
+            if not coordinator_ids or peer.entry.server_id in coordinator_ids
         ]
 
     def retain(self, names: Container[str]) -> None:
         """Drop the state of all other routes."""
         retain_routes(self._baselines, names)
+        self.load.retain(names)
         retain_routes(self._placements, names)
 
     def _baseline(self, route: Route) -> BaselineLatency:
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -12,6 +12,7 @@
 from ibisfront.gateway.queries.delegated_query import (
     DelegatedQuery,
     format_delegated_query,
+    parse_load,
     parse_signatures,
     reports_servers_reached,
     reports_servers_unreachable,
@@ -22,6 +23,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.gateway.load.coordinator_load import CoordinatorChoice
     from ibisfront.gateway.messages import BackendReply, InboundRequest
     from ibisfront.gateway.state.configuration import Gathering
     from ibisfront.gateway.wire import WireCodec
@@ -54,12 +56,15 @@
     is_whole : bool
         Whether the whole query is delegated; the instance may then delegate the
         parts of other zones in turn.
+    choice : CoordinatorChoice, optional
+        Told the load that the reply reports.
     """
 
     peer: Server
     services: tuple[str, ...]
     baseline: BaselineLatency
     is_whole: bool = False
+    choice: CoordinatorChoice | None = None
 
 
 class RemoteCall:
@@ -252,10 +257,8 @@
         if peer.pool is not None:
             peer.pool.record_ended(exchange)
         if exchange.reply is not None:
-            baseline = self._plan.baseline
-            took_ms = now_ms - exchange.waiting_since_ms
-            peer.record_reply(now_ms, took_ms=took_ms, baseline_ms=baseline.median_ms)
-            baseline.record_ms(took_ms)
+            self._record_load(exchange, exchange.reply, now_ms)
+            self._record_latency(exchange, exchange.reply, now_ms)
             self._apply_reply(exchange.reply)
         else:
             self.is_refused = exchange.sent_at_ms is None
@@ -264,6 +267,34 @@
         if not exchange.is_abandoned:
             self._on_change()
 
+    def _record_latency(
+        self, exchange: Exchange, reply: BackendReply, now_ms: float
+    ) -> None:
+        """Record a reply's latency; that of a refusal says nothing about a query's."""
+        peer = self._plan.peer
+        if reply.status == _UNAVAILABLE:
+            # It may refuse one workspace or one version, and nothing else.
+            peer.record_alive(now_ms)
+            return
+        baseline = self._plan.baseline
+        took_ms = now_ms - exchange.waiting_since_ms
+        peer.record_reply(now_ms, took_ms=took_ms, baseline_ms=baseline.median_ms)
+        baseline.record_ms(took_ms)
+
+    def _record_load(
+        self, exchange: Exchange, reply: BackendReply, now_ms: float
+    ) -> None:
+        """Record the coordinator's load, which refusals report too."""
+        choice = self._plan.choice
+        if choice is None:
+            return
+        if reply.status == _OK:
+            took_ms = now_ms - exchange.waiting_since_ms
+            choice.record_reply(self.peer_id, took_ms / self._plan.baseline.median_ms)
+        report = parse_load(reply)
+        if report is not None:
+            choice.record_report(self.peer_id, report, now_ms)
+
     def _apply_reply(self, reply: BackendReply) -> None:
         self.is_refused = reply.status == _UNAVAILABLE
         self.servers_unreachable = self.is_refused and reports_servers_unreachable(
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -16,6 +16,7 @@
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
+    load_header,
     reached_header,
     signatures_header,
     unreachable_header,
@@ -162,6 +163,20 @@
 
     async def answer_delegated(self, query: DelegatedQuery) -> CallerReply:
         """Return the parts of a query that another instance delegates."""
+        if self._delegation is None:
+            return await self._answer_delegated(query)
+        load = self._delegation.load
+        load.begin()
+        try:
+            reply = await self._answer_delegated(query)
+        finally:
+            load.end()
+        reply.headers.append(
+            load_header(load.report(self._gateway_context.clock.now_ms()))
+        )
+        return reply
+
+    async def _answer_delegated(self, query: DelegatedQuery) -> CallerReply:
         gateway_context = self._gateway_context
         request = query.request
         table = gateway_context.table
@@ -195,6 +210,13 @@
             remote_plan = self._delegation.plan_remote_zone(route, gathering)
         run = await self._run_locally(pending, remote_plan)
         reply = self._delegated_reply(run, gathering)
+        if self._delegation is not None and run.has_enough_parts:
+            self._delegation.load.record_answer(
+                gateway_context.clock.now_ms(),
+                route=route.name,
+                is_whole=query.is_whole,
+                began_at_ms=request.arrived_at_ms,
+            )
         gateway_context.record(request, route, reply, context, parts=_parts_text(run))
         # The other instance matches the reply to its query by this header.
         reply.headers.append(gateway_context.wire.request_id(request.request_id))
