Count what crosses zones, by reason

Cause: bytes between zones are charged, and no metric said which they are. Requests and bytes to and from servers and instances of other zones are counted as primary, hedge, retry, whole query or parts.

--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -25,6 +25,8 @@
     CONNECTIONS = "connections"
     EJECTIONS = "ejections"
     QUARANTINES = "quarantines"
+    OTHER_ZONE_REQUESTS = "other_zone_requests"
+    OTHER_ZONE_BYTES = "other_zone_bytes"
     PLATFORM_CALLS = "platform_calls"
     PEER_MESSAGES = "peer_messages"
     PEER_BYTES = "peer_bytes"
@@ -50,6 +52,8 @@
     CounterKind.CONNECTIONS: "Connections to backend servers, by event.",
     CounterKind.EJECTIONS: "Ejections of backend servers, by reason.",
     CounterKind.QUARANTINES: "Requests suspected of crashing backend servers.",
+    CounterKind.OTHER_ZONE_REQUESTS: "Requests sent to another zone, by reason.",
+    CounterKind.OTHER_ZONE_BYTES: "Bytes of requests to and replies of other zones.",
     CounterKind.PLATFORM_CALLS: "Calls to the platform, by outcome.",
     CounterKind.PEER_MESSAGES: "Messages between instances, by outcome.",
     CounterKind.PEER_BYTES: "Bytes exchanged between instances.",
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -18,11 +18,17 @@
     reports_servers_unreachable,
     service_bitmask,
 )
+from ibisfront.gateway.queries.zone_traffic import (
+    ZoneTraffic,
+    record_received,
+    record_sent,
+)
 from ibisfront.gateway.servers.exchange import Exchange
 from ibisfront.gateway.servers.server import Server
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
     from ibisfront.gateway.load.coordinator_load import CoordinatorChoice
     from ibisfront.gateway.messages import BackendReply, InboundRequest
     from ibisfront.gateway.state.configuration import Gathering
@@ -78,6 +84,8 @@
         The tier's clock.
     on_change : callable
         Called when the call has ended.
+    counters : Counters
+        Counts what is sent to other zones.
 
     Attributes
     ----------
@@ -97,6 +105,7 @@
 
     __slots__ = (
         "_clock",
+        "_counters",
         "_exchange",
         "_on_change",
         "_plan",
@@ -109,8 +118,14 @@
     )
 
     def __init__(
-        self, plan: RemotePlan, *, clock: Clock, on_change: Callable[[], None]
+        self,
+        plan: RemotePlan,
+        *,
+        clock: Clock,
+        on_change: Callable[[], None],
+        counters: Counters,
     ) -> None:
+        self._counters = counters
         self._plan = plan
         self._clock = clock
         self._on_change = on_change
@@ -132,6 +147,11 @@
         """The id of the instance called."""
         return self._plan.peer.entry.server_id
 
+    @property
+    def _reason(self) -> ZoneTraffic:
+        is_whole = self._plan.is_whole
+        return ZoneTraffic.WHOLE_QUERY if is_whole else ZoneTraffic.PARTS
+
     @property
     def is_open(self) -> bool:
         """Whether an answer may still arrive."""
@@ -222,7 +242,9 @@
                 is_repeat=is_repeat,
             )
             encode_for = wire.encode_request(format_delegated_query(query))
-            return encode_for(self.peer_id, give_up_at_ms - at_ms)
+            data = encode_for(self.peer_id, give_up_at_ms - at_ms)
+            record_sent(self._counters, self.peer, self._reason, data)
+            return data
 
         self._exchange = Exchange(
             self._plan.peer,
@@ -257,6 +279,8 @@
         if peer.pool is not None:
             peer.pool.record_ended(exchange)
         if exchange.reply is not None:
+            size_bytes = len(exchange.reply.body)
+            record_received(self._counters, peer, self._reason, size_bytes)
             self._record_load(exchange, exchange.reply, now_ms)
             self._record_latency(exchange, exchange.reply, now_ms)
             self._apply_reply(exchange.reply)
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -345,7 +345,10 @@
             remote_plan: RemotePlan, is_repeat: bool, on_change: Callable[[], None]
         ) -> RemoteCall:
             remote = RemoteCall(
-                remote_plan, clock=gateway_context.clock, on_change=on_change
+                remote_plan,
+                clock=gateway_context.clock,
+                on_change=on_change,
+                counters=pending.context.counters,
             )
             remote.start(
                 pending.request,
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -11,6 +11,11 @@
 from ibisfront.core.counters import CounterKind
 from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.messages import ExchangeErrorKind
+from ibisfront.gateway.queries.zone_traffic import (
+    ZoneTraffic,
+    record_received,
+    record_sent,
+)
 from ibisfront.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
@@ -128,6 +133,7 @@
         "_not_run_attempts",
         "_on_change",
         "_open",
+        "_reasons",
         "_retry_at_ms",
         "_tried",
         "attempts_sent",
@@ -152,6 +158,8 @@
         self._on_change = on_change
         self._open: list[Exchange] = []
         self._tried: list[Server] = []
+        # Why each of them was sent the request.
+        self._reasons: dict[Server, ZoneTraffic] = {}
         self._not_run_attempts = 0
         self._retry_at_ms = -math.inf
         self._is_out_of_budget = False
@@ -225,7 +233,9 @@
         context.trace.extras += 1
         server_id = server.entry.server_id
         context.trace.record(now_ms, "sent_again", self.service, server_id, cause)
-        self._submit(server, now_ms)
+        is_hedge = not self.last_error
+        reason = ZoneTraffic.HEDGE if is_hedge else ZoneTraffic.RETRY
+        self._submit(server, now_ms, reason)
         return True
 
     def next_retry_at_ms(self, now_ms: float) -> float:
@@ -311,10 +321,10 @@
             self.last_error = "no_server"
             self._context.trace.record(now_ms, "no_server", self.service, "")
             return False
-        self._submit(server, now_ms)
+        self._submit(server, now_ms, ZoneTraffic.PRIMARY)
         return True
 
-    def _submit(self, server: Server, now_ms: float) -> None:
+    def _submit(self, server: Server, now_ms: float, reason: ZoneTraffic) -> None:
         context = self._context
         exchange = Exchange(
             server,
@@ -328,6 +338,7 @@
             may_fail_fast=context.is_idempotent,
         )
         self._tried.append(server)
+        self._reasons[server] = reason
         self._open.append(exchange)
         self.attempts_sent += 1
         assert server.pool is not None
@@ -344,7 +355,9 @@
             context.budgets.of_service(self.service).record_primary(at_ms)
             context.counters.add(CounterKind.SUB_REQUESTS, "primary")
         self.may_have_arrived = True
-        return context.payload(server, at_ms)
+        data = context.payload(server, at_ms)
+        record_sent(context.counters, server, self._reasons[server], data)
+        return data
 
     def _on_exchange_end(self, exchange: Exchange) -> None:
         """Process the end of an exchange, abandoned or not."""
@@ -369,6 +382,9 @@
     def _record_reply(self, exchange: Exchange, reply: BackendReply) -> None:
         now_ms = self._context.clock.now_ms()
         server = exchange.server
+        record_received(
+            self._context.counters, server, self._reasons[server], len(reply.body)
+        )
         if reply.load is not None:
             server.record_load(now_ms, reply.load)
             self._context.baseline.record_load(reply.load)
--- a/ibisfront/tests/test_gateway_coordinator_load.py
+++ b/ibisfront/tests/test_gateway_coordinator_load.py
@@ -5,6 +5,7 @@
 import unittest
 from types import SimpleNamespace
 
+from ibisfront.core.counters import Counters
 from ibisfront.gateway.load.baseline_latency import BaselineLatency
 from ibisfront.gateway.load.coordinator_load import (
     CoordinatorChoice,
@@ -175,7 +176,9 @@
         clock = SimpleNamespace(now_ms=lambda: 1.0)
         baseline = BaselineLatency(40.0)
         plan = RemotePlan(server, ROUTE.gathering.services, baseline, is_whole=True)
-        remote = RemoteCall(plan, clock=clock, on_change=lambda: None)
+        remote = RemoteCall(
+            plan, clock=clock, on_change=lambda: None, counters=Counters()
+        )
         for _ in range(40):
             remote.start(
                 InboundRequest(b"GET", b"/", "h", "r", 900.0, [], b"", 0.0),
