--- a/ibisfront/lab/callers.py
+++ b/ibisfront/lab/callers.py
@@ -59,11 +59,16 @@
             at_s += float(random.exponential(1.0 / peak_per_s))
             if at_s >= pattern.duration_s:
                 break
-            if random.random() * peak_per_s >= query_kind.per_s * _relative_load(
-                pattern, at_s
-            ):
+            zone = int(random.integers(pattern.zones)) if pattern.swings_by_zone else 0
+            load = _relative_load(pattern, at_s, zone=zone)
+            if random.random() * peak_per_s >= query_kind.per_s * load:
                 continue
             instances = random.integers(pattern.gatherers, size=query_kind.retries + 1)
+            if pattern.swings_by_zone:
+                # Instance n is in zone n modulo the number of zones.
+                instances = (instances // pattern.zones * pattern.zones + zone) % (
+                    pattern.gatherers // pattern.zones * pattern.zones
+                )
             arrivals.append(
                 Arrival(
                     at_s * 1000.0,
@@ -75,8 +80,9 @@
     return sorted(arrivals)
 
 
-def _relative_load(pattern: Pattern, at_s: float) -> float:
-    wave = math.sin(2.0 * math.pi * at_s / pattern.period_s)
+def _relative_load(pattern: Pattern, at_s: float, *, zone: int) -> float:
+    phase = zone / pattern.zones
+    wave = math.sin(2.0 * math.pi * (at_s / pattern.period_s + phase))
     load = 1.0 + pattern.swing * wave
     for burst in pattern.bursts:
         if burst.from_s <= at_s < burst.from_s + burst.for_s:
--- a/ibisfront/lab/deployment.py
+++ b/ibisfront/lab/deployment.py
@@ -121,11 +121,13 @@
         zone = f"z{(shard + replica) % self._pattern.zones}"
         name = f"{shard}.{replica}"
         entry = ServerEntry(name, f"shard-{shard}", name, zone, self._pattern.slots)
+        speeds = self._pattern.speeds or [1.0]
         return SimulatedServer(
             entry,
             self._pattern,
             random=np.random.default_rng(self._random.integers(2**63)),
             scheduler=self._scheduler,
+            speed=speeds[(shard + replica) % len(speeds)],
         )
 
     def _make_gateway(self, number: int) -> Gateway:
--- a/ibisfront/lab/pattern.py
+++ b/ibisfront/lab/pattern.py
@@ -142,10 +142,15 @@
     noise_share, noise_factor, noise_every_ms : float
         Fraction of the time in which other processes slow a server down, the
         slowdown, and the length of each interval.
+    speeds : list of float
+        Speeds of the servers of a shard relative to the median, repeated as needed;
+        empty if all are equal.
     tells_load : bool
         Whether replies report the load of their server.
     swing, period_s : float
         Relative amplitude and period of the sinusoidal load.
+    swings_by_zone : bool
+        Whether each zone has another phase, so that the zones peak in turn.
     extra_ratio, extra_allowance : float
         Extra sub-requests that a service may get per request, and in each window in
         addition.
@@ -173,9 +178,11 @@
     noise_share: Proportion = 0.0
     noise_factor: Positive = 1.0
     noise_every_ms: Positive = 500.0
+    speeds: list[Positive] = []
     tells_load: bool = False
     swing: Proportion = 0.0
     period_s: Positive = 11.0
+    swings_by_zone: bool = False
     extra_ratio: NonNegative = 0.2
     extra_allowance: NonNegative = 430.0
     faults: list[Fault] = []
@@ -228,4 +235,9 @@
         for item in pattern.faults
         if item.shards and item.servers
     ]
+    if pattern.swings_by_zone and pattern.gatherers < pattern.zones:
+        errors.append(
+            f"swings_by_zone needs a gatherer in each of {pattern.zones} zones:"
+            " raise gatherers"
+        )
     return errors
--- a/ibisfront/lab/servers.py
+++ b/ibisfront/lab/servers.py
@@ -60,6 +60,8 @@
         Defines slots, queue, pauses and noise.
     random : numpy.random.Generator
         Draws service times.
+    speed : float
+        Its speed relative to the median.
     scheduler : EventScheduler
         Schedules completions.
 
@@ -85,6 +87,7 @@
         "_running",
         "_scheduler",
         "_signature",
+        "_speed",
         "connections",
         "entry",
         "is_down",
@@ -101,7 +104,9 @@
         *,
         random: np.random.Generator,
         scheduler: EventScheduler,
+        speed: float = 1.0,
     ) -> None:
+        self._speed = speed
         self.entry = entry
         self._pattern = pattern
         self._queries: Sequence[QueryKind] = pattern.queries
@@ -202,7 +207,7 @@
         )
         if self._random.random() < query_kind.tail:
             work_ms *= query_kind.tail_factor
-        return work_ms * self.slowdown
+        return work_ms * self.slowdown / self._speed
 
     def _end_ms(self, start_ms: float, work_ms: float) -> float:
         """Return the completion time of work that starts now, including pauses."""
--- a/ibisfront/tests/test_lab.py
+++ b/ibisfront/tests/test_lab.py
@@ -15,6 +15,7 @@
 from ibisfront.gateway.queries.gather_run import GatherRun
 from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.lab import PatternError, RunResult, compare, read_pattern, run_pattern
+from ibisfront.lab.callers import draw_arrivals
 from ibisfront.lab.pattern import Fault, FaultKind, Pattern, QueryKind
 from ibisfront.lab.scheduler import EventScheduler
 from ibisfront.lab.servers import Job, SimulatedServer
@@ -111,6 +112,28 @@
         self.assertEqual(set(factors), {1.0, 4.0})
         self.assertAlmostEqual(factors.count(4.0) / len(factors), 0.2, delta=0.04)
 
+    def test_speed_divides_the_work(self):
+        kind = pattern().queries[0]
+        fast, slow = self.server(), self.server()
+        fast._speed = 2.0
+        self.assertAlmostEqual(2.0 * fast._work_ms(kind), slow._work_ms(kind))
+
+
+class ArrivalTest(unittest.TestCase):
+    """Arrivals of callers."""
+
+    def test_zones_peak_in_turn(self):
+        uneven = pattern(
+            duration_s=100.0, swing=0.9, period_s=10.0, swings_by_zone=True, gatherers=5
+        )
+        halves = [[0, 0], [0, 0]]
+        for arrival in draw_arrivals(uneven, np.random.default_rng(1)):
+            (zone,) = {number % 2 for number in arrival.instances}
+            self.assertLess(max(arrival.instances), 4)
+            halves[zone][int(arrival.at_ms / 5000.0) % 2] += 1
+        self.assertGreater(halves[0][0], 2 * halves[0][1])
+        self.assertGreater(halves[1][1], 2 * halves[1][0])
+
 
 class RunTest(unittest.TestCase):
     """Complete runs."""
