Soak: workspaces whose keys change, a flood and a lower limit

Cause: the soak knew nothing of workspaces. Checks read what callers and servers saw: no key at a server or in a log, no request for another workspace than its key's, none with a key that no version held, no revoked key after the bound on changes at fronts in touch, 401 only for keys that may be lacking, and arrivals of a limited workspace over all fronts in each sliding window.

Fronts in touch are those without a fault of their own, of their paths or of the store for the contact bound before a request was sent, since keys change in all of the run; the older checks look at the time after all faults only.

Seeds without workspaces draw the same faults and write the same configuration. The injection of faults is a module of its own; its code only moved.

--- a/ibisfront/testing/soak/__main__.py
+++ b/ibisfront/testing/soak/__main__.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -44,6 +45,9 @@
     parser.add_argument("--fronts", type=int, default=4)
     parser.add_argument("--callers", type=int, default=8)
     parser.add_argument("--length-s", type=float, default=15.0)
+    parser.add_argument(
+        "--workspaces", action="store_true", help="callers need keys of workspaces"
+    )
     parser.add_argument("--logs", help="directory for logs and settings")
     return parser.parse_args()
 
@@ -56,6 +60,7 @@
         fronts=options.fronts,
         callers=options.callers,
         length_s=options.length_s,
+        has_workspaces=options.workspaces,
     )
     report = trio.run(_run, world)
     if report is None:
@@ -93,11 +98,25 @@
         f" {len(report.failures)} failures, fullest budget window"
         f" {report.fullest_window:.2f}; faults: {kinds}\n"
     )
+    if options.workspaces:
+        statuses = ", ".join(
+            f"{status} {count}"
+            for status, count in sorted(report.workspace_statuses.items())
+        )
+        sys.stdout.write(
+            f"  workspaces: fullest window of a limit"
+            f" {report.fullest_quota_window:.2f}; statuses: {statuses}\n"
+        )
     for failure in report.failures[:_MAXIMUM_PRINTED_FAILURES]:
         sys.stdout.write(f"  {failure.check}: {failure.request_id} {failure.detail}\n")
     if report.failures:
+        checks = Counter(failure.check for failure in report.failures)
+        counts = ", ".join(f"{check} {count}" for check, count in checks.items())
+        sys.stdout.write(f"  failures: {counts}\n")
         arguments = f"--seeds {report.seed} --fronts {options.fronts}"
         arguments += f" --callers {options.callers} --length-s {options.length_s}"
+        if options.workspaces:
+            arguments += " --workspaces"
         sys.stdout.write(
             f"  reproduce with: python -m ibisfront.testing.soak {arguments}\n"
         )
--- a/ibisfront/testing/soak/callers.py
+++ b/ibisfront/testing/soak/callers.py
@@ -27,13 +27,15 @@
 class RequestPath(StrEnum):
     """Request paths; each matches a route of the configuration.
 
-    A request for the last one crashes each server that runs it.
+    A request for ``CRASH`` crashes each server that runs it. The route of ``OPEN``
+    is public.
     """
 
     SEARCH = "/search/a"
     FETCH = "/fetch/a"
     ORDER = "/order/a"
     CRASH = "/search/crash"
+    OPEN = "/open/a"
 
 
 class Outcome(msgspec.Struct):
@@ -57,6 +59,8 @@
         Body of the response.
     error : str
         Why there is no valid response.
+    key : str
+        Key of a workspace that was sent, if any.
     """
 
     request_id: str
@@ -68,6 +72,7 @@
     headers: dict[bytes, bytes] = {}
     body: bytes = b""
     error: str = ""
+    key: str = ""
 
 
 class SoakCaller:
@@ -79,9 +84,18 @@
         Prefix of its request ids.
     clock : Clock
         Clock of the soak run.
+    key : str
+        Key of a workspace that it sends; none if empty.
+
+    Attributes
+    ----------
+    claimed_workspace : str
+        Workspace that it names itself in a header; none if empty.
     """
 
-    def __init__(self, name: str, *, clock: Clock) -> None:
+    def __init__(self, name: str, *, clock: Clock, key: str = "") -> None:
+        self.key = key
+        self.claimed_workspace = ""
         self._ids = itertools.count(1)
         self._name = name
         self._clock = clock
@@ -94,7 +108,7 @@
     ) -> Outcome:
         """Send a request to a front process and wait for its outcome."""
         request_id = f"{self._name}-{next(self._ids)}"
-        outcome = Outcome(request_id, path, front, self._clock.now_ms())
+        outcome = Outcome(request_id, path, front, self._clock.now_ms(), key=self.key)
         try:
             with trio.fail_after(DEADLINE_MS / 1000.0):
                 if self._proxy is not proxy:
@@ -127,8 +141,13 @@
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
             f"X-Request-Id: {request_id}\r\n"
-            f"X-Deadline-Ms: {DEADLINE_MS:.0f}\r\nContent-Length: 0\r\n\r\n"
+            f"X-Deadline-Ms: {DEADLINE_MS:.0f}\r\nContent-Length: 0\r\n"
         )
+        if self.key:
+            head += f"X-Key: {self.key}\r\n"
+        if self.claimed_workspace:
+            head += f"X-Tenant-Id: {self.claimed_workspace}\r\n"
+        head += "\r\n"
         await self._stream.send_all(head.encode())
         while not self._reader.messages:
             data = await self._stream.receive_some(_READ_BYTES)
--- a/ibisfront/testing/soak/checks.py
+++ b/ibisfront/testing/soak/checks.py
@@ -81,9 +81,11 @@
         services = {name for names in self.generations for name in names}
         searched_ms = [*by_path[RequestPath.SEARCH], *by_path[RequestPath.CRASH]]
         searched_ms.sort()
+        fetched_ms = [*by_path[RequestPath.FETCH], *by_path[RequestPath.OPEN]]
+        fetched_ms.sort()
         return {
             **dict.fromkeys(services, searched_ms),
-            self.fetch: by_path[RequestPath.FETCH],
+            self.fetch: fetched_ms,
             self.order: by_path[RequestPath.ORDER],
         }
 
@@ -131,7 +133,7 @@
     """Return what is wrong with a success; empty if it is correct."""
     if outcome.path in (RequestPath.SEARCH, RequestPath.CRASH):
         return _search_error(outcome, shape)
-    service = shape.fetch if outcome.path is RequestPath.FETCH else shape.order
+    service = shape.order if outcome.path is RequestPath.ORDER else shape.fetch
     stamp = outcome.headers.get(_STAMP_HEADER, b"").decode()
     if stamp != signature(service, outcome.request_id):
         return f"signed {stamp!r}"
--- a/ibisfront/testing/soak/documents.py
+++ b/ibisfront/testing/soak/documents.py
@@ -7,6 +7,8 @@
 from ibisfront.testing.soak.callers import HOST
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
     from ibisfront.testing.soak.checks import Shape
 
 __all__ = ["configuration_document"]
@@ -17,7 +19,12 @@
 
 
 def configuration_document(
-    shape: Shape, *, version: int, generation: int, timeout_ms: int
+    shape: Shape,
+    *,
+    version: int,
+    generation: int,
+    timeout_ms: int,
+    workspaces: Sequence[Mapping[str, object]] = (),
 ) -> dict[str, object]:
     """Return one version of the configuration.
 
@@ -31,6 +38,8 @@
         Index of the list of services that a search queries.
     timeout_ms : int
         Request timeout of every route.
+    workspaces : sequence of mapping
+        The workspaces, if there are any; then one more route is public.
     """
     services = [
         *(name for names in shape.generations for name in names),
@@ -45,9 +54,16 @@
     }
     fetch = {**_route("fetch", "idempotent", timeout_ms), "service": shape.fetch}
     order = {**_route("order", "non_idempotent", timeout_ms), "service": shape.order}
+    routes = [search, fetch, order]
+    added: dict[str, object] = {}
+    if workspaces:
+        public = _route("open", "idempotent", timeout_ms)
+        routes.append({**public, "service": shape.fetch, "public": True})
+        added["tenants"] = list(workspaces)
     return {
+        **added,
         "version": version,
-        "routes": [search, fetch, order],
+        "routes": routes,
         "services": [
             {"name": name, "maxConns": _MAXIMUM_CONNECTIONS} for name in services
         ],
--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -18,17 +18,25 @@
     from ibisfront.core.types import Address
 
 __all__ = [
+    "APPLY_MS",
     "CONTACT_MS",
     "EXTRA_ALLOWANCE",
     "EXTRA_RATIO",
     "EXTRA_WINDOW_MS",
+    "QUOTA_EXCESS",
+    "QUOTA_SLACK",
+    "QUOTA_WINDOW_MS",
     "SoakFront",
 ]
 
 CONTACT_MS = 4_000.0
+APPLY_MS = 3_000.0
 EXTRA_RATIO = 0.2
 EXTRA_WINDOW_MS = 10_000.0
 EXTRA_ALLOWANCE = 60.0
+QUOTA_WINDOW_MS = 5_000.0
+QUOTA_EXCESS = 0.1
+QUOTA_SLACK = 20.0
 _ROLES = ("front", "ready", "control")
 _ZONES = 3
 """Zones of the fronts; the last one has no servers, so that its fronts delegate."""
@@ -107,11 +115,14 @@
             "bounds": {
                 "graceS": 6,
                 "contactMs": int(CONTACT_MS),
-                "configApplyMs": 3000,
+                "configApplyMs": int(APPLY_MS),
                 "drainMs": 3000,
                 "retryRatio": EXTRA_RATIO,
                 "retryWindowS": EXTRA_WINDOW_MS / 1000.0,
                 "retryAllowance": EXTRA_ALLOWANCE,
+                "quotaWindowS": QUOTA_WINDOW_MS / 1000.0,
+                "quotaExcess": QUOTA_EXCESS,
+                "quotaSlack": QUOTA_SLACK,
             },
             "platform": {"addr": self.store_proxy.address},
         }
--- a/ibisfront/testing/soak/report.py
+++ b/ibisfront/testing/soak/report.py
@@ -25,6 +25,10 @@
     fullest_window : float
         Extra attempts as a share of those allowed, in the window with the largest
         share.
+    fullest_quota_window : float
+        Requests of a limited workspace as a share of those allowed, likewise.
+    workspace_statuses : dict of int to int
+        Number of requests with keys of changing or limited workspaces, by status.
     """
 
     seed: int
@@ -33,3 +37,5 @@
     faults: dict[str, int]
     failures: list[Failure]
     fullest_window: float = 0.0
+    fullest_quota_window: float = 0.0
+    workspace_statuses: dict[int, int] = {}
--- a/ibisfront/testing/soak/servers.py
+++ b/ibisfront/testing/soak/servers.py
@@ -16,6 +16,7 @@
 from ibisfront.http1.listening import listening_socket
 from ibisfront.platform.headers import WIRE
 from ibisfront.testing.soak.callers import RequestPath
+from ibisfront.testing.soak.workspaces import KEY_PREFIX
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
@@ -35,15 +36,30 @@
 RECORDS_PER_PART = 4
 _LIMITS = CallerLimits(idle_timeout_ms=30_000.0)
 _EXPECTED_SERVER_HEADER = b"x-expect-instance"
+_WORKSPACE_HEADER = b"x-tenant-id"
 
 
 class Execution(msgspec.Struct, frozen=True):
-    """One execution of a request by a server, or its arrival there."""
+    """One execution of a request by a server, or its arrival there.
+
+    Attributes
+    ----------
+    request_id, service, server_id : str
+        The request, the service and the server.
+    at_ms : float
+        When it arrived.
+    workspace : str
+        Workspace that the request was sent for; several are joined with commas.
+    has_key : bool
+        Whether the request contained a caller's key.
+    """
 
     request_id: str
     service: str
     server_id: str
     at_ms: float
+    workspace: str = ""
+    has_key: bool = False
 
 
 class ServerRecords(msgspec.Struct):
@@ -82,6 +98,19 @@
     return msgspec.structs.replace(request, headers=raw.headers)
 
 
+def _workspace_of(request: InboundRequest) -> str:
+    names = [v for k, v in request.headers if k.lower() == _WORKSPACE_HEADER]
+    return b",".join(names).decode(errors="replace")
+
+
+def _has_key(request: InboundRequest) -> bool:
+    """Return whether a key stands in any header or in the body."""
+    prefix = KEY_PREFIX.encode()
+    return any(prefix in value for _, value in request.headers) or (
+        prefix in request.body
+    )
+
+
 class SoakServer:
     """One backend server.
 
@@ -133,7 +162,12 @@
 
     async def _respond(self, request: InboundRequest) -> CallerReply:
         seen = Execution(
-            request.request_id, self.service, self.server_id, self._clock.now_ms()
+            request.request_id,
+            self.service,
+            self.server_id,
+            self._clock.now_ms(),
+            workspace=_workspace_of(request),
+            has_key=_has_key(request),
         )
         self.records.arrivals.append(seen)
         headers = dict(request.headers)
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -5,20 +5,18 @@
 import itertools
 import signal
 from collections import Counter
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from ibisfront.core.clock import Clock
 from ibisfront.testing.object_store import FakeObjectStore
-from ibisfront.testing.soak.backends import SoakBackend, SoakBackends
+from ibisfront.testing.soak.backends import SoakBackends
 from ibisfront.testing.soak.callers import Outcome, RequestPath, SoakCaller
 from ibisfront.testing.soak.checks import (
     Failure,
     Shape,
-    Span,
     check_budget,
     check_crashes,
     check_drained,
@@ -28,6 +26,7 @@
     check_versions,
     extra_windows,
 )
+from ibisfront.testing.soak.contact import Troubles
 from ibisfront.testing.soak.documents import configuration_document
 from ibisfront.testing.soak.faults import (
     Fault,
@@ -42,11 +41,14 @@
     EXTRA_WINDOW_MS,
     SoakFront,
 )
-from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
+from ibisfront.testing.soak.injection import FaultInjector
 from ibisfront.testing.soak.report import SoakReport
+from ibisfront.testing.soak.workspace_load import WorkspaceLoad
+from ibisfront.testing.soak.workspace_report import add_workspaces
+from ibisfront.testing.soak.workspaces import STEADY, key_of
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator, Sequence
+    from collections.abc import AsyncIterator, Sequence
     from pathlib import Path
 
 __all__ = ["SoakWorld", "require_unique_ids"]
@@ -54,19 +56,18 @@
 _GENERATIONS = 3
 _SHARDS = 6
 _COPIES = 2
-_SLOW_MS = 400.0
 _CALLER_PAUSE_S = 0.02
 _CRASH_PAUSE_S = 0.25
 _EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP)
 """Exit codes after the signals that are sent; the last two before the interpreter runs
 the daemon."""
 
-_FAULT_MARGIN_MS = 100.0
-"""How long after a fault its effects last: bytes held back arrive late."""
-
 _SETTLE_S = 9.0
 """After all faults: the contact bound, the drain bound and 2 s more."""
 
+_WORKSPACES_SETTLE_S = 12.0
+"""With workspaces: the contact bound, a window of their limits and 3 s more."""
+
 _RECOVERY_TIMEOUT_S = 30.0
 """Time for every front to serve again; far beyond its bound, so that the result
 does not depend on the load of the machine."""
@@ -87,10 +88,12 @@
         Duration of the fault phase.
     faults : sequence of Fault, optional
         Faults to inject instead of those drawn from the seed.
-    settle_s : float
+    settle_s : float, optional
         Pause between the last fault and the final requests.
     has_crashing_requests : bool
         Whether copies of a request that crashes servers are sent all the time.
+    has_workspaces : bool
+        Whether callers need keys of workspaces, which change.
 
     Attributes
     ----------
@@ -107,8 +110,9 @@
         callers: int,
         length_s: float,
         faults: Sequence[Fault] | None = None,
-        settle_s: float = _SETTLE_S,
+        settle_s: float | None = None,
         has_crashing_requests: bool = True,
+        has_workspaces: bool = False,
     ) -> None:
         if faults is None:
             faults = [
@@ -117,24 +121,41 @@
             ]
             faults.sort(key=lambda fault: fault.at_s)
         self._planned_faults = faults
+        if settle_s is None:
+            settle_s = _WORKSPACES_SETTLE_S if has_workspaces else _SETTLE_S
         self._settle_s = settle_s
         self._seed = seed
         self._length_s = length_s
         self._clock = Clock()
         self._store = FakeObjectStore()
+        self._folder = folder
         self.fronts = [SoakFront(number, folder) for number in range(fronts)]
-        self._callers = [
-            SoakCaller(f"s{seed}c{number}", clock=self._clock)
-            for number in range(callers)
-        ]
+        self._load: WorkspaceLoad | None = None
+        self._key = ""
+        if has_workspaces:
+            self._key = key_of(STEADY)
+            self._load = WorkspaceLoad(
+                seed,
+                fronts=self.fronts,
+                put_configuration=self._put_configuration,
+                clock=self._clock,
+            )
+        self._callers = [self._caller(f"s{seed}c{n}") for n in range(callers)]
         self._backends = SoakBackends(self._store, clock=self._clock)
+        self._troubles = Troubles(contact_ms=CONTACT_MS)
+        self._injector = FaultInjector(
+            fronts=self.fronts,
+            backends=self._backends,
+            store=self._store,
+            change_configuration=self._change_configuration,
+            troubles=self._troubles,
+            clock=self._clock,
+        )
         self._outcomes: list[Outcome] = []
         self._crash_outcomes: list[Outcome] = []
         self._has_crashing_requests = has_crashing_requests
         self._faults_ended_ms = 0.0
         self._bad_exits: list[str] = []
-        self._stops: list[Span] = []
-        self._disruptions: list[Span] = []
         self._version = 0
         self._generation = 0
         self._timeout_ms = 1_200
@@ -145,11 +166,16 @@
         )
         self._shape = Shape(names)
 
+    def _caller(self, name: str) -> SoakCaller:
+        return SoakCaller(name, clock=self._clock, key=self._key)
+
     async def run(self) -> SoakReport:
         """Run the deployment under faults and check the results."""
         async with self._running() as nursery:
             first = await self._wait_until_served("first")
             nursery.start_soon(self._send_crashing_requests)
+            if self._load is not None:
+                nursery.start_soon(self._load.run, self._length_s, self._settle_s)
             async with trio.open_nursery() as load:
                 for caller in self._callers:
                     load.start_soon(self._run_caller, caller)
@@ -174,7 +200,8 @@
                 await nursery.start(front.store_proxy.run)
                 await nursery.start(front.callers_proxy.run)
                 front.write_settings(seeds)
-                await front.start()
+                with self._troubles.recording(self._clock, front=front.name):
+                    await front.start()
                 nursery.start_soon(self._restart_ended, front)
             try:
                 yield nursery
@@ -192,17 +219,22 @@
                 return
             if exit_code not in _EXIT_CODES:
                 self._bad_exits.append(f"{front.label} ended with {exit_code}")
-            await front.start()
+            with self._troubles.recording(self._clock, front=front.name):
+                await front.start()
 
     def _put_configuration(self) -> None:
         self._version += 3
+        workspaces = None if self._load is None else self._load.workspaces
         document = configuration_document(
             self._shape,
             version=self._version,
             generation=self._generation,
             timeout_ms=self._timeout_ms,
+            workspaces=[] if workspaces is None else workspaces.document(),
         )
         self._store.put("config", "main", document)
+        if workspaces is not None:
+            workspaces.record_version(self._clock.now_ms())
 
     async def _run_caller(self, caller: SoakCaller) -> None:
         """Send requests until cancelled, eight in a row to each front."""
@@ -219,7 +251,7 @@
 
     async def _send_crashing_requests(self) -> None:
         """Send copies of a request that crashes servers, to all fronts in turn."""
-        caller = SoakCaller(f"crash{self._seed}", clock=self._clock)
+        caller = self._caller(f"crash{self._seed}")
         for front in itertools.cycle(self.fronts):
             if not self._has_crashing_requests:
                 return
@@ -234,9 +266,7 @@
         outcomes: list[Outcome] = []
         with trio.move_on_after(_RECOVERY_TIMEOUT_S):
             for front in self.fronts:
-                caller = SoakCaller(
-                    f"{phase}{self._seed}{front.label}", clock=self._clock
-                )
+                caller = self._caller(f"{phase}{self._seed}{front.label}")
                 while (
                     not outcomes
                     or outcomes[-1].status != 200
@@ -258,112 +288,9 @@
             for fault in self._planned_faults:
                 await trio.sleep_until(started_s + fault.at_s)
                 self._fault_counts[fault.kind.value] += 1
-                injections.start_soon(self._inject, fault, nursery)
+                injections.start_soon(self._injector.inject, fault, nursery)
             await trio.sleep_until(started_s + self._length_s)
 
-    async def _inject(self, fault: Fault, nursery: trio.Nursery) -> None:
-        name = fault.kind.value
-        front = self.fronts[fault.target % len(self.fronts)]
-        if name.startswith("front_"):
-            await self._inject_front_fault(fault, front)
-        elif name.startswith("store_") and fault.kind is not FaultKind.STORE_PATH:
-            await self._inject_store_fault(fault)
-        elif name.startswith("server_"):
-            await self._inject_server_fault(fault, nursery)
-        elif fault.kind is FaultKind.ALL_SERVERS_REJECT:
-            await self._reject_everywhere(fault.duration_s)
-        elif fault.kind is FaultKind.ALL_FRONTS_KILL:
-            await self._kill_all_fronts(fault)
-        elif fault.kind is FaultKind.STORE_PATH:
-            await _inject_proxy_fault(front.store_proxy, fault)
-        elif fault.kind is FaultKind.CALLERS_PATH:
-            with self._recording_span(self._disruptions, front):
-                await _inject_proxy_fault(front.callers_proxy, fault)
-        else:
-            self._change_configuration(fault)
-
-    async def _inject_front_fault(self, fault: Fault, front: SoakFront) -> None:
-        if not front.is_running:
-            return
-        if fault.kind is FaultKind.FRONT_PAUSE:
-            with self._recording_span(self._disruptions, front):
-                front.send(signal.SIGSTOP)
-                await trio.sleep(fault.duration_s)
-                front.send(signal.SIGCONT)
-            return
-        front.write_settings([item.control_address for item in self.fronts[:3]])
-        if fault.kind is FaultKind.FRONT_RELOAD:
-            front.send(signal.SIGHUP)
-            return
-        is_kill = fault.kind is FaultKind.FRONT_KILL
-        with self._recording_span(self._disruptions if is_kill else self._stops, front):
-            front.send(signal.SIGCONT)
-            front.send(signal.SIGKILL if is_kill else signal.SIGTERM)
-            await front.wait()
-
-    async def _kill_all_fronts(self, fault: Fault) -> None:
-        kill = msgspec.structs.replace(fault, kind=FaultKind.FRONT_KILL)
-        async with trio.open_nursery() as nursery:
-            for front in self.fronts:
-                nursery.start_soon(self._inject_front_fault, kill, front)
-
-    async def _reject_everywhere(self, duration_s: float) -> None:
-        """Make all servers reject requests; a server added meanwhile does not."""
-        rejecting = self._backends.all_live()
-        for backend in rejecting:
-            backend.server.is_rejecting = True
-        await trio.sleep(duration_s)
-        for backend in rejecting:
-            backend.server.is_rejecting = False
-
-    @contextmanager
-    def _recording_span(self, spans: list[Span], front: SoakFront) -> Iterator[None]:
-        """Record the time span in which a fault affects a front."""
-        label, from_ms = front.label, self._clock.now_ms()
-        try:
-            yield
-        finally:
-            until_ms = self._clock.now_ms() + _FAULT_MARGIN_MS
-            spans.append(Span(label, from_ms, until_ms))
-
-    async def _inject_store_fault(self, fault: Fault) -> None:
-        store = self._store
-        if fault.kind is FaultKind.STORE_COMPACTED:
-            store.compact()
-        elif fault.kind is FaultKind.STORE_RESPONSE_LOST:
-            store.lost_write_responses += 1
-        elif fault.kind is FaultKind.STORE_SILENT:
-            store.is_silent = True
-            await trio.sleep(fault.duration_s)
-            store.is_silent = False
-        else:
-            store.error_status = 503 if fault.variant % 2 else 429
-            await trio.sleep(fault.duration_s)
-            store.error_status = 0
-
-    async def _inject_server_fault(self, fault: Fault, nursery: trio.Nursery) -> None:
-        backend = self._backends.live(fault.target)
-        if fault.kind is FaultKind.SERVER_PATH:
-            await _inject_proxy_fault(backend.proxy, fault)
-        elif fault.kind is FaultKind.SERVER_SLOW:
-            backend.server.latency_ms = _SLOW_MS
-            await trio.sleep(fault.duration_s)
-            backend.server.latency_ms = 3.0
-        elif fault.kind is FaultKind.SERVER_FAILS:
-            backend.server.is_failing = True
-            await trio.sleep(fault.duration_s)
-            backend.server.is_failing = False
-        else:
-            await self._replace_server(backend, fault, nursery)
-
-    async def _replace_server(
-        self, backend: SoakBackend, fault: Fault, nursery: trio.Nursery
-    ) -> None:
-        """Replace a server; the old one drains or disappears at once."""
-        is_drained = fault.kind is FaultKind.SERVER_DRAIN
-        self._backends.retire(backend, is_drained=is_drained)
-        await self._backends.add(nursery, backend.server.service, backend.zone)
-
     def _change_configuration(self, fault: Fault) -> None:
         if fault.kind is FaultKind.TIMEOUTS:
             self._timeout_ms = 900 + fault.variant
@@ -373,6 +300,9 @@
 
     def _report(self, first: list[Outcome], last: list[Outcome]) -> SoakReport:
         outcomes = [*first, *self._outcomes, *self._crash_outcomes, *last]
+        load = self._load
+        if load is not None:
+            outcomes += load.outcomes
         require_unique_ids(outcomes)
         records = self._backends.records
         windows = extra_windows(
@@ -389,8 +319,8 @@
             *check_stops(
                 outcomes,
                 records.executions,
-                stops=self._stops,
-                disruptions=self._disruptions,
+                stops=self._injector.stops,
+                disruptions=self._injector.disruptions,
             ),
             *check_drained(records.executions, last, self._backends.retired),
             *check_budget(windows),
@@ -404,7 +334,7 @@
         if self._fault_counts.pop("unserved", 0):
             failures.append(Failure("recovery", "", "a front did not recover"))
         served = sum(outcome.status == 200 for outcome in self._outcomes)
-        return SoakReport(
+        report = SoakReport(
             seed=self._seed,
             requests=len(self._outcomes),
             served=served,
@@ -414,13 +344,17 @@
                 (window.extras / window.allowed for window in windows), default=0.0
             ),
         )
-
-
-async def _inject_proxy_fault(proxy: FaultyProxy, fault: Fault) -> None:
-    kinds = [kind for kind in ProxyFault if kind is not ProxyFault.NONE]
-    proxy.set_fault(kinds[fault.variant % len(kinds)])
-    await trio.sleep(fault.duration_s)
-    proxy.set_fault(ProxyFault.NONE)
+        if load is not None:
+            add_workspaces(
+                report,
+                load,
+                outcomes,
+                records.arrivals,
+                fronts=[front.name for front in self.fronts],
+                troubles=self._troubles,
+                folder=self._folder,
+            )
+        return report
 
 
 def require_unique_ids(outcomes: Sequence[Outcome]) -> None:
--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -24,9 +24,31 @@
     check_versions,
     extra_windows,
 )
+from ibisfront.testing.soak.contact import Troubles
+from ibisfront.testing.soak.documents import configuration_document
 from ibisfront.testing.soak.faults import Fault, FaultKind, draw_faults
 from ibisfront.testing.soak.proxy import FaultyProxy, ProxyFault
+from ibisfront.testing.soak.quota_checks import (
+    binding_times,
+    check_quotas,
+    quota_windows,
+)
 from ibisfront.testing.soak.servers import Execution, part_records, signature
+from ibisfront.testing.soak.workspace_checks import (
+    check_keys,
+    check_logs,
+    check_refused_keys,
+    check_workspaces,
+)
+from ibisfront.testing.soak.workspaces import (
+    FLOODED,
+    Limit,
+    SoakWorkspaces,
+    WorkspaceChangeKind,
+    WorkspaceVersion,
+    draw_changes,
+    key_of,
+)
 from ibisfront.testing.soak.world import SoakWorld, require_unique_ids
 from ibisfront.tests import trio_test_real_clock
 
@@ -184,6 +206,202 @@
         self.assertEqual(requested_ms["fetch"], [])
 
 
+KEY = key_of("meadow")
+HISTORY = [
+    WorkspaceVersion(0.0, {KEY: "meadow"}),
+    WorkspaceVersion(100.0, {KEY: "quarry"}),
+    WorkspaceVersion(200.0, {}),
+]
+
+
+def keyed(sent_at_ms, *, key=KEY, path=RequestPath.FETCH, status=200):
+    """Return the outcome of a request with a key."""
+    return Outcome(
+        "r1", path, "front-0#1", sent_at_ms, sent_at_ms + 5.0, status, key=key
+    )
+
+
+class WorkspaceChecksTest(unittest.TestCase):
+    """Each check on workspaces detects its violation."""
+
+    def found(self, outcome, workspace, *, troubles=None):
+        arrival = Execution("r1", "fetch", "i1", outcome.sent_at_ms + 1.0, workspace)
+        return [
+            item.check
+            for item in check_workspaces(
+                [outcome],
+                [arrival],
+                HISTORY,
+                troubles=troubles or Troubles(contact_ms=40.0),
+                apply_ms=50.0,
+            )
+        ]
+
+    def test_key_at_a_server_is_detected(self):
+        arrival = Execution("r1", "fetch", "i1", 0.0, "meadow", has_key=True)
+        self.assertEqual([item.check for item in check_keys([arrival])], ["key"])
+        self.assertEqual(check_keys([execution("fetch")]), [])
+
+    def test_key_in_a_log_is_detected(self):
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "front-0.log").write_text("a request arrived")
+            self.assertEqual(check_logs(Path(folder)), [])
+            (Path(folder) / "front-0.err").write_text(f"unknown key {KEY}")
+            self.assertEqual(len(check_logs(Path(folder))), 1)
+
+    def test_request_for_another_workspace_is_detected(self):
+        self.assertEqual(self.found(keyed(10.0), "meadow"), [])
+        self.assertEqual(self.found(keyed(10.0), "quarry"), ["workspace"])
+        self.assertEqual(self.found(keyed(10.0), ""), ["workspace"])
+        self.assertEqual(self.found(keyed(10.0), "meadow,quarry"), ["workspace"])
+
+    def test_key_that_moved_is_detected_after_the_bound(self):
+        self.assertEqual(self.found(keyed(149.0), "meadow"), [])
+        self.assertEqual(self.found(keyed(149.0), "quarry"), [])
+        self.assertEqual(self.found(keyed(150.0), "meadow"), ["workspace"])
+
+    def test_request_with_a_revoked_key_is_detected_after_the_bound(self):
+        self.assertEqual(self.found(keyed(249.0), "quarry"), [])
+        self.assertEqual(self.found(keyed(250.0), "quarry"), ["revoked"])
+
+    def test_front_that_was_not_in_touch_is_excused(self):
+        for front, found in (
+            ("", []),
+            ("front-0", []),
+            ("front-1", ["revoked"]),
+        ):
+            with self.subTest(front):
+                troubles = Troubles(contact_ms=40.0)
+                troubles.add(200.0, 220.0, front=front)
+                self.assertEqual(
+                    self.found(keyed(255.0), "quarry", troubles=troubles), found
+                )
+        self.assertEqual(
+            self.found(keyed(260.0), "quarry", troubles=troubles), ["revoked"]
+        )
+
+    def test_request_with_an_unknown_key_or_none_is_detected(self):
+        for key in ("", key_of("unknown")):
+            for workspace in ("", "meadow"):
+                outcome = keyed(10.0, key=key)
+                self.assertEqual(self.found(outcome, workspace), ["unknown key"])
+            public = keyed(10.0, key=key, path=RequestPath.OPEN)
+            self.assertEqual(self.found(public, ""), [])
+            self.assertEqual(self.found(public, "meadow"), ["workspace"])
+
+    def test_refused_key_that_is_in_force_is_detected(self):
+        def found(outcome, troubles=None):
+            return check_refused_keys(
+                [outcome],
+                HISTORY,
+                troubles=troubles or Troubles(contact_ms=40.0),
+                apply_ms=50.0,
+            )
+
+        self.assertEqual(len(found(keyed(10.0, status=401))), 1)
+        self.assertEqual(len(found(keyed(190.0, status=401))), 1)
+        self.assertEqual(found(keyed(196.0, status=401)), [])
+        self.assertEqual(found(keyed(10.0, key="", status=401)), [])
+        self.assertEqual(found(keyed(190.0)), [])
+        public = keyed(250.0, key="", path=RequestPath.OPEN, status=401)
+        self.assertEqual(len(found(public)), 1)
+        troubles = Troubles(contact_ms=40.0)
+        troubles.add(0.0, 200.0)
+        self.assertEqual(len(found(keyed(10.0, status=401), troubles)), 1)
+
+
+class QuotaChecksTest(unittest.TestCase):
+    """The check on limits of workspaces detects requests beyond them."""
+
+    def failures(self, count, *, from_ms=0.0, workspace=FLOODED, sent_ms=None):
+        """Return what is found of so many requests within half a second.
+
+        The limit is 10 a second, from 20 s on 5; window 5 s, burst 5, a tenth and
+        20 requests in addition: 80.5, later 53.
+        """
+        history = [
+            WorkspaceVersion(0.0, {}, {FLOODED: Limit(10.0, 5.0)}),
+            WorkspaceVersion(20_000.0, {}, {FLOODED: Limit(5.0, 5.0)}),
+        ]
+        troubles = Troubles(contact_ms=4_000.0)
+        troubles.add(20_000.0, 22_000.0, front="front-1")
+        arrivals = [
+            Execution(f"r{n}", service, "i1", from_ms + 500.0 * n / count, workspace)
+            for n in range(count)
+            for service in "ab"
+        ]
+        windows = quota_windows(
+            arrivals,
+            sent_ms or {},
+            history,
+            binding_ms=binding_times(
+                history,
+                fronts=["front-0", "front-1"],
+                troubles=troubles,
+                apply_ms=3_000.0,
+            ),
+            window_ms=5_000.0,
+            excess=0.1,
+            slack=20.0,
+        )
+        return check_quotas(windows)
+
+    def test_requests_beyond_a_limit_are_detected(self):
+        self.assertEqual(self.failures(80), [])
+        self.assertEqual([item.check for item in self.failures(81)], ["quota"])
+
+    def test_windows_slide(self):
+        sent_ms = {f"r{n}": 500.0 * n / 81 for n in range(81)}
+        self.assertEqual(len(self.failures(81, sent_ms=sent_ms)), 1)
+        sent_ms["r0"] = -5_000.0
+        self.assertEqual(self.failures(81, sent_ms=sent_ms), [])
+
+    def test_workspaces_without_a_limit_are_free(self):
+        self.assertEqual(self.failures(500, workspace="meadow"), [])
+
+    def test_requests_beyond_a_lower_limit_are_detected(self):
+        """The lower limit binds from 26 s, when each front was in touch, on."""
+        self.assertEqual(self.failures(80, from_ms=30_400.0), [])
+        self.assertEqual(self.failures(53, from_ms=31_000.0), [])
+        self.assertEqual(len(self.failures(54, from_ms=31_000.0)), 1)
+
+
+class WorkspacesTest(unittest.TestCase):
+    """Workspaces of a run and the configurations that list them."""
+
+    def test_changes_depend_on_the_seed_only(self):
+        changes = draw_changes(7, length_s=15.0, settle_s=12.0)
+        self.assertEqual(changes, draw_changes(7, length_s=15.0, settle_s=12.0))
+        self.assertNotEqual(changes, draw_changes(8, length_s=15.0, settle_s=12.0))
+        kinds = {change.kind for change in changes}
+        self.assertEqual(kinds, set(WorkspaceChangeKind))
+
+    def test_recorded_versions_hold_what_operators_wrote(self):
+        workspaces = SoakWorkspaces()
+        for number, change in enumerate(draw_changes(7, length_s=60.0, settle_s=0.0)):
+            workspaces.apply(change)
+            workspaces.record_version(float(number))
+            written = {
+                key: item["name"]
+                for item in workspaces.document()
+                for key in item["apiKeys"]
+            }
+            self.assertEqual(workspaces.history[-1].holders, written)
+            self.assertFalse(set(written) & set(workspaces.retired_keys))
+
+    def test_configuration_without_workspaces_is_as_before(self):
+        def document(workspaces):
+            return configuration_document(
+                SHAPE, version=3, generation=0, timeout_ms=9, workspaces=workspaces
+            )
+
+        self.assertEqual(len(document([])["routes"]), 3)
+        self.assertNotIn("tenants", document([]))
+        written = document(SoakWorkspaces().document())
+        public = [item["name"] for item in written["routes"] if item.get("public")]
+        self.assertEqual(public, ["open"])
+
+
 class UniqueIdsTest(unittest.TestCase):
     """Request ids of a soak run are unique."""
 
