--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -495,6 +495,18 @@
         self.assertGreater(report.served, 0)
         self.assertFalse(any(front.is_running for front in world.fronts))
 
+    @trio_test_real_clock
+    async def test_checks_pass_with_workspaces(self):
+        with tempfile.TemporaryDirectory() as folder:
+            world = SoakWorld(
+                5, Path(folder), fronts=2, callers=3, length_s=4.0, has_workspaces=True
+            )
+            report = await world.run()
+        self.assertEqual(report.failures, [])
+        self.assertGreater(report.served, 0)
+        self.assertGreater(report.workspace_statuses[401], 0)
+        self.assertGreater(report.fullest_quota_window, 0.0)
+
     @trio_test_real_clock
     async def test_budget_holds_while_all_servers_reject(self):
         """Guards against rejected parts that are sent again without a budget."""
