--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,9 @@
 demo: $(VENV)/.ready  ## the whole tier on this machine, with a printed report
 	$(PYTHON) -m ibisfront.testing.demo
 
-soak: $(VENV)/.ready  ## fifty seeds of real processes under faults
+soak: $(VENV)/.ready  ## seeds of real processes under faults, without and with workspaces
 	$(PYTHON) -m ibisfront.testing.soak --seeds 1-50
+	$(PYTHON) -m ibisfront.testing.soak --seeds 1-20 --workspaces
 
 bench: $(VENV)/.ready  ## measure the tier and check the regression bounds
 	$(PYTHON) -m benchmarks
