--- a/ibisfront/tests/test_gateway_quotas.py
+++ b/ibisfront/tests/test_gateway_quotas.py
@@ -113,6 +113,24 @@
             sent = sum(at_ms >= 4_000.0 for at_ms in tally.let_in_ms + tally.refused_ms)
             self.assertGreaterEqual(len(tally.let_in_ms) - let_in, 0.9 * sent)
 
+    @trio_test
+    async def test_a_token_that_was_not_used_serves_another_instance(self):
+        """Guards against a limit that is used up by requests which did not run."""
+        item = workspace("one", 0.01, 1.0)
+        async with cluster(3, workspaces=[item]) as tier:
+            tickets = []
+            while not isinstance(taken := await tier.take("i000", "one"), QuotaRefusal):
+                tickets.append(taken)
+            self.assertIsInstance(await tier.take("i001", "one"), QuotaRefusal)
+            for ticket in tickets:
+                ticket.give_back()
+                ticket.give_back()
+            await tier.clock.sleep_ms(10.0)
+            again = 0
+            while not isinstance(await tier.take("i002", "one"), QuotaRefusal):
+                again += 1
+            self.assertEqual(again, len(tickets))
+
 
 class FloodTest(QuotaCase):
     """One workspace far beyond its limit."""
