--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -37,6 +37,7 @@
     SERVER_LOADS = "server_loads"
     CLAIMS = "claims"
     SHARES = "shares"
+    QUOTAS = "quotas"
 
 
 COUNTER_HELP: dict[CounterKind, str] = {
@@ -64,6 +65,7 @@
     CounterKind.SERVER_LOADS: "Ignored load reports of backend servers, by reason.",
     CounterKind.CLAIMS: "Claims of non-idempotent requests, by outcome.",
     CounterKind.SHARES: "Shares of limits, by event.",
+    CounterKind.QUOTAS: "Requests counted against workspaces' limits, by event.",
 }
 """Description of each kind, for operators."""
 
