Room of servers and services: a window per server

When part of a service's servers are down in a rush, the rest rejects what it cannot queue, and each rejection is repeated from the retry budget. What is over an instance's window at a server now waits here. The window is open until requests queue or are rejected there; service_room states the wait from it.

--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -93,6 +93,7 @@
         """Return the connection pool of a new backend server."""
         service = server.entry.service
         pool = self._pool(server, self._connection_limit(service))
+        server.window.senders = self._senders(service)
         pool.keeps_idle = self._keeps_idle(service)
         self._limit_cold_requests(server)
         return pool
@@ -109,6 +110,7 @@
                 continue
             service = server.entry.service
             pool.maximum = self._connection_limit(service)
+            server.window.senders = self._senders(service)
             pool.keeps_idle = self._keeps_idle(service)
             self._limit_cold_requests(server)
             if not pool.keeps_idle:
@@ -161,13 +163,18 @@
         if table is None or routed is None:
             return 1
         shared = routed.maximum_connections * CONNECTIONS_SHARE
-        instances = self._count_instances()
+        return max(int(shared / self._senders(service)), 1)
+
+    def _senders(self, service: str) -> int:
+        """Return how many instances send to the servers of a service."""
+        table = self._find_table()
         if (
             self._coordinators.receives_delegated_queries
+            and table is not None
             and service in table.gathered_services
         ):
-            instances = self._coordinators.count
-        return max(int(shared / instances), 1)
+            return self._coordinators.count
+        return self._count_instances()
 
     def _limit_cold_requests(self, server: Server) -> None:
         """Set this instance's share of the requests a cold server accepts."""
--- a/ibisfront/gateway/load/service_room.py
+++ b/ibisfront/gateway/load/service_room.py
@@ -1,12 +1,25 @@
-"""Room that a service's servers have for one more request."""
+"""Room that a service's servers have for one more request.
+
+Load pattern: one service of many has few servers left, and every query needs it. Its
+room decides whether a query can be in time, long before any of its parts is late.
+"""
 
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import msgspec
 
-__all__ = ["ServiceRoom"]
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ibisfront.gateway.servers.server import Server
+
+__all__ = ["ServiceRoom", "service_room"]
+
+_PART_ENDED = 0.5
+"""Mean share of a full window's interval until its next request ends."""
 
 
 class ServiceRoom(msgspec.Struct, frozen=True):
@@ -31,3 +44,53 @@
     def is_usable(self) -> bool:
         """Whether any server can start the request."""
         return math.isfinite(self.wait_ms)
+
+
+_FREE = ServiceRoom()
+_NO_ROOM = ServiceRoom(wait_ms=math.inf)
+
+
+def service_room(
+    servers: Sequence[Server], *, now_ms: float, rank: int, work_ms: float
+) -> ServiceRoom:
+    """Return the room of a service: that of its server of least wait.
+
+    Parameters
+    ----------
+    servers : sequence of Server
+        Its servers.
+    now_ms : float
+        The time.
+    rank : int
+        The rank of the request.
+    work_ms : float
+        How long a server runs one request, where no reply has shown it yet.
+    """
+    least = _NO_ROOM
+    for server in servers:
+        room = _server_room(server, now_ms, rank, work_ms)
+        if room is _FREE:
+            return room
+        if room.wait_ms < least.wait_ms:
+            least = room
+    return least
+
+
+def _server_room(
+    server: Server, now_ms: float, rank: int, work_ms: float
+) -> ServiceRoom:
+    """Return the room of one server."""
+    pool = server.pool
+    if pool is None or not (server.is_usable and server.is_reachable(now_ms)):
+        return _NO_ROOM
+    window = server.window
+    backoff_ms = server.not_before_ms - now_ms
+    wait_ms = max(window.delay_ms(now_ms), backoff_ms, 0.0)
+    has_room = window.has_room(now_ms, sent=pool.sent)
+    if has_room and wait_ms < work_ms:
+        return _FREE
+    interval_ms = window.interval_ms or work_ms
+    waiting = pool.waiting_before(rank)
+    if not has_room:
+        wait_ms += (waiting + _PART_ENDED) * interval_ms
+    return ServiceRoom(wait_ms, interval_ms, waiting)
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -365,6 +365,8 @@
             )
         if not exchange.is_abandoned:
             self._on_change(self)
+        if server.pool is not None:
+            server.pool.send_waiting()
 
     def _record_reply(self, exchange: Exchange, reply: BackendReply) -> None:
         now_ms = self._context.clock.now_ms()
@@ -380,6 +382,8 @@
             self.last_error = f"not_run_{reply.status}"
             self.retry_after_ms = reply.retry_after_ms
             server.record_refused(now_ms, reply.retry_after_ms)
+            took_ms = now_ms - exchange.waiting_since_ms
+            server.window.record_rejected(now_ms, took_ms=took_ms, sent=_sent(server))
             if reply.is_other_server:
                 # Another server has the address now: this one is gone, although the
                 # store may still list it for some time.
@@ -390,6 +394,12 @@
             took_ms = now_ms - exchange.waiting_since_ms
             baseline = self._context.baseline
             server.record_reply(now_ms, took_ms=took_ms, baseline_ms=baseline.median_ms)
+            server.window.record_reply(
+                now_ms,
+                took_ms=took_ms,
+                unloaded_ms=baseline.unloaded_ms,
+                sent=_sent(server),
+            )
             baseline.record_ms(took_ms)
             baseline.record_size(len(reply.body))
             if self.reply is None:
@@ -421,3 +431,8 @@
             )
         elif error.may_have_run:
             exchange.server.record_lost(now_ms)
+
+
+def _sent(server: Server) -> int:
+    """Return the requests in flight at a server before one that has just ended."""
+    return 0 if server.pool is None else server.pool.sent + 1
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -94,6 +94,7 @@
         "_nursery",
         "_open_connection",
         "_opening",
+        "_sent",
         "_server",
         "_waiting",
         "keeps_idle",
@@ -120,6 +121,7 @@
         self._connections: set[ServerConnection] = set()
         self._idle: list[ServerConnection] = []
         self._opening = 0
+        self._sent: set[Exchange] = set()
         self._waiting: deque[Exchange] = deque()
         self._is_closed = False
 
@@ -131,7 +133,17 @@
     @property
     def has_room(self) -> bool:
         """Whether an exchange can be sent without waiting for another one to end."""
-        return bool(self._idle) or self.size < self.maximum
+        is_free = bool(self._idle) or self.size < self.maximum
+        return is_free and self._has_window(self._clock.now_ms())
+
+    @property
+    def sent(self) -> int:
+        """The number of exchanges sent and not ended."""
+        return len(self._sent)
+
+    def waiting_before(self, rank: int) -> int:
+        """Return how many waiting exchanges would be sent before one of this rank."""
+        return sum(item.rank <= rank for item in self._waiting)
 
     def submit(self, exchange: Exchange) -> None:
         """Send an exchange as soon as a connection is available."""
@@ -140,15 +152,27 @@
         if self._is_closed:
             exchange.fail(ExchangeErrorKind.SERVER_GONE)
             return
-        while self._idle:
+        while self._idle and self._has_window(now_ms) and not self._waiting:
             connection = self._idle.pop()
             if self._send(connection, exchange, now_ms):
                 self._preopen(now_ms)
                 return
         self._enqueue(exchange)
-        if self.size < self.maximum:
+        if not self._has_window(now_ms):
+            self._server.window.record_waiting(now_ms)
+            return
+        self.send_waiting()
+        if not self._idle and self.size < self.maximum:
             self._start_opening()
 
+    def send_waiting(self) -> None:
+        """Send what waits for the window, as far as it has room."""
+        while self._waiting and self._idle:
+            connection = self._idle.pop()
+            self._on_idle(connection)
+            if connection.is_idle:
+                return
+
     def _preopen(self, now_ms: float) -> None:
         """Open a connection for the next request once the last idle one is in use.
 
@@ -199,6 +223,9 @@
     def record_ended(self, exchange: Exchange) -> None:
         """Record that an exchange has ended."""
         self._server.in_flight.pop(exchange, None)
+        self._sent.discard(exchange)
+        if exchange.sent_at_ms is None and exchange in self._waiting:
+            self._waiting.remove(exchange)
 
     def release_waiting(self) -> None:
         """Fail the exchanges that wait for a connection; none of them was sent."""
@@ -218,6 +245,9 @@
         for connection in list(self._connections):
             connection.close()
 
+    def _has_window(self, now_ms: float) -> bool:
+        return self._server.window.has_room(now_ms, sent=len(self._sent))
+
     def _enqueue(self, exchange: Exchange) -> None:
         index = len(self._waiting)
         while index and self._waiting[index - 1].rank > exchange.rank:
@@ -272,7 +302,7 @@
     def _on_idle(self, connection: ServerConnection) -> None:
         """Reuse an idle connection for the next exchange; keep or close it if none."""
         now_ms = self._clock.now_ms()
-        while self._waiting and connection.is_idle:
+        while self._waiting and connection.is_idle and self._has_window(now_ms):
             exchange = self._waiting.popleft()
             if not exchange.has_ended and self._send(connection, exchange, now_ms):
                 return
@@ -292,6 +322,7 @@
         if not connection.send(exchange, now_ms):
             return False
         self._server.record_sent(now_ms)
+        self._sent.add(exchange)
 
         def on_abandon(at_once: bool) -> None:
             if at_once:
--- a/ibisfront/gateway/servers/server.py
+++ b/ibisfront/gateway/servers/server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ibisfront.gateway.load.cold_start_limit import ColdStartLimit
+from ibisfront.gateway.load.server_window import ServerWindow
 
 if TYPE_CHECKING:
     from ibisfront.gateway.instances.zone_paths import ZonePath
@@ -100,6 +101,8 @@
         End of its warm-up.
     cold_start_limit : ColdStartLimit
         Limit on requests from this instance while it is cold.
+    window : ServerWindow
+        How many requests this instance keeps in flight there.
     """
 
     __slots__ = (
@@ -124,6 +127,7 @@
         "path",
         "pool",
         "warm_at_ms",
+        "window",
     )
 
     def __init__(
@@ -147,6 +151,7 @@
         self.not_before_ms = -math.inf
         self.warm_at_ms = now_ms + entry.warm_up_left_ms
         self.cold_start_limit = ColdStartLimit()
+        self.window = ServerWindow(entry.slots)
         self.load: ServerLoad | None = None
         self.load_at_ms = -math.inf
         self._slowness = 1.0
@@ -232,6 +237,7 @@
         """
         if entry.warm_up_left_ms != self.entry.warm_up_left_ms:
             self.warm_at_ms = now_ms + entry.warm_up_left_ms
+        self.window.slots = entry.slots
         self.entry = entry
 
     def evacuate(self) -> None:
--- a/ibisfront/lab/deployment.py
+++ b/ibisfront/lab/deployment.py
@@ -176,6 +176,7 @@
 
     def _make_pool(self, server: Server) -> ServerPool:
         pattern = self._pattern
+        server.window.senders = pattern.gatherers
         usable_connections = pattern.connections * _USABLE_CONNECTION_FRACTION
         path_delay_ms = pattern.way_near_ms if server.is_near else pattern.way_far_ms
         return ServerPool(
