--- a/ibisfront/gateway/load/service_room.py
+++ b/ibisfront/gateway/load/service_room.py
@@ -90,7 +90,7 @@
     if has_room and wait_ms < work_ms:
         return _FREE
     interval_ms = window.interval_ms or work_ms
-    waiting = pool.waiting_before(rank)
+    waiting = pool.waiting_before(rank, now_ms)
     if not has_room:
         wait_ms += (waiting + _PART_ENDED) * interval_ms
     return ServiceRoom(wait_ms, interval_ms, waiting)
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -52,6 +52,8 @@
     start_liveness_probe : callable, optional
         Starts the liveness probe of that instance, given the call and a callback.
         Without it the parts are requested directly as soon as the instance is late.
+    left_out : sequence of str, optional
+        Services that are queried only if others fail, in this order.
 
     Attributes
     ----------
@@ -76,6 +78,7 @@
         "_hedge_at_ms",
         "_is_falling_back",
         "_is_past_end",
+        "_left_out",
         "_liveness_probe",
         "_needed_parts",
         "_plan",
@@ -101,6 +104,7 @@
         remote_plan: RemotePlan | None = None,
         start_remote: StartRemoteCall | None = None,
         start_liveness_probe: StartLivenessProbe | None = None,
+        left_out: Sequence[str] = (),
     ) -> None:
         self._start_liveness_probe = start_liveness_probe
         self._liveness_probe: LivenessProbe | None = None
@@ -126,6 +130,8 @@
             if name not in delegated
         ]
         self._all_calls = list(self.calls)
+        by_service = {call.service: call for call in self.calls}
+        self._left_out = [by_service[name] for name in left_out if name in by_service]
         self._needed_parts = gathering.needed_parts
         self._started_ms = context.clock.now_ms()
         self.ended_unresponsive = False
@@ -211,7 +217,7 @@
         """Query every service until the plan ends the query."""
         if self._remote_plan is not None:
             self._start_remote_call(self._remote_plan)
-        self._start_calls(self.calls)
+        self._start_calls([call for call in self.calls if call not in self._left_out])
         while not self._is_done():
             now_ms = self._context.clock.now_ms()
             if now_ms > self._wake_at_ms + LATE_WAKE_UP_MS:
@@ -277,7 +283,12 @@
             return False
         if self._retry_at_ms < math.inf:
             return False
-        return not self.is_open or self.received_parts == self.total_parts
+        return not self.is_open or self._has_all_parts
+
+    @property
+    def _has_all_parts(self) -> bool:
+        """Whether every part that was requested has arrived."""
+        return self.received_parts >= self.total_parts - len(self._left_out)
 
     async def _wait(self, now_ms: float) -> None:
         plan = self._plan
@@ -313,7 +324,7 @@
         if (
             self._is_past_end
             or self._has_withheld_retries
-            or self.received_parts == self.total_parts
+            or self._has_all_parts
         ):
             self._wake()
 
@@ -325,8 +336,24 @@
             if not call.send_extra_attempt():
                 self._has_withheld_retries = True
                 self._awaiting_retry.append(call)
+        self._request_left_out()
         self._retry_at_ms = self._next_retry_at_ms(now_ms)
 
+    @property
+    def _shortfall(self) -> int:
+        """Number of parts that are needed and neither received nor pending."""
+        open_parts = sum(call.is_open for call in self._all_calls)
+        if self.remote is not None and self.remote.is_open:
+            open_parts += len(self.remote.services)
+        return self._needed_parts - self.received_parts - open_parts
+
+    def _request_left_out(self) -> None:
+        """Request parts that were left out, if the query needs them after all."""
+        shortfall = max(self._shortfall, 0)
+        needed, self._left_out = self._left_out[:shortfall], self._left_out[shortfall:]
+        if needed:
+            self._start_calls(needed)
+
     def _next_retry_at_ms(self, now_ms: float) -> float:
         """Return when to retry parts without which the query fails.
 
@@ -334,10 +361,7 @@
         query that ended at its last failed part would discard all others with most
         of its deadline left. One that cannot get enough parts in time ends at once.
         """
-        open_parts = sum(call.is_open for call in self._all_calls)
-        if self.remote is not None and self.remote.is_open:
-            open_parts += len(self.remote.services)
-        shortfall = self._needed_parts - self.received_parts - open_parts
+        shortfall = self._shortfall
         if shortfall <= 0:
             return math.inf
         latest_ms = self._plan.give_up_at_ms - self._context.baseline.median_ms
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,6 +13,7 @@
 from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
+from ibisfront.gateway.load.scarce_services import services_left_out
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
@@ -241,6 +242,7 @@
     ) -> GatherRun:
         """Run a query on this instance."""
         context = pending.context
+        context.query_time.end_at_ms = pending.effective_end_at_ms
         plan = gather_plan(
             self._gateway_context.clock.now_ms(),
             end_at_ms=pending.effective_end_at_ms,
@@ -257,6 +259,7 @@
             start_liveness_probe=self._start_liveness_probe
             if self._uses_coordinators
             else None,
+            left_out=self._left_out(pending),
         )
         await self._run_until_cancelled(run, pending)
         # Servers cancel a request when its connection closes. Under load that frees
@@ -264,6 +267,25 @@
         run.end(at_once=context.baseline.is_loaded)
         return run
 
+    def _left_out(self, pending: _PendingQuery) -> list[str]:
+        """Return the services that a query leaves out.
+
+        The instance that delegated a part of a query counts on every service of it.
+        """
+        if pending.gathering.services != pending.route.service_names:
+            return []
+        context = pending.context
+        return services_left_out(
+            pending.gathering.services,
+            context.registry.of_service,
+            query_id=context.request_id,
+            needed=pending.gathering.needed_parts,
+            rank=context.rank,
+            now_ms=context.clock.now_ms(),
+            query_time=context.query_time,
+            work_ms=context.baseline.unloaded_ms,
+        )
+
     async def _run_coordinated(
         self, pending: _PendingQuery, remote_plan: RemotePlan
     ) -> CoordinatedQuery:
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ibisfront.core.counters import CounterKind
+from ibisfront.gateway.load.query_time import QueryTime
 from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.messages import ExchangeErrorKind
 from ibisfront.gateway.servers.exchange import Exchange
@@ -71,6 +72,8 @@
     is_repeat : bool
         Whether another instance may have sent the request to servers already, so
         that each sub-request is an extra attempt.
+    query_time : QueryTime
+        When the query has to end to be in time.
     """
 
     request_id: bytes
@@ -86,6 +89,7 @@
     trace: RequestTrace
     counters: Counters
     is_repeat: bool = False
+    query_time: QueryTime = msgspec.field(default_factory=QueryTime)
 
 
 class ServiceCall:
@@ -326,6 +330,7 @@
             expected_ms=context.baseline.late_ms,
             has_reply_body=context.has_reply_body,
             may_fail_fast=context.is_idempotent,
+            query_time=context.query_time,
         )
         self._tried.append(server)
         self._open.append(exchange)
--- a/ibisfront/gateway/servers/exchange.py
+++ b/ibisfront/gateway/servers/exchange.py
@@ -8,6 +8,7 @@
 from ibisfront.gateway.messages import ExchangeError, ExchangeErrorKind
 
 if TYPE_CHECKING:
+    from ibisfront.gateway.load.query_time import QueryTime
     from ibisfront.gateway.messages import BackendReply
     from ibisfront.gateway.servers.server import Server
 
@@ -43,6 +44,8 @@
     may_fail_fast : bool
         Whether it may end early when the path to its server is partitioned: the
         request may be sent again, so the reply to this one is not needed.
+    query_time : QueryTime, optional
+        When its query has to end; without it there is no such time.
 
     Attributes
     ----------
@@ -73,6 +76,7 @@
         "may_fail_fast",
         "on_abandon",
         "payload",
+        "query_time",
         "rank",
         "reply",
         "request_id",
@@ -92,7 +96,9 @@
         expected_ms: float,
         has_reply_body: bool = True,
         may_fail_fast: bool = True,
+        query_time: QueryTime | None = None,
     ) -> None:
+        self.query_time = query_time
         self.has_reply_body = has_reply_body
         self.may_fail_fast = may_fail_fast
         self.server = server
@@ -114,6 +120,10 @@
         """Whether it has a reply or an error."""
         return self.reply is not None or self.error is not None
 
+    def would_be_late(self, at_ms: float) -> bool:
+        """Return whether a reply at a time is too late for its query."""
+        return self.query_time is not None and self.query_time.is_late_at(at_ms)
+
     @property
     def waiting_since_ms(self) -> float:
         """When it was sent, or created if it is still waiting for a connection."""
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -141,9 +141,14 @@
         """The number of exchanges sent and not ended."""
         return len(self._sent)
 
-    def waiting_before(self, rank: int) -> int:
-        """Return how many waiting exchanges would be sent before one of this rank."""
-        return sum(item.rank <= rank for item in self._waiting)
+    def waiting_before(self, rank: int, now_ms: float) -> int:
+        """Return how many waiting exchanges are sent before a new one of this rank."""
+        replied_ms = now_ms + self._server.window.reply_ms
+        return sum(
+            item.rank < rank
+            or (item.rank == rank and not item.would_be_late(replied_ms))
+            for item in self._waiting
+        )
 
     def submit(self, exchange: Exchange) -> None:
         """Send an exchange as soon as a connection is available."""
@@ -254,6 +259,22 @@
             index -= 1
         self._waiting.insert(index, exchange)
 
+    def _next_waiting(self, now_ms: float) -> Exchange:
+        """Remove and return the waiting exchange to send next.
+
+        Of those with the same rank, the ones that are late anyway come last.
+        """
+        first = self._waiting[0]
+        if not self._server.window.is_open:
+            replied_ms = now_ms + self._server.window.reply_ms
+            for exchange in self._waiting:
+                if exchange.rank != first.rank:
+                    break
+                if not exchange.would_be_late(replied_ms):
+                    self._waiting.remove(exchange)
+                    return exchange
+        return self._waiting.popleft()
+
     def _start_opening(self, timeout_ms: float = math.inf) -> None:
         self._opening += 1
         self._nursery.start_soon(self._run_connection, timeout_ms)
@@ -303,7 +324,7 @@
         """Reuse an idle connection for the next exchange; keep or close it if none."""
         now_ms = self._clock.now_ms()
         while self._waiting and connection.is_idle and self._has_window(now_ms):
-            exchange = self._waiting.popleft()
+            exchange = self._next_waiting(now_ms)
             if not exchange.has_ended and self._send(connection, exchange, now_ms):
                 return
         if not connection.is_idle:
