--- a/ibisfront/gateway/load/retry_budget.py
+++ b/ibisfront/gateway/load/retry_budget.py
@@ -100,6 +100,14 @@
         self.extras += 1
         return True
 
+    def next_grant_at_ms(self, now_ms: float) -> float:
+        """Return when it grants one more by time alone; infinite if it never does."""
+        self._refill(now_ms)
+        missing = max(1.0 - self.tokens, 0.0)
+        if not missing:
+            return now_ms
+        return now_ms + missing / self._rate_per_ms if self._rate_per_ms else math.inf
+
     def _set_limits(self, bounds: Bounds, share: float) -> None:
         share *= _SAFETY_FACTOR
         # Below one token nothing could ever be granted.
@@ -238,6 +246,10 @@
         self._log_exhausted(service, budget, now_ms)
         return False
 
+    def next_grant_at_ms(self, service: str, now_ms: float) -> float:
+        """Return when a service's budget grants one more extra sub-request."""
+        return self.of_service(service).next_grant_at_ms(now_ms)
+
     def _senders(self, service: str) -> float:
         """Return how many instances share the allowance of a service."""
         if service in self._coordinated_services:
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -125,9 +125,9 @@
     """
 
     __slots__ = (
+        "_budget_at_ms",
         "_context",
         "_has_run",
-        "_is_out_of_budget",
         "_is_primary",
         "_not_run_attempts",
         "_on_change",
@@ -158,7 +158,7 @@
         self._tried: list[Server] = []
         self._not_run_attempts = 0
         self._retry_at_ms = -math.inf
-        self._is_out_of_budget = False
+        self._budget_at_ms = -math.inf
         self.reply: BackendReply | None = None
         self.failure: BackendReply | None = None
         self.last_error = ""
@@ -219,10 +219,14 @@
             context.counters.add(CounterKind.RETRIES_WITHHELD, "no_other_server")
             context.trace.record(now_ms, "no_other_server", self.service, "", cause)
             return False
-        if not context.budgets.try_spend(self.service, now_ms):
+        if self.is_open and not self.may_have_arrived:
+            if server.pool is None or not server.pool.has_room:
+                return False
+            self._withdraw_open()
+        if not self._try_spend(now_ms):
             context.counters.add(CounterKind.RETRIES_WITHHELD, "budget")
             context.trace.record(now_ms, "budget_spent", self.service, "", cause)
-            self._is_out_of_budget = True
+            self._budget_at_ms = context.budgets.next_grant_at_ms(self.service, now_ms)
             return False
         context.counters.add(CounterKind.RETRIES, cause)
         context.counters.add(CounterKind.SUB_REQUESTS, "extra")
@@ -232,14 +236,25 @@
         self._submit(server, now_ms)
         return True
 
+    def _try_spend(self, now_ms: float) -> bool:
+        """Spend one extra attempt, unless no server has received the request yet."""
+        context = self._context
+        if not (context.is_repeat or self.may_have_arrived):
+            return True
+        return context.budgets.try_spend(self.service, now_ms)
+
+    def _withdraw_open(self) -> None:
+        """Withdraw requests that wait here, so that another server gets the first."""
+        for exchange in list(self._open):
+            exchange.abandon(at_once=False)
+            self.attempts_sent -= 1
+            self._tried.remove(exchange.server)
+
     def next_retry_at_ms(self, now_ms: float) -> float:
         """Return when a retry is possible; infinite if it never is.
 
-        No retry is possible once the budget is spent: it recovers over seconds, and the
-        caller gets an error at once instead of waiting for that.
+        Once the budget is spent, none is before it grants the next one.
         """
-        if self._is_out_of_budget:
-            return math.inf
         context = self._context
         if context.is_repeat and not self.attempts_cover_all_servers:
             return math.inf
@@ -254,7 +269,7 @@
             at_ms = max(at_ms, self._retry_at_ms)
         if server is None:
             return math.inf
-        return max(server.not_before_ms, at_ms)
+        return max(server.not_before_ms, self._budget_at_ms, at_ms)
 
     @property
     def attempts_cover_all_servers(self) -> bool:
