--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -321,11 +321,7 @@
             self._fallback_parts += 1
         else:
             self._direct_parts += 1
-        if (
-            self._is_past_end
-            or self._has_withheld_retries
-            or self._has_all_parts
-        ):
+        if self._is_past_end or self._has_withheld_retries or self._has_all_parts:
             self._wake()
 
     def _retry_failed(self, now_ms: float) -> None:
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -219,7 +219,7 @@
             context.counters.add(CounterKind.RETRIES_WITHHELD, "no_other_server")
             context.trace.record(now_ms, "no_other_server", self.service, "", cause)
             return False
-        if self.is_open and not self.may_have_arrived:
+        if self.is_open and self._is_unsent:
             if server.pool is None or not server.pool.has_room:
                 return False
             self._withdraw_open()
@@ -237,11 +237,13 @@
         return True
 
     def _try_spend(self, now_ms: float) -> bool:
-        """Spend one extra attempt, unless no server has received the request yet."""
-        context = self._context
-        if not (context.is_repeat or self.may_have_arrived):
-            return True
-        return context.budgets.try_spend(self.service, now_ms)
+        """Spend one extra attempt, unless this is still the first one sent."""
+        return self._is_unsent or self._context.budgets.try_spend(self.service, now_ms)
+
+    @property
+    def _is_unsent(self) -> bool:
+        """Whether the primary attempt was started, but no server has received it."""
+        return self._is_primary and not self.may_have_arrived
 
     def _withdraw_open(self) -> None:
         """Withdraw requests that wait here, so that another server gets the first."""
