--- a/ibisfront/gateway/load/scarce_services.py
+++ b/ibisfront/gateway/load/scarce_services.py
@@ -20,13 +20,16 @@
     from ibisfront.gateway.load.query_time import QueryTime
     from ibisfront.gateway.servers.server import Server
 
-__all__ = ["services_left_out"]
+__all__ = ["missing_here", "services_left_out"]
 
 _WORK_FACTOR = 1.5
 """Time allowed for one part, in unloaded latencies: work varies by a third."""
 
 _HASH_BYTES = 8
 
+_RESERVE = 1
+"""Parts beyond those needed that a query always asks for: one server may pause."""
+
 
 def services_left_out(
     services: Sequence[str],
@@ -77,8 +80,30 @@
     return [name for _, _, name in sorted(chosen, key=lambda item: item[1])]
 
 
-_RESERVE = 1
-"""Parts beyond those needed that a query always asks for: one server may pause."""
+def missing_here(
+    services: Sequence[str],
+    servers_of: Callable[[str], list[Server]],
+    *,
+    total: int,
+    needed: int,
+) -> int:
+    """Return how many parts a query may lack that are not delegated.
+
+    Both sides end with what they have at the latency objective. Under load each lacks
+    some parts, and together they would lack more than the coverage allows.
+
+    Parameters
+    ----------
+    services : sequence of str
+        The services queried from here.
+    servers_of : callable
+        Returns the servers of a service.
+    total, needed : int
+        Number of parts of a complete answer, and the minimum.
+    """
+    if not _any_full(services, servers_of):
+        return 0
+    return math.ceil((total - needed) * len(services) / total)
 
 
 def _any_full(
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,7 +13,7 @@
 from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
-from ibisfront.gateway.load.scarce_services import services_left_out
+from ibisfront.gateway.load.scarce_services import missing_here, services_left_out
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
@@ -347,6 +347,7 @@
                 give_up_at_ms=pending.give_up_at_ms,
                 objective_ms=pending.route.objective_ms,
                 is_repeat=is_repeat or pending.context.is_repeat,
+                missing_elsewhere=_missing_here(pending, remote_plan),
             )
             return remote
 
@@ -420,6 +421,18 @@
         return CallerReply(status, [retry_after], b"", reason, closes=True)
 
 
+def _missing_here(pending: _PendingQuery, remote_plan: RemotePlan) -> int:
+    """Return how many of the parts that are not delegated a query may lack."""
+    delegated = frozenset(remote_plan.services)
+    services = pending.gathering.services
+    return missing_here(
+        [name for name in services if name not in delegated],
+        pending.context.registry.of_service,
+        total=len(services),
+        needed=pending.gathering.needed_parts,
+    )
+
+
 def _delegated_gathering(
     query: DelegatedQuery, route_gathering: Gathering
 ) -> Gathering:
