--- a/ibisfront/gateway/load/server_window.py
+++ b/ibisfront/gateway/load/server_window.py
@@ -94,7 +94,7 @@
     @property
     def interval_ms(self) -> float:
         """The mean time between two starts by this instance while it is full."""
-        concurrency = self._share if self.is_open else self.limit
+        concurrency = self.share if self.is_open else self.limit
         return self.reply_ms / concurrency
 
     def delay_ms(self, now_ms: float) -> float:
@@ -144,7 +144,7 @@
         self.reply_ms = _smoothed(self.reply_ms, unloaded_ms + delay_ms)
         if self._delay_ms > _QUEUEING_FACTOR * self._work_ms:
             self._pressed_at_ms = now_ms
-            self._decrease(now_ms, took_ms, _DECREASE_FACTOR, sent, least=self._share)
+            self._decrease(now_ms, took_ms, _DECREASE_FACTOR, sent, least=self.share)
         elif not self.is_open and sent >= self.limit:
             self._limit += _INCREASE_PER_REPLY
 
@@ -154,7 +154,7 @@
         self._decrease(now_ms, took_ms, _REJECTED_FACTOR, sent, least=1.0)
 
     @property
-    def _share(self) -> float:
+    def share(self) -> float:
         """The instance's share of the server's slots, at least one."""
         return max(self.slots / max(self.senders, 1), 1.0)
 
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -259,10 +259,11 @@
             index -= 1
         self._waiting.insert(index, exchange)
 
-    def _next_waiting(self, now_ms: float) -> Exchange:
-        """Remove and return the waiting exchange to send next.
+    def _next_waiting(self, now_ms: float) -> Exchange | None:
+        """Remove and return the waiting exchange to send next; None to wait.
 
-        Of those with the same rank, the ones that are late anyway come last.
+        Of those with the same rank, the ones that are late anyway come last, and use no
+        more than this instance's share of the server's slots.
         """
         first = self._waiting[0]
         if not self._server.window.is_open:
@@ -273,6 +274,8 @@
                 if not exchange.would_be_late(replied_ms):
                     self._waiting.remove(exchange)
                     return exchange
+            if len(self._sent) >= self._server.window.share:
+                return None
         return self._waiting.popleft()
 
     def _start_opening(self, timeout_ms: float = math.inf) -> None:
@@ -325,6 +328,8 @@
         now_ms = self._clock.now_ms()
         while self._waiting and connection.is_idle and self._has_window(now_ms):
             exchange = self._next_waiting(now_ms)
+            if exchange is None:
+                break
             if not exchange.has_ended and self._send(connection, exchange, now_ms):
                 return
         if not connection.is_idle:
--- a/ibisfront/tests/test_server_room.py
+++ b/ibisfront/tests/test_server_room.py
@@ -13,12 +13,16 @@
 from ibisfront.gateway.load.service_room import service_room
 from ibisfront.gateway.messages import ExchangeErrorKind
 from ibisfront.gateway.servers.exchange import Exchange
+from ibisfront.lab import run_pattern
+from ibisfront.lab.pattern import Burst, Fault, FaultKind, Pattern, QueryKind
 from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
 from ibisfront.tests import trio_test
 
 _WORK_MS = 10.0
 _QUEUE = 12
 
+_IN_TIME = 0.25
+
 
 class _Server:
     """A server with slots and a queue, and the instances that send to it."""
@@ -337,3 +341,53 @@
             self.assertEqual(missing_here(here, of_service, total=10, needed=8), 0)
             of_service("part-0")[0].window.record_rejected(0.0, took_ms=0.0, sent=1)
             self.assertEqual(missing_here(here, of_service, total=10, needed=8), 2)
+
+
+def _query_kind(**changes):
+    fields = {"objective_ms": 100.0, "deadline_ms": 1000.0, "spread": 0.2, "tail": 0.0}
+    return QueryKind("search", work_ms=_WORK_MS, **fields, **changes)
+
+
+def _outcomes(result, *, from_s):
+    """Return the callers by outcome from a second on."""
+    outcomes = Counter()
+    for item in result.seconds:
+        if item.second >= from_s:
+            outcomes.update(item.outcomes)
+    return outcomes
+
+
+class OverloadTest(unittest.TestCase):
+    """Whole queries in the laboratory."""
+
+    def test_rejected_parts_use_up_the_retry_budget(self):
+        """Guards against a rush in which each part is rejected and sent again."""
+        pattern = Pattern(
+            "3 times what fits for 2 s",
+            [_query_kind(per_s=40.0, minimum_coverage=1.0)],
+            duration_s=3.0,
+            shards=8,
+            servers_per_shard=1,
+            gatherers=3,
+            zones=1,
+            bursts=[Burst(1.0, 2.0, 15.0)],
+        )
+        result = run_pattern(pattern, seed=1)
+        outcomes = _outcomes(result, from_s=1)
+        fit = 2.0 * pattern.slots * 1000.0 / (1.02 * _WORK_MS)
+        self.assertLess(result.extra, 0.02)
+        self.assertGreaterEqual(outcomes["in_time"] + outcomes["late"], 0.95 * fit)
+
+    def test_slow_services_make_every_query_late(self):
+        """Guards against queries that all wait for the same overloaded services."""
+        pattern = Pattern(
+            "a fifth of the services 5 times slower",
+            [_query_kind(per_s=100.0, minimum_coverage=0.9)],
+            duration_s=5.0,
+            shards=20,
+            gatherers=4,
+            zones=2,
+            faults=[Fault(FaultKind.SLOW, 1.0, 4.0, shards=0.2, copies=2, factor=5.0)],
+        )
+        outcomes = _outcomes(run_pattern(pattern, seed=1), from_s=2)
+        self.assertGreaterEqual(outcomes["in_time"], _IN_TIME * outcomes.total())
