--- a/ibisfront/gateway/load/server_window.py
+++ b/ibisfront/gateway/load/server_window.py
@@ -91,6 +91,11 @@
         """Maximum number of requests in flight; infinite while it is open."""
         return self._limit if self.is_open else float(int(self._limit))
 
+    @property
+    def share(self) -> float:
+        """The instance's share of the server's slots, at least one."""
+        return max(self.slots / max(self.senders, 1), 1.0)
+
     @property
     def interval_ms(self) -> float:
         """The mean time between two starts by this instance while it is full."""
@@ -153,11 +158,6 @@
         self._pressed_at_ms = now_ms
         self._decrease(now_ms, took_ms, _REJECTED_FACTOR, sent, least=1.0)
 
-    @property
-    def share(self) -> float:
-        """The instance's share of the server's slots, at least one."""
-        return max(self.slots / max(self.senders, 1), 1.0)
-
     def _decrease(
         self, now_ms: float, took_ms: float, factor: float, sent: int, *, least: float
     ) -> None:
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -133,8 +133,14 @@
     @property
     def has_room(self) -> bool:
         """Whether an exchange can be sent without waiting for another one to end."""
-        is_free = bool(self._idle) or self.size < self.maximum
-        return is_free and self._has_window(self._clock.now_ms())
+        if not self._has_connection:
+            return False
+        return self._server.window.is_open or self._has_window(self._clock.now_ms())
+
+    @property
+    def _has_connection(self) -> bool:
+        """Whether a connection is idle or may be opened."""
+        return bool(self._idle) or self.size < self.maximum
 
     @property
     def sent(self) -> int:
@@ -220,7 +226,7 @@
         bool
             Whether a connection is being opened.
         """
-        if self._opening or not self.has_room or self._is_closed:
+        if self._opening or not self._has_connection or self._is_closed:
             return False
         self._start_opening(timeout_ms)
         return True
@@ -305,7 +311,8 @@
             self._connections.discard(connection)
             if connection in self._idle:
                 self._idle.remove(connection)
-        if self._waiting and self.size < self.maximum and not self._is_closed:
+        can_open = self.size < self.maximum and not self._is_closed
+        if self._waiting and can_open and self._has_window(self._clock.now_ms()):
             self._start_opening()
 
     def _record_unreachable(self, error: OSError) -> None:
