Parts are not delegated while services are scarce

Both instances ended at the latency objective, each without as many parts as the whole query may lack, so that two halves in time were a failure together.

--- a/ibisfront/gateway/load/scarce_services.py
+++ b/ibisfront/gateway/load/scarce_services.py
@@ -20,7 +20,7 @@
     from ibisfront.gateway.load.query_time import QueryTime
     from ibisfront.gateway.servers.server import Server
 
-__all__ = ["missing_here", "services_left_out"]
+__all__ = ["is_scarce", "services_left_out"]
 
 _WORK_FACTOR = 1.5
 """Time allowed for one part, in unloaded latencies: work varies by a third."""
@@ -63,7 +63,7 @@
     work_ms : float
         Unloaded latency of one part; infinite if unknown.
     """
-    if math.isinf(work_ms) or not _any_full(services, servers_of):
+    if math.isinf(work_ms) or not is_scarce(services, servers_of):
         return []
     spare = len(services) - needed
     latest_wait_ms = query_time.end_at_ms - now_ms - _WORK_FACTOR * work_ms
@@ -80,33 +80,7 @@
     return [name for _, _, name in sorted(chosen, key=lambda item: item[1])]
 
 
-def missing_here(
-    services: Sequence[str],
-    servers_of: Callable[[str], list[Server]],
-    *,
-    total: int,
-    needed: int,
-) -> int:
-    """Return how many parts a query may lack that are not delegated.
-
-    Both sides end with what they have at the latency objective. Under load each lacks
-    some parts, and together they would lack more than the coverage allows.
-
-    Parameters
-    ----------
-    services : sequence of str
-        The services queried from here.
-    servers_of : callable
-        Returns the servers of a service.
-    total, needed : int
-        Number of parts of a complete answer, and the minimum.
-    """
-    if not _any_full(services, servers_of):
-        return 0
-    return math.ceil((total - needed) * len(services) / total)
-
-
-def _any_full(
+def is_scarce(
     services: Sequence[str], servers_of: Callable[[str], list[Server]]
 ) -> bool:
     """Return whether this instance limits what it sends to any of the servers."""
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -176,7 +176,6 @@
         give_up_at_ms: float,
         objective_ms: float,
         is_repeat: bool = False,
-        missing_elsewhere: int = 0,
     ) -> None:
         """Send the request.
 
@@ -202,8 +201,6 @@
             How long to wait for parts if the latency objective has passed already.
         is_repeat : bool
             Whether servers may have received these parts already.
-        missing_elsewhere : int
-            How many parts that are not delegated the query may lack.
         """
         bitmask = service_bitmask(gathering, self.services)
         return_ms = _RETURN_MARGIN_MS + _RETURN_MARGIN_PER_PART_MS * len(self.services)
@@ -216,7 +213,7 @@
                 services=bitmask,
                 objective_remaining_ms=left_ms - return_ms,
                 is_whole=self._plan.is_whole,
-                minimum_parts=self._minimum_parts(gathering, missing_elsewhere),
+                minimum_parts=self._minimum_parts(gathering),
                 is_repeat=is_repeat,
             )
             encode_for = wire.encode_request(format_delegated_query(query))
@@ -234,15 +231,15 @@
         assert self._plan.peer.pool is not None
         self._plan.peer.pool.submit(self._exchange)
 
-    def _minimum_parts(self, gathering: Gathering, missing_elsewhere: int) -> int:
+    def _minimum_parts(self, gathering: Gathering) -> int:
         """Return how many of the delegated parts the query needs.
 
         The other instance waits for at least this many. If it ended at the latency
         objective with one part too few, the whole query would fail with most of its
         deadline left.
         """
-        other_parts = len(gathering.services) - len(self.services) - missing_elsewhere
-        return min(max(gathering.needed_parts - other_parts, 0), len(self.services))
+        other_parts = len(gathering.services) - len(self.services)
+        return max(gathering.needed_parts - other_parts, 0)
 
     def end(self, *, at_once: bool) -> None:
         """Stop waiting for the answer."""
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,7 +13,7 @@
 from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
-from ibisfront.gateway.load.scarce_services import missing_here, services_left_out
+from ibisfront.gateway.load.scarce_services import is_scarce, services_left_out
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
@@ -240,8 +240,14 @@
     async def _run_locally(
         self, pending: _PendingQuery, remote_plan: RemotePlan | None
     ) -> GatherRun:
-        """Run a query on this instance."""
+        """Run a query on this instance.
+
+        Parts are not delegated while services are scarce. Both instances would end at
+        the latency objective, each without as many parts as the whole query may lack.
+        """
         context = pending.context
+        if is_scarce(pending.gathering.services, context.registry.of_service):
+            remote_plan = None
         context.query_time.end_at_ms = pending.effective_end_at_ms
         plan = gather_plan(
             self._gateway_context.clock.now_ms(),
@@ -347,7 +353,6 @@
                 give_up_at_ms=pending.give_up_at_ms,
                 objective_ms=pending.route.objective_ms,
                 is_repeat=is_repeat or pending.context.is_repeat,
-                missing_elsewhere=_missing_here(pending, remote_plan),
             )
             return remote
 
@@ -421,18 +426,6 @@
         return CallerReply(status, [retry_after], b"", reason, closes=True)
 
 
-def _missing_here(pending: _PendingQuery, remote_plan: RemotePlan) -> int:
-    """Return how many of the parts that are not delegated a query may lack."""
-    delegated = frozenset(remote_plan.services)
-    services = pending.gathering.services
-    return missing_here(
-        [name for name in services if name not in delegated],
-        pending.context.registry.of_service,
-        total=len(services),
-        needed=pending.gathering.needed_parts,
-    )
-
-
 def _delegated_gathering(
     query: DelegatedQuery, route_gathering: Gathering
 ) -> Gathering:
