--- a/ibisfront/gateway/load/scarce_services.py
+++ b/ibisfront/gateway/load/scarce_services.py
@@ -20,7 +20,7 @@
     from ibisfront.gateway.load.query_time import QueryTime
     from ibisfront.gateway.servers.server import Server
 
-__all__ = ["is_scarce", "services_left_out"]
+__all__ = ["any_scarce", "services_left_out"]
 
 _WORK_FACTOR = 1.5
 """Time allowed for one part, in unloaded latencies: work varies by a third."""
@@ -63,7 +63,7 @@
     work_ms : float
         Unloaded latency of one part; infinite if unknown.
     """
-    if math.isinf(work_ms) or not is_scarce(services, servers_of):
+    if math.isinf(work_ms) or not any_scarce(services, servers_of, now_ms):
         return []
     spare = len(services) - needed
     latest_wait_ms = query_time.end_at_ms - now_ms - _WORK_FACTOR * work_ms
@@ -80,15 +80,21 @@
     return [name for _, _, name in sorted(chosen, key=lambda item: item[1])]
 
 
-def is_scarce(
-    services: Sequence[str], servers_of: Callable[[str], list[Server]]
+def any_scarce(
+    services: Sequence[str], servers_of: Callable[[str], list[Server]], now_ms: float
 ) -> bool:
-    """Return whether this instance limits what it sends to any of the servers."""
-    return any(
-        not server.window.is_open
-        for service in services
-        for server in servers_of(service)
-    )
+    """Return whether any service has only servers to which the window is limited."""
+    return any(_is_limited(servers_of(service), now_ms) for service in services)
+
+
+def _is_limited(servers: list[Server], now_ms: float) -> bool:
+    has_server = False
+    for server in servers:
+        if server.is_usable and server.is_reachable(now_ms):
+            if server.window.is_open_at(now_ms):
+                return False
+            has_server = True
+    return has_server
 
 
 def _draw(query_id: bytes, service: str) -> bytes:
--- a/ibisfront/gateway/load/server_window.py
+++ b/ibisfront/gateway/load/server_window.py
@@ -83,7 +83,7 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether it has no limit."""
+        """Whether it had no limit when it was last used."""
         return math.isinf(self._limit)
 
     @property
@@ -111,12 +111,13 @@
 
     def has_room(self, now_ms: float, *, sent: int) -> bool:
         """Return whether one more request may be sent beside ``sent`` others."""
-        if self.is_open:
-            return True
-        if now_ms > self._pressed_at_ms + _REOPEN_MS:
+        return self.is_open_at(now_ms) or sent < self.limit
+
+    def is_open_at(self, now_ms: float) -> bool:
+        """Return whether it has no limit; open it if nothing waited for some time."""
+        if not self.is_open and now_ms > self._pressed_at_ms + _REOPEN_MS:
             self._limit = math.inf
-            return True
-        return sent < self.limit
+        return self.is_open
 
     def record_waiting(self, now_ms: float) -> None:
         """Record that a request waits for the window."""
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,7 +13,7 @@
 from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
-from ibisfront.gateway.load.scarce_services import is_scarce, services_left_out
+from ibisfront.gateway.load.scarce_services import any_scarce, services_left_out
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
@@ -246,7 +246,8 @@
         the latency objective, each without as many parts as the whole query may lack.
         """
         context = pending.context
-        if is_scarce(pending.gathering.services, context.registry.of_service):
+        now_ms = context.clock.now_ms()
+        if any_scarce(pending.gathering.services, context.registry.of_service, now_ms):
             remote_plan = None
         context.query_time.end_at_ms = pending.effective_end_at_ms
         plan = gather_plan(
--- a/ibisfront/tests/test_gateway_delegation.py
+++ b/ibisfront/tests/test_gateway_delegation.py
@@ -34,6 +34,21 @@
         stamps = dict(reply.headers)[b"X-Shard-Stamps"].split(b", ")
         self.assertEqual(len(set(stamps)), 20)
 
+    @trio_test
+    async def test_halves_of_a_query_together_lack_too_many_parts(self):
+        """Guards against two instances that each lack all that a query may lack."""
+        zones = TwoZones(route())
+        async with zones.running():
+            await zones.send_request("z0")
+            registry = zones.gateways["z0"]._gateway_context.registry
+            for server in registry.of_service("part-0"):
+                server.window.record_rejected(zones.clock.now_ms(), took_ms=0.0, sent=1)
+            reply = await zones.send_request("z0")
+            self.assertEqual((reply.reason, zones.delegated), ("whole", 1))
+            await trio.sleep(2.0)
+            await zones.send_request("z0")
+            self.assertEqual(zones.delegated, 2)
+
     @trio_test
     async def test_answer_has_parts_of_one_version_across_a_repartition(self):
         """Guards against one answer with parts of two versions.
