--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -94,6 +94,7 @@
         "_nursery",
         "_open_connection",
         "_opening",
+        "_sent",
         "_server",
         "_waiting",
         "keeps_idle",
@@ -120,6 +121,7 @@
         self._connections: set[ServerConnection] = set()
         self._idle: list[ServerConnection] = []
         self._opening = 0
+        self._sent: set[Exchange] = set()
         self._waiting: deque[Exchange] = deque()
         self._is_closed = False
 
@@ -131,8 +133,29 @@
     @property
     def has_room(self) -> bool:
         """Whether an exchange can be sent without waiting for another one to end."""
+        if not self._has_connection:
+            return False
+        return self._server.window.is_open or self._has_window(self._clock.now_ms())
+
+    @property
+    def _has_connection(self) -> bool:
+        """Whether a connection is idle or may be opened."""
         return bool(self._idle) or self.size < self.maximum
 
+    @property
+    def sent(self) -> int:
+        """The number of exchanges sent and not ended."""
+        return len(self._sent)
+
+    def waiting_before(self, rank: int, now_ms: float) -> int:
+        """Return how many waiting exchanges are sent before a new one of this rank."""
+        replied_ms = now_ms + self._server.window.reply_ms
+        return sum(
+            item.rank < rank
+            or (item.rank == rank and not item.would_be_late(replied_ms))
+            for item in self._waiting
+        )
+
     def submit(self, exchange: Exchange) -> None:
         """Send an exchange as soon as a connection is available."""
         now_ms = exchange.created_at_ms
@@ -140,15 +163,27 @@
         if self._is_closed:
             exchange.fail(ExchangeErrorKind.SERVER_GONE)
             return
-        while self._idle:
+        while self._idle and self._has_window(now_ms) and not self._waiting:
             connection = self._idle.pop()
             if self._send(connection, exchange, now_ms):
                 self._preopen(now_ms)
                 return
         self._enqueue(exchange)
-        if self.size < self.maximum:
+        if not self._has_window(now_ms):
+            self._server.window.record_waiting(now_ms)
+            return
+        self.send_waiting()
+        if not self._idle and self.size < self.maximum:
             self._start_opening()
 
+    def send_waiting(self) -> None:
+        """Send what waits for the window, as far as it has room."""
+        while self._waiting and self._idle:
+            connection = self._idle.pop()
+            self._on_idle(connection)
+            if connection.is_idle:
+                return
+
     def _preopen(self, now_ms: float) -> None:
         """Open a connection for the next request once the last idle one is in use.
 
@@ -191,7 +226,7 @@
         bool
             Whether a connection is being opened.
         """
-        if self._opening or not self.has_room or self._is_closed:
+        if self._opening or not self._has_connection or self._is_closed:
             return False
         self._start_opening(timeout_ms)
         return True
@@ -199,6 +234,9 @@
     def record_ended(self, exchange: Exchange) -> None:
         """Record that an exchange has ended."""
         self._server.in_flight.pop(exchange, None)
+        self._sent.discard(exchange)
+        if exchange.sent_at_ms is None and exchange in self._waiting:
+            self._waiting.remove(exchange)
 
     def release_waiting(self) -> None:
         """Fail the exchanges that wait for a connection; none of them was sent."""
@@ -218,12 +256,34 @@
         for connection in list(self._connections):
             connection.close()
 
+    def _has_window(self, now_ms: float) -> bool:
+        return self._server.window.has_room(now_ms, sent=len(self._sent))
+
     def _enqueue(self, exchange: Exchange) -> None:
         index = len(self._waiting)
         while index and self._waiting[index - 1].rank > exchange.rank:
             index -= 1
         self._waiting.insert(index, exchange)
 
+    def _next_waiting(self, now_ms: float) -> Exchange | None:
+        """Remove and return the waiting exchange to send next; None to wait.
+
+        Of those with the same rank, the ones that are late anyway come last, and use no
+        more than this instance's share of the server's slots.
+        """
+        first = self._waiting[0]
+        if not self._server.window.is_open:
+            replied_ms = now_ms + self._server.window.reply_ms
+            for exchange in self._waiting:
+                if exchange.rank != first.rank:
+                    break
+                if not exchange.would_be_late(replied_ms):
+                    self._waiting.remove(exchange)
+                    return exchange
+            if len(self._sent) >= self._server.window.share:
+                return None
+        return self._waiting.popleft()
+
     def _start_opening(self, timeout_ms: float = math.inf) -> None:
         self._opening += 1
         self._nursery.start_soon(self._run_connection, timeout_ms)
@@ -251,7 +311,8 @@
             self._connections.discard(connection)
             if connection in self._idle:
                 self._idle.remove(connection)
-        if self._waiting and self.size < self.maximum and not self._is_closed:
+        can_open = self.size < self.maximum and not self._is_closed
+        if self._waiting and can_open and self._has_window(self._clock.now_ms()):
             self._start_opening()
 
     def _record_unreachable(self, error: OSError) -> None:
@@ -272,8 +333,10 @@
     def _on_idle(self, connection: ServerConnection) -> None:
         """Reuse an idle connection for the next exchange; keep or close it if none."""
         now_ms = self._clock.now_ms()
-        while self._waiting and connection.is_idle:
-            exchange = self._waiting.popleft()
+        while self._waiting and connection.is_idle and self._has_window(now_ms):
+            exchange = self._next_waiting(now_ms)
+            if exchange is None:
+                break
             if not exchange.has_ended and self._send(connection, exchange, now_ms):
                 return
         if not connection.is_idle:
@@ -292,6 +355,7 @@
         if not connection.send(exchange, now_ms):
             return False
         self._server.record_sent(now_ms)
+        self._sent.add(exchange)
 
         def on_abandon(at_once: bool) -> None:
             if at_once:
