Soak: the report says how long the soak itself stood still

Its process runs the store, the servers and the callers, so that a stall of it looks like a front that gives no answer. No check reads the figure.

--- a/ibisfront/testing/soak/__main__.py
+++ b/ibisfront/testing/soak/__main__.py
@@ -96,7 +96,8 @@
     sys.stdout.write(
         f"seed {report.seed}: {report.requests} requests, {report.served} served,"
         f" {len(report.failures)} failures, fullest budget window"
-        f" {report.fullest_window:.2f}; faults: {kinds}\n"
+        f" {report.fullest_window:.2f}, longest stall of the soak itself"
+        f" {report.longest_stall_ms:.0f} ms; faults: {kinds}\n"
     )
     if options.workspaces:
         statuses = ", ".join(
--- a/ibisfront/testing/soak/report.py
+++ b/ibisfront/testing/soak/report.py
@@ -22,6 +22,8 @@
         Number of faults by kind.
     failures : list of Failure
         Guarantees that were violated.
+    longest_stall_ms : float
+        How long the process of the soak stood still, with the store and the servers.
     fullest_window : float
         Extra attempts as a share of those allowed, in the window with the largest
         share.
@@ -36,6 +38,7 @@
     served: int
     faults: dict[str, int]
     failures: list[Failure]
+    longest_stall_ms: float = 0.0
     fullest_window: float = 0.0
     fullest_quota_window: float = 0.0
     workspace_statuses: dict[int, int] = {}
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -58,6 +58,7 @@
 _COPIES = 2
 _CALLER_PAUSE_S = 0.02
 _CRASH_PAUSE_S = 0.25
+_STALL_POLL_S = 0.05
 _EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP)
 """Exit codes after the signals that are sent; the last two before the interpreter runs
 the daemon."""
@@ -155,6 +156,7 @@
         self._crash_outcomes: list[Outcome] = []
         self._has_crashing_requests = has_crashing_requests
         self._faults_ended_ms = 0.0
+        self._longest_stall_ms = 0.0
         self._bad_exits: list[str] = []
         self._version = 0
         self._generation = 0
@@ -174,6 +176,7 @@
         async with self._running() as nursery:
             first = await self._wait_until_served("first")
             nursery.start_soon(self._send_crashing_requests)
+            nursery.start_soon(self._measure_stalls)
             if self._load is not None:
                 nursery.start_soon(self._load.run, self._length_s, self._settle_s)
             async with trio.open_nursery() as load:
@@ -282,6 +285,14 @@
         self._fault_counts["unserved"] += 1
         return outcomes
 
+    async def _measure_stalls(self) -> None:
+        """Measure how long this process, which runs the store and servers, stalled."""
+        while True:
+            before_ms = self._clock.now_ms()
+            await trio.sleep(_STALL_POLL_S)
+            stall_ms = self._clock.now_ms() - before_ms - _STALL_POLL_S * 1000.0
+            self._longest_stall_ms = max(self._longest_stall_ms, stall_ms)
+
     async def _inject_faults(self, nursery: trio.Nursery) -> None:
         started_s = trio.current_time()
         async with trio.open_nursery() as injections:
@@ -340,6 +351,7 @@
             served=served,
             faults=dict(self._fault_counts),
             failures=failures,
+            longest_stall_ms=self._longest_stall_ms,
             fullest_window=max(
                 (window.extras / window.allowed for window in windows), default=0.0
             ),
