--- a/ibisfront/tests/test_gateway_zone_traffic.py
+++ b/ibisfront/tests/test_gateway_zone_traffic.py
@@ -28,9 +28,11 @@
             for _ in range(8):
                 await fixture.send_request()
             calm = traffic(fixture.observer.counters)
-            fixture.servers["part-0"][0].latency_ms = math.inf
-            fixture.servers["part-1"][0].not_run = True
-            fixture.servers["part-1"][0].status = 503
+            for server in fixture.servers["part-0"]:
+                server.latency_ms = math.inf
+            for server in fixture.servers["part-1"]:
+                server.not_run = True
+                server.status = 503
             for _ in range(8):
                 await fixture.send_request()
                 await trio.sleep(1.0)
