A killed start leaves no child that holds the callers' address

Cause: a front listens for callers before its slow imports. Importing trio runs ldconfig in a child process, to find the library that names threads. Until the child runs that program it holds a copy of the listening socket. If the front is killed in that time and the system is busy, the child is not scheduled for up to seconds: callers' connections are accepted by nobody, and the next start ends with "address in use". This was the soak's failure of the check "exit" after all fronts had been killed.

Found by a trial on a scratch copy that lists the owner of the socket when the bind fails: a copy of the front with its parent gone, not yet running its own program, with connections waiting in the queue. Ruled out: the soak's reserved ports (they stay bound for the whole run, and no outgoing connection had the port) and connections of the ended front (their sockets allow the address to be used again).

The daemon imports trio with the name of the library given; its threads keep their names. The test starts a front that may start no child process; it failed before.

--- a/ibisfront/front/__main__.py
+++ b/ibisfront/front/__main__.py
@@ -12,10 +12,11 @@
     # take 155 ms of processor time instead of 188 ms.
     gc.disable()
     from ibisfront.front.early_start import start_early
-    from ibisfront.front.lean_imports import stub_out_tls
+    from ibisfront.front.lean_imports import import_trio, stub_out_tls
 
     stub_out_tls()
     start = start_early()
+    import_trio()
     from ibisfront.front.daemon import main
 
     gc.freeze()
--- a/ibisfront/front/lean_imports.py
+++ b/ibisfront/front/lean_imports.py
@@ -1,11 +1,13 @@
-"""Stubs for modules that the front daemon imports but never uses."""
+"""Imports of the front daemon without what it does not need."""
 
 from __future__ import annotations
 
 import sys
 from types import ModuleType
 
-__all__ = ["stub_out_tls"]
+__all__ = ["import_trio", "stub_out_tls"]
+
+_PTHREAD = "libpthread.so.0"
 
 
 def stub_out_tls() -> None:
@@ -19,3 +21,25 @@
     """
     sys.modules.setdefault("ssl", ModuleType("ssl"))
     sys.modules.setdefault("_hashlib", None)  # type: ignore[arg-type]
+
+
+def import_trio() -> None:
+    """Import trio without the child process that looks for a library.
+
+    To name its threads, trio has ``ldconfig`` find the library of threads. The process
+    listens already: if it is killed before that child runs ``ldconfig``, the child
+    holds the listening socket, and the next start fails as the address is in use.
+    Without a library of this name, trio's threads have no names.
+    """
+    import ctypes.util
+
+    find_library = ctypes.util.find_library
+    ctypes.util.find_library = _find_pthread
+    try:
+        import trio  # noqa: F401
+    finally:
+        ctypes.util.find_library = find_library
+
+
+def _find_pthread(name: str) -> str | None:
+    return _PTHREAD if name == "pthread" else None
--- a/ibisfront/tests/test_front_start.py
+++ b/ibisfront/tests/test_front_start.py
@@ -73,6 +73,39 @@
 """
 
 
+STARTED_WITHOUT_CHILDREN = """
+import runpy, sys
+def forbid(event, arguments):
+    if event in ("subprocess.Popen", "os.fork", "os.posix_spawn", "os.system"):
+        raise RuntimeError(f"{event} {arguments[:2]}")
+sys.addaudithook(forbid)
+runpy.run_module("ibisfront.front", run_name="__main__", alter_sys=True)
+"""
+
+
+class EarlyChildTest(unittest.TestCase):
+    """A child process, started while the front process listens already."""
+
+    @trio_test_real_clock
+    async def test_killed_process_leaves_no_child_that_keeps_its_address(self):
+        """Guards against a next start that fails with "address in use".
+
+        A child that has not run its own program yet holds the listening socket. If
+        the front process is killed meanwhile, callers' connections are accepted by
+        nobody, and its address is in use.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            front = SoakFront(0, Path(folder))
+            front.store_proxy.address = free_address()
+            front.write_settings([])
+            environment = {SETTINGS_PATH_VARIABLE: f"{folder}/{front.name}.toml"}
+            async with RunningProcess(
+                ["-c", STARTED_WITHOUT_CHILDREN], environment=environment
+            ) as process:
+                self.assertIn("front-0 starts.", await process.read_prefixed("{"))
+            await front.close()
+
+
 class EarlyReloadTest(unittest.TestCase):
     """A settings file that changes while the process starts."""
 
