Admission: who is let in, who waits and who is refused without room

Cause: in a burst of several times the room the front took whatever came and let it wait at the servers until deadlines had passed.

A coordinator's refusal names the time to come back; the entry instance passes it on unless another coordinator may have room. FairQueue of the product's own interface is reused: branches stand for workspaces, with a fixed weight, and rows for new callers and those that come back.

--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -15,6 +15,7 @@
 
     ANSWERS = "answers"
     REFUSALS = "refusals"
+    ADMISSIONS = "admissions"
     SUB_REQUESTS = "sub_requests"
     MISSING = "missing"
     RETRIES = "retries"
@@ -40,6 +41,7 @@
 COUNTER_HELP: dict[CounterKind, str] = {
     CounterKind.ANSWERS: "Requests, each counted once, by the outcome returned.",
     CounterKind.REFUSALS: "Requests rejected by admission control, by reason.",
+    CounterKind.ADMISSIONS: "Requests that waited for room or were refused, by rank.",
     CounterKind.SUB_REQUESTS: "Sub-requests sent to backend servers.",
     CounterKind.MISSING: "Services missing from an answer, by reason.",
     CounterKind.RETRIES: "Retried sub-requests, by reason.",
--- a/ibisfront/core/fair_queue.py
+++ b/ibisfront/core/fair_queue.py
@@ -82,9 +82,17 @@
 class _BranchFlow:
     """The rows of one branch."""
 
-    __slots__ = ("rows", "running", "start_tag", "virtual_time", "waiting")
+    __slots__ = (
+        "_fixed_weight",
+        "rows",
+        "running",
+        "start_tag",
+        "virtual_time",
+        "waiting",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, fixed_weight: float | None) -> None:
+        self._fixed_weight = fixed_weight
         self.start_tag = 0.0
         self.virtual_time = 0.0
         self.running = 0
@@ -93,11 +101,13 @@
 
     @property
     def weight(self) -> float:
-        """The sum of the weights of the rows.
+        """The fixed weight, or the sum of the weights of the rows.
 
         Idle rows count too: capacity that a row does not use goes to the other
         rows of its branch first.
         """
+        if self._fixed_weight is not None:
+            return self._fixed_weight
         return sum(row.weight for row in self.rows.values())
 
     @property
@@ -112,11 +122,18 @@
 
 
 class FairQueue:
-    """The waiting and running requests of one group of services."""
+    """The waiting and running requests of one group of services.
 
-    __slots__ = ("_branches", "_virtual_time", "running", "waiting")
+    Parameters
+    ----------
+    branch_weight : float, optional
+        Weight of every branch; by default the sum of the weights of its rows.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_branch_weight", "_branches", "_virtual_time", "running", "waiting")
+
+    def __init__(self, *, branch_weight: float | None = None) -> None:
+        self._branch_weight = branch_weight
         self._branches: dict[str, _BranchFlow] = {}
         self._virtual_time = 0.0
         self.waiting = 0
@@ -124,7 +141,9 @@
 
     def push(self, waiter: Waiter) -> None:
         """Append a request to its row."""
-        branch = self._branches.setdefault(waiter.branch, _BranchFlow())
+        branch = self._branches.get(waiter.branch)
+        if branch is None:
+            branch = self._branches[waiter.branch] = _BranchFlow(self._branch_weight)
         row = branch.rows.setdefault(waiter.purpose, _RowFlow())
         row.weight = waiter.weight
         row.urgent = waiter.urgent
@@ -163,6 +182,29 @@
             return None
         return self._start(self._branches[min(names, key=self._sort_key)])
 
+    def peek(self) -> Waiter | None:
+        """Return the next request without starting it, or None if there is none."""
+        names = [name for name, flow in self._branches.items() if flow.waiting]
+        if not names:
+            return None
+        row = self._branches[min(names, key=self._sort_key)].next_row()
+        return next(iter(row.waiters))
+
+    def contains(self, waiter: Waiter) -> bool:
+        """Return whether a request waits here."""
+        branch = self._branches.get(waiter.branch)
+        row = None if branch is None else branch.rows.get(waiter.purpose)
+        return row is not None and waiter in row.waiters
+
+    def waiting_by_row(self) -> dict[tuple[str, str], int]:
+        """Return the number of waiting requests by branch and purpose."""
+        return {
+            (branch, purpose): len(row.waiters)
+            for branch, flow in self._branches.items()
+            for purpose, row in flow.rows.items()
+            if row.waiters
+        }
+
     def finish(self, waiter: Waiter) -> None:
         """Record that a started request has ended."""
         branch = self._branches[waiter.branch]
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -193,6 +194,18 @@
         gateway_context = self._gateway_context
         service = self._round_robin.next_service(route)
         context = gateway_context.call_context(request, route)
+        refusal = await gateway_context.admission.enter(
+            request,
+            route,
+            context,
+            services=(service,),
+            needed=1,
+            objective_at_ms=partial(
+                gateway_context.states.for_route(route).objective_at_ms, request, route
+            ),
+        )
+        if refusal is not None:
+            return gateway_context.refuse_for_room(request, refusal, context)
         run = ForwardRun(
             service,
             context,
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -4,15 +4,18 @@
 
 from typing import TYPE_CHECKING
 
+from ibisfront.gateway.admission_gate import AdmissionGate
 from ibisfront.gateway.instances.rotation import Rotation
+from ibisfront.gateway.load.service_room import ServiceRoom
 from ibisfront.gateway.messages import CallerReply
-from ibisfront.gateway.observability import RequestTrace
+from ibisfront.gateway.observability import RequestTrace, refusal_fields
 from ibisfront.gateway.queries.service_call import CallContext
 from ibisfront.gateway.route_state import RouteStates, caller_deadline_at_ms
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.instances.crash_reports import CrashReports
+    from ibisfront.gateway.load.admission import Refusal
     from ibisfront.gateway.load.retry_budget import RetryBudgets
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.observability import Observer
@@ -52,6 +55,8 @@
 
     Attributes
     ----------
+    admission : AdmissionGate
+        Asked before the first sub-request of each request.
     states : RouteStates
         Measurements per route.
     table : RouteTable or None
@@ -64,6 +69,7 @@
         "_budgets",
         "_crash_reports",
         "_observer",
+        "admission",
         "clock",
         "registry",
         "rotation",
@@ -91,6 +97,9 @@
         self.states = RouteStates()
         self.rotation = Rotation()
         self.table: RouteTable | None = None
+        self.admission = AdmissionGate(
+            clock=clock, read_room=self._read_room, counters=observer.counters
+        )
 
     @property
     def version(self) -> int | None:
@@ -144,6 +153,20 @@
         wait_ms = _RETRY_AFTER_MS if retry_after_ms is None else retry_after_ms
         return CallerReply(_UNAVAILABLE, [self.wire.retry_after(wait_ms)], b"", reason)
 
+    def refuse_for_room(
+        self, request: InboundRequest, refusal: Refusal, context: CallContext
+    ) -> CallerReply:
+        """Record a request that is refused for lack of room; return the reply."""
+        reply = self.not_run_reply(refusal.reason, refusal.retry_after_ms)
+        now_ms = self.clock.now_ms()
+        self._observer.record_refused(
+            request,
+            reply,
+            version=self.version,
+            details=refusal_fields(request, refusal, rank=context.rank, now_ms=now_ms),
+        )
+        return reply
+
     def unreachable_reply(self) -> CallerReply:
         """Return the refusal for a route with too few reachable servers.
 
@@ -162,6 +185,10 @@
         left_ms = self._crash_reports.quarantine_left_ms(request)
         return self.not_run_reply("quarantined", left_ms) if left_ms else None
 
+    def _read_room(self, service: str, rank: int, work_ms: float) -> ServiceRoom:
+        """Return the room of a service."""
+        return ServiceRoom()
+
     def record_run(
         self, request: InboundRequest, *, has_reply: bool, servers_lost: int
     ) -> None:
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -11,11 +12,12 @@
 from ibisfront.core.logs import LogPart, part_logger
 
 if TYPE_CHECKING:
+    from ibisfront.gateway.load.admission import Refusal
     from ibisfront.gateway.load.baseline_latency import BaselineLatency
     from ibisfront.gateway.messages import CallerReply, InboundRequest
     from ibisfront.gateway.state.configuration import Route
 
-__all__ = ["Decision", "Observer", "RequestTrace"]
+__all__ = ["Decision", "Observer", "RequestTrace", "refusal_fields"]
 
 _LOG = part_logger(LogPart.QUERY)
 
@@ -171,9 +173,26 @@
         _LOG.info("The requester disconnected.", extra=fields)
 
     def record_refused(
-        self, request: InboundRequest, reply: CallerReply, *, version: int | None
+        self,
+        request: InboundRequest,
+        reply: CallerReply,
+        *,
+        version: int | None,
+        details: dict[str, Any] | None = None,
     ) -> None:
-        """Record a request that was refused before any decision."""
+        """Record a request that was refused before any decision.
+
+        Parameters
+        ----------
+        request : InboundRequest
+            The request.
+        reply : CallerReply
+            The refusal.
+        version : int or None
+            The configuration in force.
+        details : dict, optional
+            What decided it, for the log.
+        """
         self.counters.add(CounterKind.REFUSALS, reply.reason)
         fields = {
             "request_id": request.request_id,
@@ -182,5 +201,26 @@
             "version": version,
             "status": reply.status,
             "reason": reply.reason,
+            **(details or {}),
         }
         _LOG.warning("Refused %d: %s.", reply.status, reply.reason, extra=fields)
+
+
+def refusal_fields(
+    request: InboundRequest, refusal: Refusal, *, rank: int, now_ms: float
+) -> dict[str, Any]:
+    """Return what decided a refusal for lack of room, as fields of a log line."""
+    wait_ms = refusal.wait_ms
+    waited_ms = now_ms - request.arrived_at_ms
+    left_ms = None
+    if request.deadline_ms is not None:
+        left_ms = round(request.deadline_ms - waited_ms, 1)
+    return {
+        "expected_wait_ms": round(wait_ms, 1) if math.isfinite(wait_ms) else None,
+        "ahead": refusal.ahead,
+        "rank": rank,
+        "workspace": request.workspace,
+        "waited_ms": round(waited_ms, 1),
+        "left_ms": left_ms,
+        "retry_after_ms": round(refusal.retry_after_ms, 1),
+    }
--- a/ibisfront/gateway/queries/coordinated_query.py
+++ b/ibisfront/gateway/queries/coordinated_query.py
@@ -14,7 +14,7 @@
     from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.state.configuration import Gathering
 
-__all__ = ["CoordinatedQuery", "NextCoordinator", "StartRemoteCall"]
+__all__ = ["CoordinatedQuery", "NextCoordinator", "RecordNoRoom", "StartRemoteCall"]
 
 _MAX_REFUSALS = 4
 """Refusals before a query is abandoned: both coordinators of the own zone may have an
@@ -33,6 +33,9 @@
 NextCoordinator: TypeAlias = "Callable[[Sequence[Server]], RemotePlan | None]"
 """Returns a plan for a coordinator that was not tried yet, or None."""
 
+RecordNoRoom: TypeAlias = "Callable[[Server, float], None]"
+"""Records that a coordinator has no room until a time."""
+
 
 class CoordinatedQuery:
     """One query while another instance coordinates it; used once.
@@ -59,6 +62,8 @@
         When the query is abandoned.
     may_retry : bool
         Whether the query may run again after a coordinator was lost.
+    record_no_room : callable, optional
+        Records that a coordinator has no room.
 
     Attributes
     ----------
@@ -66,6 +71,8 @@
         The call to the coordinator that was tried last.
     ended_unresponsive : bool
         Whether it was abandoned because that coordinator failed its liveness probe.
+    room_at_ms : float or None
+        When the first of the coordinators that had no room will have some.
     """
 
     __slots__ = (
@@ -78,6 +85,7 @@
         "_may_retry",
         "_next_plan",
         "_plan",
+        "_record_no_room",
         "_start_liveness_probe",
         "_start_remote",
         "_tried",
@@ -85,6 +93,7 @@
         "_woken",
         "ended_unresponsive",
         "remote",
+        "room_at_ms",
     )
 
     def __init__(
@@ -98,6 +107,7 @@
         next_plan: NextCoordinator,
         give_up_at_ms: float,
         may_retry: bool,
+        record_no_room: RecordNoRoom | None = None,
     ) -> None:
         self._gathering = gathering
         self._context = context
@@ -107,6 +117,7 @@
         self._next_plan = next_plan
         self._give_up_at_ms = give_up_at_ms
         self._may_retry = may_retry
+        self._record_no_room = record_no_room
         self._has_retried = False
         self._may_have_arrived = False
         self._may_have_run = False
@@ -115,6 +126,7 @@
         self._woken = trio.Event()
         self.ended_unresponsive = False
         self.remote: RemoteCall | None = None
+        self.room_at_ms: float | None = None
 
     @property
     def total_parts(self) -> int:
@@ -207,6 +219,8 @@
             if self._has_retried or not self._may_retry:
                 return None
             self._has_retried = True
+        if remote.room_at_ms is not None:
+            self._apply_no_room(remote.peer, remote.room_at_ms)
         self._unreachable_count += remote.servers_unreachable
         if self._unreachable_count >= _MAX_UNREACHABLE:
             return None
@@ -220,6 +234,16 @@
             self._context.trace.record(now_ms, "gathered_again", "", peer_id, cause)
         return plan
 
+    def _apply_no_room(self, peer: Server, room_at_ms: float) -> None:
+        """Pass on the time of the coordinator that will have room first.
+
+        Its place for the caller is there; another one is tried only if it has room.
+        """
+        if self.room_at_ms is None or room_at_ms < self.room_at_ms:
+            self.room_at_ms = room_at_ms
+        if self._record_no_room is not None:
+            self._record_no_room(peer, room_at_ms)
+
     async def _wait_for(self, remote: RemoteCall) -> bool:
         """Wait for a coordinator's answer; return whether the coordinator was lost."""
         clock = self._context.clock
--- a/ibisfront/gateway/queries/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -15,9 +15,11 @@
 __all__ = [
     "DelegatedQuery",
     "format_delegated_query",
+    "no_room_header",
     "parse_delegated_query",
     "parse_signatures",
     "reached_header",
+    "reports_no_room",
     "reports_servers_reached",
     "reports_servers_unreachable",
     "service_bitmask",
@@ -34,6 +36,7 @@
 _SIGNATURES = b"x-ibisfront-signatures"
 _UNREACHABLE = b"x-ibisfront-out-of-reach"
 _REACHED = b"x-ibisfront-reached"
+_NO_ROOM = b"x-ibisfront-no-room"
 
 
 class DelegatedQuery(msgspec.Struct, frozen=True):
@@ -119,6 +122,16 @@
     return (_REACHED, b"1")
 
 
+def reports_no_room(reply: BackendReply) -> bool:
+    """Return whether an instance refused because its servers have no room."""
+    return any(name.lower() == _NO_ROOM for name, _ in reply.headers)
+
+
+def no_room_header() -> Header:
+    """Return the header of a refusal for lack of room; nothing was sent."""
+    return (_NO_ROOM, b"1")
+
+
 def signatures_header(signatures: Sequence[bytes]) -> Header:
     """Return the header that lists the parts of a delegated answer."""
     return (_SIGNATURES, b",".join(signatures))
--- a/ibisfront/gateway/queries/delegation.py
+++ b/ibisfront/gateway/queries/delegation.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Sequence
+from collections.abc import Callable, Container, Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.gateway.load.baseline_latency import BaselineLatency
+from ibisfront.gateway.load.coordinator_room import (
+    CoordinatorRoom,
+    preferred_peers,
+)
 from ibisfront.gateway.load.server_choice import choose_server
 from ibisfront.gateway.queries.remote_call import RemotePlan
 from ibisfront.gateway.route_state import retain_routes
@@ -66,6 +70,7 @@
         "_peers",
         "_placements",
         "_registry",
+        "_room",
         "_zone",
     )
 
@@ -83,6 +88,7 @@
         self._peers = peers
         self._zone = zone
         self._clock = clock
+        self._room = CoordinatorRoom()
         self._placements: dict[str, _Placement] = {}
         self._baselines: dict[str, BaselineLatency] = {}
 
@@ -91,10 +97,22 @@
         """Whether only some instances run scatter-gather."""
         return self._coordinators.uses_coordinators
 
-    def plan(self, route: Route, gathering: Gathering) -> RemotePlan | None:
-        """Return what to delegate; None to query all services from here."""
+    def plan(
+        self, route: Route, gathering: Gathering, *, identity: Callable[[], bytes]
+    ) -> RemotePlan | None:
+        """Return what to delegate; None to query all services from here.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        gathering : Gathering
+            The services and the minimum coverage.
+        identity : callable
+            Returns what the attempts of the caller have in common.
+        """
         if not self._coordinators.is_coordinator:
-            whole_plan = self.plan_whole_query(route, gathering)
+            whole_plan = self.plan_whole_query(route, gathering, identity=identity)
             if whole_plan is not None:
                 return whole_plan
         return self.plan_remote_zone(route, gathering)
@@ -124,10 +142,24 @@
         )
         return retryable >= gathering.needed_parts
 
+    def record_no_room(self, peer: Server, room_at_ms: float) -> None:
+        """Record that a coordinator has no room until a time."""
+        now_ms = self._clock.now_ms()
+        self._room.record_no_room(peer.entry.server_id, room_at_ms, now_ms)
+
     def plan_whole_query(
-        self, route: Route, gathering: Gathering, tried: Sequence[Server] = ()
+        self,
+        route: Route,
+        gathering: Gathering,
+        tried: Sequence[Server] = (),
+        *,
+        identity: Callable[[], bytes],
     ) -> RemotePlan | None:
-        """Return a plan for a whole query, preferring coordinators of this zone."""
+        """Return a plan for a whole query, preferring coordinators of this zone.
+
+        While coordinators refuse for lack of room, a caller is sent to the one that
+        keeps its place, and from there only to those that may have room.
+        """
         now_ms = self._clock.now_ms()
         baseline = self._baseline(route)
         zones = sorted(
@@ -136,6 +168,17 @@
         )
         for zone in zones:
             candidates = self._available_peers(zone)
+            if self._room.is_scarce(now_ms):
+                if tried:
+                    candidates = self._room.with_room(candidates, now_ms)
+                else:
+                    late_ms = baseline.late_ms
+                    candidates = [
+                        item
+                        for item in candidates
+                        if not item.is_overdue(now_ms, late_ms)
+                    ]
+                    candidates = preferred_peers(candidates, identity())
             peer = choose_server(
                 candidates, list(tried), now_ms=now_ms, baseline_ms=baseline.median_ms
             )
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -13,6 +13,7 @@
     DelegatedQuery,
     format_delegated_query,
     parse_signatures,
+    reports_no_room,
     reports_servers_reached,
     reports_servers_unreachable,
     service_bitmask,
@@ -88,6 +89,8 @@
         Whether it refused because it cannot reach the servers.
     reached_servers : bool
         Whether it refused after servers had received parts and rejected them.
+    room_at_ms : float or None
+        When it will have room, if it refused because it has none.
     """
 
     __slots__ = (
@@ -98,6 +101,7 @@
         "is_refused",
         "reached_servers",
         "records",
+        "room_at_ms",
         "servers_unreachable",
         "services",
         "signatures",
@@ -116,6 +120,7 @@
         self.is_refused = False
         self.servers_unreachable = False
         self.reached_servers = False
+        self.room_at_ms: float | None = None
 
     @property
     def peer(self) -> Server:
@@ -252,6 +257,14 @@
         if peer.pool is not None:
             peer.pool.record_ended(exchange)
         if exchange.reply is not None:
+            if reports_no_room(exchange.reply):
+                # Its time says nothing about how long a query takes.
+                peer.record_alive(now_ms)
+                self.is_refused = True
+                self.room_at_ms = now_ms + (exchange.reply.retry_after_ms or 0.0)
+                if not exchange.is_abandoned:
+                    self._on_change()
+                return
             baseline = self._plan.baseline
             took_ms = now_ms - exchange.waiting_since_ms
             peer.record_reply(now_ms, took_ms=took_ms, baseline_ms=baseline.median_ms)
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,9 +13,11 @@
 from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
+from ibisfront.gateway.load.kept_places import caller_identity
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
+    no_room_header,
     reached_header,
     signatures_header,
     unreachable_header,
@@ -27,6 +29,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.gateway.gateway_context import GatewayContext
+    from ibisfront.gateway.load.admission import Refusal
     from ibisfront.gateway.load.reachability import Reachability
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.queries.coordinated_query import StartRemoteCall
@@ -190,6 +193,11 @@
         remote_plan = None
         if query.is_whole and self._delegation is not None:
             remote_plan = self._delegation.plan_remote_zone(route, gathering)
+        refusal = await self._admit(pending, remote_plan, is_begun=not query.is_whole)
+        if refusal is not None:
+            reply = gateway_context.refuse_for_room(request, refusal, context)
+            reply.headers.append(no_room_header())
+            return reply
         run = await self._run_locally(pending, remote_plan)
         reply = self._delegated_reply(run, gathering)
         gateway_context.record(request, route, reply, context, parts=_parts_text(run))
@@ -208,11 +216,16 @@
         pending = _PendingQuery(request, route, gathering, context, end_at_ms)
         remote_plan = None
         if self._delegation is not None:
-            remote_plan = self._delegation.plan(route, gathering)
+            remote_plan = self._delegation.plan(
+                route, gathering, identity=partial(caller_identity, request)
+            )
         run: GatherRun | CoordinatedQuery
         if remote_plan is not None and remote_plan.is_whole:
             run = await self._run_coordinated(pending, remote_plan)
         else:
+            refusal = await self._admit(pending, remote_plan)
+            if refusal is not None:
+                return gateway_context.refuse_for_room(request, refusal, context)
             run = await self._run_locally(pending, remote_plan)
         if run.remote is not None and run.remote.servers_unreachable:
             self.record_unreachable()
@@ -236,6 +249,32 @@
             )
         return await self._gather(request, route, route.gathering)
 
+    async def _admit(
+        self,
+        pending: _PendingQuery,
+        remote_plan: RemotePlan | None,
+        *,
+        is_begun: bool = False,
+    ) -> Refusal | None:
+        """Wait until the servers that are queried from here have room for a query.
+
+        The instance that runs the delegated parts decides on those.
+        """
+        services = pending.gathering.services
+        if remote_plan is not None:
+            delegated = frozenset(remote_plan.services)
+            services = tuple(name for name in services if name not in delegated)
+        elsewhere = len(pending.gathering.services) - len(services)
+        return await self._gateway_context.admission.enter(
+            pending.request,
+            pending.route,
+            pending.context,
+            services=services,
+            needed=pending.gathering.needed_parts - elsewhere,
+            objective_at_ms=lambda: pending.end_at_ms,
+            is_begun=is_begun,
+        )
+
     async def _run_locally(
         self, pending: _PendingQuery, remote_plan: RemotePlan | None
     ) -> GatherRun:
@@ -280,10 +319,14 @@
             plan=remote_plan,
             start_remote=self._remote_starter(pending),
             next_plan=partial(
-                self._delegation.plan_whole_query, pending.route, pending.gathering
+                self._delegation.plan_whole_query,
+                pending.route,
+                pending.gathering,
+                identity=partial(caller_identity, pending.request),
             ),
             give_up_at_ms=pending.give_up_at_ms,
             may_retry=self._delegation.may_retry(pending.route, pending.gathering),
+            record_no_room=self._delegation.record_no_room,
         )
         await self._run_until_cancelled(run, pending)
         run.end(at_once=True)
@@ -365,6 +408,9 @@
         """Return the refusal of a query for which no sub-request was sent."""
         if run.remote is not None and run.remote.servers_unreachable:
             return self._gateway_context.unreachable_reply()
+        if isinstance(run, CoordinatedQuery) and run.room_at_ms is not None:
+            wait_ms = run.room_at_ms - self._gateway_context.clock.now_ms()
+            return self._gateway_context.not_run_reply("no_room", max(wait_ms, 0.0))
         is_untried = isinstance(run, CoordinatedQuery) and not run.may_have_arrived
         reason = _NO_COORDINATOR if is_untried else "no_server"
         return self._gateway_context.not_run_reply(reason)
--- a/ibisfront/tests/test_gateway_coordinated_query.py
+++ b/ibisfront/tests/test_gateway_coordinated_query.py
@@ -18,6 +18,7 @@
 
     is_open = has_answered = may_have_run = may_have_arrived = False
     is_refused = True
+    room_at_ms = None
     signatures = ()
 
     def __init__(self, plan, *, servers_unreachable):
