Admission reads the room of services from the windows of their servers

The time between two starts of a service is that of all its servers together; that of the least loaded alone made waits look as many times longer as there are servers.

--- a/ibisfront/gateway/admission_gate.py
+++ b/ibisfront/gateway/admission_gate.py
@@ -41,8 +41,9 @@
 _WAIT_BOUNDS_MS = (10, 30, 100, 300, 1_000, 3_000)
 """Bounds of the counted waits."""
 
-ReadRoom: TypeAlias = Callable[[str, int, float], ServiceRoom]
-"""Returns the room of a service, given the rank and the time that its work takes."""
+ReadRoom: TypeAlias = Callable[[str, int, float, float], ServiceRoom]
+"""Returns the room of a service, given the rank, the time that its work takes and the
+current time in milliseconds."""
 
 
 class _Group:
@@ -232,7 +233,7 @@
     ) -> ServiceRoom:
         """Return the room of the service that decides."""
         if group is None:
-            return self._read(demand)
+            return self._read(demand, now_ms)
         if now_ms - group.at_ms > _ROOM_TTL_MS:
             group.readings.clear()
             group.at_ms = now_ms
@@ -240,13 +241,13 @@
         key = (demand.rank, demand.needed)
         room = group.readings.get(key)
         if room is None:
-            room = group.readings[key] = self._read(demand)
+            room = group.readings[key] = self._read(demand, now_ms)
         return room
 
-    def _read(self, demand: _Demand) -> ServiceRoom:
+    def _read(self, demand: _Demand, now_ms: float) -> ServiceRoom:
         return deciding_room(
             (
-                self._read_room(name, demand.rank, demand.turn_ms)
+                self._read_room(name, demand.rank, demand.turn_ms, now_ms)
                 for name in demand.services
             ),
             demand.needed,
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -6,7 +6,7 @@
 
 from ibisfront.gateway.admission_gate import AdmissionGate
 from ibisfront.gateway.instances.rotation import Rotation
-from ibisfront.gateway.load.service_room import ServiceRoom
+from ibisfront.gateway.load.service_room import service_room
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observability import RequestTrace, refusal_fields
 from ibisfront.gateway.queries.service_call import CallContext
@@ -17,6 +17,7 @@
     from ibisfront.gateway.instances.crash_reports import CrashReports
     from ibisfront.gateway.load.admission import Refusal
     from ibisfront.gateway.load.retry_budget import RetryBudgets
+    from ibisfront.gateway.load.service_room import ServiceRoom
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.observability import Observer
     from ibisfront.gateway.servers.server import Server
@@ -185,9 +186,16 @@
         left_ms = self._crash_reports.quarantine_left_ms(request)
         return self.not_run_reply("quarantined", left_ms) if left_ms else None
 
-    def _read_room(self, service: str, rank: int, work_ms: float) -> ServiceRoom:
+    def _read_room(
+        self, service: str, rank: int, work_ms: float, now_ms: float
+    ) -> ServiceRoom:
         """Return the room of a service."""
-        return ServiceRoom()
+        return service_room(
+            self.registry.of_service(service),
+            now_ms=now_ms,
+            rank=rank,
+            work_ms=work_ms,
+        )
 
     def record_run(
         self, request: InboundRequest, *, has_reply: bool, servers_lost: int
--- a/ibisfront/gateway/load/service_room.py
+++ b/ibisfront/gateway/load/service_room.py
@@ -53,7 +53,7 @@
 def service_room(
     servers: Sequence[Server], *, now_ms: float, rank: int, work_ms: float
 ) -> ServiceRoom:
-    """Return the room of a service: that of its server of least wait.
+    """Return the room of a service: the least wait, and the starts of all servers.
 
     Parameters
     ----------
@@ -67,13 +67,21 @@
         How long a server runs one request, where no reply has shown it yet.
     """
     least = _NO_ROOM
+    starts_per_ms = 0.0
+    waiting = 0
     for server in servers:
         room = _server_room(server, now_ms, rank, work_ms)
         if room is _FREE:
             return room
+        if not room.is_usable:
+            continue
+        starts_per_ms += 1.0 / room.interval_ms
+        waiting += room.waiting
         if room.wait_ms < least.wait_ms:
             least = room
-    return least
+    if least is _NO_ROOM:
+        return least
+    return ServiceRoom(least.wait_ms, 1.0 / starts_per_ms, waiting)
 
 
 def _server_room(
--- a/ibisfront/tests/test_gateway_admission.py
+++ b/ibisfront/tests/test_gateway_admission.py
@@ -35,7 +35,7 @@
         self.waiting = []
         self.runs = 0
 
-    def read_room(self, service, rank, work_ms):
+    def read_room(self, service, rank, work_ms, now_ms):
         """Return the room as the windows of its servers would."""
         if not self.slots:
             return ServiceRoom(wait_ms=math.inf)
--- /dev/null
+++ b/ibisfront/tests/test_gateway_refusals.py
@@ -0,0 +1,150 @@
+"""Tests of refusals for lack of room at the gateway, in mock time."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+import trio
+
+from ibisfront.core.counters import Counters
+from ibisfront.gateway.admission_gate import AdmissionGate
+from ibisfront.gateway.load.service_room import ServiceRoom
+from ibisfront.testing.gateway_fixture import (
+    GatewayFixture,
+    forward_route,
+    gather_route,
+)
+from ibisfront.testing.two_zones import TwoZones
+from ibisfront.tests import trio_test
+
+
+class Room:
+    """The room of all services, set by a test."""
+
+    def __init__(self, wait_ms=0.0, interval_ms=10.0):
+        self.wait_ms = wait_ms
+        self.interval_ms = interval_ms
+
+    def read(self, service, rank, work_ms, now_ms):
+        return ServiceRoom(self.wait_ms, self.interval_ms)
+
+
+def set_room(gateway, room):
+    """Make a gateway see this room; return its gate."""
+    context = gateway._gateway_context
+    gate = context.admission = AdmissionGate(
+        clock=context.clock, read_room=room.read, counters=Counters()
+    )
+    return gate
+
+
+def retry_after_ms(reply):
+    """Return the time to come back that a reply states."""
+    return 1000.0 * float(dict(reply.headers)[b"Retry-After"])
+
+
+def coordinated_zones():
+    """Return zones whose instance in ``z0`` uses coordinators in ``z1`` and ``z2``."""
+    return TwoZones(gather_route(20, minimum=0.9), delegates=True)
+
+
+class RefusalTest(unittest.TestCase):
+    """Requests for which there is no room in time."""
+
+    @trio_test
+    async def test_refused_request_has_reached_no_server(self):
+        """Guards against a 503 for a request that runs."""
+        for route, path in (
+            (forward_route(), "/fetch/a"),
+            (gather_route(8), "/search/a"),
+        ):
+            fixture = GatewayFixture(route)
+            async with fixture.running() as gateway:
+                set_room(gateway, Room(wait_ms=60_000.0))
+                started_ms = fixture.clock.now_ms()
+                reply = await fixture.ask(path)
+                took_ms = fixture.clock.now_ms() - started_ms
+                await trio.sleep(3.0)
+            self.assertEqual((reply.status, reply.reason), (503, "no_room"))
+            self.assertLessEqual(took_ms, 5.0)
+            received = sum(len(item.received) for item in fixture.all_servers())
+            self.assertEqual(received, 0)
+
+    @trio_test
+    async def test_coordinators_refusal_reaches_the_caller_with_its_time(self):
+        """Guards against a 502, or a guessed time, when all coordinators are full."""
+        zones = coordinated_zones()
+        async with zones.running():
+            for zone, wait_ms in (("z1", 5000.0), ("z2", 4000.0)):
+                set_room(zones.gateways[zone], Room(wait_ms))
+            reply = await zones.send_request("z0")
+            self.assertEqual((reply.status, reply.reason), (503, "no_room"))
+            self.assertAlmostEqual(retry_after_ms(reply), 4010.0, delta=20.0)
+            self.assertEqual(zones.delegated, 2)
+            self.assertEqual(zones.received, [])
+            # Both have said that they are full: one is asked, for its place.
+            again = await zones.send_request("z0")
+            self.assertEqual((again.status, zones.delegated), (503, 3))
+
+    @trio_test
+    async def test_query_goes_to_a_coordinator_that_has_room(self):
+        """Guards against a refusal while another coordinator has room."""
+        zones = coordinated_zones()
+        async with zones.running():
+            set_room(zones.gateways["z1"], Room(wait_ms=60_000.0))
+            replies = [await zones.send_request("z0") for _ in range(5)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+
+    @trio_test
+    async def test_room_at_a_coordinator_ends_the_refusals_at_once(self):
+        """Guards against an entry instance that refuses after room is back."""
+        zones = coordinated_zones()
+        async with zones.running():
+            room = Room(wait_ms=60_000.0)
+            for zone in ("z1", "z2"):
+                set_room(zones.gateways[zone], room)
+            self.assertEqual((await zones.send_request("z0")).status, 503)
+            room.wait_ms = 0.0
+            await trio.sleep(0.05)
+            self.assertEqual((await zones.send_request("z0")).status, 200)
+
+    @trio_test
+    async def test_coordinator_that_dies_with_waiting_work(self):
+        """Guards against queries that are lost while they wait at a coordinator."""
+        zones = coordinated_zones()
+        async with zones.running():
+            gates = {
+                zone: set_room(zones.gateways[zone], Room(wait_ms=100.0))
+                for zone in ("z1", "z2")
+            }
+            replies = []
+
+            async def ask():
+                replies.append(await zones.send_request("z0"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.02)
+                holder = next(
+                    zone for zone, gate in gates.items() if gate.waiting_by_rank()
+                )
+                for other in gates.keys() - {holder}:
+                    set_room(zones.gateways[other], Room())
+                gateway = zones.gateways["z0"]
+                for peer in gateway._delegation._peers.servers():
+                    if peer.entry.server_id == f"instance-{holder}":
+                        peer.pool.retire()
+        self.assertEqual(replies[0].status, 200)
+        self.assertEqual(sum(gates[holder].waiting_by_rank().values()), 0)
+
+    @trio_test
+    async def test_parts_of_a_query_that_runs_already_do_not_wait(self):
+        """Guards against queries whose first parts run while the others wait."""
+        route = msgspec.structs.replace(gather_route(20, minimum=0.9))
+        zones = TwoZones(route)
+        async with zones.running():
+            gate = set_room(zones.gateways["z1"], Room(wait_ms=100.0))
+            reply = await zones.send_request("z0")
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(gate.waiting_by_rank(), {})
