A connection that a server resets at its limit gets no request

After a reset the request may have run, so the instance could only answer 502.

Ruled out: answering 503 after such a reset.

Where connections are scarce (they are not kept while idle), or for 10 s after the server reset one, a new connection is checked for the time that connecting took and 2 ms before a request is sent on it. A reset in that time leaves the request unsent: it goes elsewhere, or ends with 503 and a time to come back.

test_request_on_a_connection_beyond_the_limit_is_not_sent and test_server_that_reset_a_connection_gets_no_request_on_the_next failed on the code before with 502.

--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -35,6 +35,14 @@
 _RECENT_REPLY_MS = 1_000.0
 """A server that replied this recently is likely to get another request soon."""
 
+_RESET_MEMORY_MS = 10_000.0
+"""How long after a server has reset a new connection others are checked first."""
+
+_CHECK_CONNECTS = 1.0
+_CHECK_MARGIN_MS = 2.0
+"""How long a new connection is checked before it is used: a server at its limit resets
+it within the time that connecting took, and the margin to accept it."""
+
 
 class ServerConnection(Protocol):
     """An open connection that carries one exchange at a time."""
@@ -61,6 +69,26 @@
 """Connects to a server; raises ``OSError`` if that fails."""
 
 
+class _Usage:
+    """Whether a connection is in use yet."""
+
+    __slots__ = ("_on_idle", "is_begun")
+
+    def __init__(self, on_idle: Callable[[ServerConnection], None]) -> None:
+        self._on_idle = on_idle
+        self.is_begun = False
+
+    def begin(self, connection: ServerConnection) -> None:
+        """Use the connection from now on."""
+        self.is_begun = True
+        self._on_idle(connection)
+
+    def on_idle(self, connection: ServerConnection) -> None:
+        """Reuse the connection; a new one that is being checked waits."""
+        if self.is_begun:
+            self._on_idle(connection)
+
+
 class ServerPool:
     """The connections to one server, and the exchanges that wait for one.
 
@@ -94,6 +122,7 @@
         "_nursery",
         "_open_connection",
         "_opening",
+        "_resets_until_ms",
         "_sent",
         "_server",
         "_waiting",
@@ -121,6 +150,7 @@
         self._connections: set[ServerConnection] = set()
         self._idle: list[ServerConnection] = []
         self._opening = 0
+        self._resets_until_ms = -math.inf
         self._sent: set[Exchange] = set()
         self._waiting: deque[Exchange] = deque()
         self._is_closed = False
@@ -226,6 +256,9 @@
         self._sent.discard(exchange)
         if exchange.sent_at_ms is None and exchange in self._waiting:
             self._waiting.remove(exchange)
+        error = exchange.error
+        if error is not None and error.is_server_lost:
+            self._resets_until_ms = self._clock.now_ms() + _RESET_MEMORY_MS
 
     def release_waiting(self) -> None:
         """Fail the exchanges that wait for a connection; none of them was sent."""
@@ -265,6 +298,7 @@
         raise TimeoutError(errno.ETIMEDOUT, "connect timed out")
 
     async def _run_connection(self, timeout_ms: float) -> None:
+        started_ms = self._clock.now_ms()
         try:
             connection = await self._open(timeout_ms)
         except OSError as error:
@@ -272,18 +306,56 @@
             self._record_unreachable(error)
             return
         self._opening -= 1
-        self._server.record_connected(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._server.record_connected(now_ms)
         self._connections.add(connection)
+        usage = _Usage(self._on_idle)
         try:
-            self._on_idle(connection)
-            await connection.run(self._on_idle)
+            if self._must_check(now_ms):
+                self._nursery.start_soon(
+                    self._use_after_check, connection, usage, now_ms - started_ms
+                )
+            else:
+                usage.begin(connection)
+            await connection.run(usage.on_idle)
         finally:
             self._connections.discard(connection)
             if connection in self._idle:
                 self._idle.remove(connection)
-        if self._waiting and self.size < self.maximum and not self._is_closed:
+        if self._is_closed:
+            return
+        if not usage.is_begun:
+            self._record_reset()
+            return
+        if self._waiting and self.size < self.maximum:
             self._start_opening()
 
+    def _must_check(self, now_ms: float) -> bool:
+        """Return whether a new connection is checked before a request is sent on it.
+
+        Load pattern: more instances than a server accepts connections. It resets those
+        beyond its limit as soon as they are open. What was sent on one may have run as
+        far as this instance knows, and its caller cannot be told to repeat it.
+        """
+        return not self.keeps_idle or now_ms < self._resets_until_ms
+
+    async def _use_after_check(
+        self, connection: ServerConnection, usage: _Usage, connect_ms: float
+    ) -> None:
+        await self._clock.sleep_ms(_CHECK_CONNECTS * connect_ms + _CHECK_MARGIN_MS)
+        if connection in self._connections and not usage.is_begun:
+            usage.begin(connection)
+
+    def _record_reset(self) -> None:
+        """Record that the server reset a connection before any use of it."""
+        now_ms = self._clock.now_ms()
+        self._resets_until_ms = now_ms + _RESET_MEMORY_MS
+        self._server.record_lost(now_ms)
+        entry = self._server.entry
+        self._event_log.record("Reset a connection", entry.server_id, entry.service)
+        if not self.size:
+            self._fail_waiting(ExchangeErrorKind.CONNECT_FAILED)
+
     def _record_unreachable(self, error: OSError) -> None:
         entry = self._server.entry
         reason = error.strerror or type(error).__name__
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -80,6 +80,8 @@
         Whether it closes the connection instead of replying.
     accepts_connections : bool
         Whether it accepts connections.
+    maximum_connections : float
+        Connections that it accepts; it resets others as soon as they are open.
     crash_path : bytes or None
         Path of the requests that crash it: it closes their connections.
     body : bytes
@@ -103,6 +105,7 @@
         "drops_connections",
         "entry",
         "latency_ms",
+        "maximum_connections",
         "not_run",
         "opened",
         "received",
@@ -119,6 +122,7 @@
         self.drops_connections = False
         self.crash_path: bytes | None = None
         self.accepts_connections = True
+        self.maximum_connections = math.inf
         self.body = b""
         self.received: list[Exchange] = []
         self.remaining_ms: list[float] = []
@@ -152,23 +156,26 @@
 class _FakeServerConnection(InMemoryConnection):
     """A connection to a fake server."""
 
-    __slots__ = ("_crashes", "_server")
+    __slots__ = ("_crashes", "_is_reset", "_server")
 
     def __init__(self, server: FakeServer) -> None:
         super().__init__()
         self._crashes = False
+        self._is_reset = server.connections >= server.maximum_connections
         self._server = server
 
     def send(self, exchange: Exchange, now_ms: float) -> bool:
         """Send an exchange to the server."""
         payload = exchange.payload(now_ms)
+        exchange.sent_at_ms = now_ms
+        self._exchange = exchange
+        if self._is_reset:
+            return True
         remaining = payload.split(b"X-Deadline-Ms: ")[1].split(b"\r\n")[0]
         self._server.remaining_ms.append(float(remaining))
         self._server.received.append(exchange)
         path = self._server.crash_path
         self._crashes = path is not None and b" " + path + b" " in payload
-        exchange.sent_at_ms = now_ms
-        self._exchange = exchange
         self._sent.set()
         return True
 
@@ -178,6 +185,9 @@
         server.connections += 1
         try:
             with self._scope:
+                if self._is_reset:
+                    await trio.sleep(CONNECT_MS / 1000.0)
+                    return
                 while True:
                     await self._serve_one()
                     if server.drops_connections or self._crashes:
@@ -190,7 +200,8 @@
             if exchange is not None:
                 server.cancelled += 1
                 exchange.fail(
-                    ExchangeErrorKind.CONNECTION_LOST, is_server_lost=self._crashes
+                    ExchangeErrorKind.CONNECTION_LOST,
+                    is_server_lost=self._crashes or self._is_reset,
                 )
 
     async def _serve_one(self) -> None:
--- a/ibisfront/tests/test_gateway_pool.py
+++ b/ibisfront/tests/test_gateway_pool.py
@@ -7,7 +7,12 @@
 import msgspec
 import trio
 
-from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
+from ibisfront.gateway.state.configuration import RequestKind
+from ibisfront.testing.gateway_fixture import (
+    GatewayFixture,
+    forward_route,
+    gather_route,
+)
 from ibisfront.tests import trio_test
 
 
@@ -39,6 +44,46 @@
         self.assertEqual({server.opened for server in fixture.all_servers()}, {1})
 
 
+class ConnectionLimitTest(unittest.TestCase):
+    """A server that resets the connections beyond its limit."""
+
+    @trio_test
+    async def test_request_on_a_connection_beyond_the_limit_is_not_sent(self):
+        """Guards against a 502 for a request that reached no server.
+
+        The server resets each new connection at once. A request that was sent on one
+        may have run as far as the instance knows; its caller must not repeat it.
+        """
+        route = forward_route(kind=RequestKind.NON_IDEMPOTENT)
+        fixture = GatewayFixture(route, servers=1)
+        async with fixture.running():
+            (server,) = fixture.all_servers()
+            await fixture.send_request("/fetch/a")
+            server.maximum_connections = 0
+            (listed,) = fixture.registry.servers()
+            listed.pool.keeps_idle = False
+            listed.pool.close_idle()
+            await trio.sleep(0.1)
+            replies = [await fixture.send_request("/fetch/a") for _ in range(5)]
+            self.assertEqual({item.status for item in replies}, {503})
+            self.assertTrue(all(b"Retry-After" in dict(i.headers) for i in replies))
+            server.maximum_connections = 1
+            await trio.sleep(1.1)
+            self.assertEqual((await fixture.send_request("/fetch/a")).status, 200)
+
+    @trio_test
+    async def test_server_that_reset_a_connection_gets_no_request_on_the_next(self):
+        """Guards against one 502 after another from a server at its limit."""
+        route = forward_route(kind=RequestKind.NON_IDEMPOTENT)
+        fixture = GatewayFixture(route, servers=1)
+        async with fixture.running():
+            (server,) = fixture.all_servers()
+            server.maximum_connections = 0
+            replies = [await fixture.send_request("/fetch/a") for _ in range(5)]
+        statuses = [item.status for item in replies]
+        self.assertEqual(statuses[1:], [503] * 4)
+
+
 class LargeReplyTest(unittest.TestCase):
     """Abandoned replies in transit from another zone."""
 
