--- a/ibisfront/cli/causes.py
+++ b/ibisfront/cli/causes.py
@@ -12,6 +12,7 @@
 from ibisfront.cli.command import JSON_OPTION, ToolCommand
 from ibisfront.cli.exits import CommandError, ExitCode
 from ibisfront.cli.log_lines import read_log_lines
+from ibisfront.cli.refusals import refusal_cause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -97,10 +98,10 @@
     reason = str(line.fields.get("reason", ""))
     if not isinstance(status, int) or status == _NOT_FOUND:
         return None
-    if reason == "delegated_parts":
+    if reason == "delegated_parts" or line.fields.get("delegated"):
         return None
     if status >= _MIN_ERROR_STATUS:
-        return f"{status} {reason}{_most_frequent_decision(line)}"
+        return f"{status} {reason}{refusal_cause(line)}{_most_frequent_decision(line)}"
     took_ms = line.fields.get("took_ms", 0.0)
     if took_ms > line.fields.get("objective_ms", float("inf")):
         return f"late, {reason}{_most_frequent_decision(line)}"
--- a/ibisfront/cli/explain.py
+++ b/ibisfront/cli/explain.py
@@ -9,6 +9,7 @@
 from ibisfront.cli.command import JSON_OPTION, ToolCommand
 from ibisfront.cli.exits import ExitCode
 from ibisfront.cli.log_lines import LogLine, parse_log_line, read_text_lines
+from ibisfront.cli.refusals import describe_refusal
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -71,6 +72,9 @@
 def _format_line(line: LogLine) -> Iterator[str]:
     """Yield the lines of text that describe one log line."""
     yield f"{line.timestamp} {line.instance} {line.message}"
+    refusal = describe_refusal(line)
+    if refusal is not None:
+        yield f"    {refusal}"
     for name, value in line.fields.items():
         if name not in _SEPARATELY_SHOWN and name != "request_id":
             yield f"    {name}: {value}"
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -518,4 +518,16 @@
             ),
             Gauge("servers_out_of_reach", "Of these, silent or refusing.", unreachable),
             Gauge("instances", "Instances listed.", self.instance_count),
+            *self._waiting_gauges(),
+        ]
+
+    def _waiting_gauges(self) -> list[Gauge]:
+        waiting = self.gateway.waiting_by_rank()
+        return [
+            Gauge(
+                f"waiting_requests_rank_{rank}",
+                "Requests of this rank that wait for room.",
+                count,
+            )
+            for rank, count in sorted(waiting.items())
         ]
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -134,6 +134,10 @@
         else:
             self._scatter_gather.record_reachable()
 
+    def waiting_by_rank(self) -> dict[int, int]:
+        """Return the number of requests that wait for room, by rank."""
+        return self._gateway_context.admission.waiting_by_rank()
+
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
         gateway_context = self._gateway_context
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -155,7 +155,12 @@
         return CallerReply(_UNAVAILABLE, [self.wire.retry_after(wait_ms)], b"", reason)
 
     def refuse_for_room(
-        self, request: InboundRequest, refusal: Refusal, context: CallContext
+        self,
+        request: InboundRequest,
+        refusal: Refusal,
+        context: CallContext,
+        *,
+        is_delegated: bool = False,
     ) -> CallerReply:
         """Record a request that is refused for lack of room; return the reply."""
         reply = self.not_run_reply(refusal.reason, refusal.retry_after_ms)
@@ -164,7 +169,13 @@
             request,
             reply,
             version=self.version,
-            details=refusal_fields(request, refusal, rank=context.rank, now_ms=now_ms),
+            details=refusal_fields(
+                request,
+                refusal,
+                rank=context.rank,
+                now_ms=now_ms,
+                is_delegated=is_delegated,
+            ),
         )
         return reply
 
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -207,7 +207,12 @@
 
 
 def refusal_fields(
-    request: InboundRequest, refusal: Refusal, *, rank: int, now_ms: float
+    request: InboundRequest,
+    refusal: Refusal,
+    *,
+    rank: int,
+    now_ms: float,
+    is_delegated: bool,
 ) -> dict[str, Any]:
     """Return what decided a refusal for lack of room, as fields of a log line."""
     wait_ms = refusal.wait_ms
@@ -223,4 +228,5 @@
         "waited_ms": round(waited_ms, 1),
         "left_ms": left_ms,
         "retry_after_ms": round(refusal.retry_after_ms, 1),
+        "delegated": is_delegated,
     }
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -195,7 +195,9 @@
             remote_plan = self._delegation.plan_remote_zone(route, gathering)
         refusal = await self._admit(pending, remote_plan, is_begun=not query.is_whole)
         if refusal is not None:
-            reply = gateway_context.refuse_for_room(request, refusal, context)
+            reply = gateway_context.refuse_for_room(
+                request, refusal, context, is_delegated=True
+            )
             reply.headers.append(no_room_header())
             return reply
         run = await self._run_locally(pending, remote_plan)
--- a/ibisfront/tests/test_cli_causes.py
+++ b/ibisfront/tests/test_cli_causes.py
@@ -6,6 +6,7 @@
 
 from ibisfront.cli.causes import CauseCount, cause_of, count_causes
 from ibisfront.cli.log_lines import parse_log_line, read_log_lines
+from ibisfront.cli.refusals import describe_refusal
 from ibisfront.testing.gateway_fixture import GatewayFixture, gather_route
 from ibisfront.tests import trio_test
 
@@ -58,6 +59,28 @@
         )
         self.assertEqual(count_causes([]), [])
 
+    def test_refusal_for_lack_of_room_is_told_in_one_sentence(self):
+        """Guards against a 503 whose cause stands in no line."""
+        details = {
+            "expected_wait_ms": 700.5,
+            "ahead": 12,
+            "rank": 2,
+            "workspace": "w1",
+            "waited_ms": 1.2,
+            "left_ms": 480.0,
+            "retry_after_ms": 150.0,
+        }
+        refused = line(1, status=503, reason="no_room", **details)
+        self.assertEqual(
+            describe_refusal(refused),
+            "refused after 1.2 ms: room in 700.5 ms, 12 ahead of rank 2 of workspace"
+            " w1, 480.0 ms left; told to come back in 150.0 ms",
+        )
+        self.assertEqual(
+            cause_of(refused), "503 no_room (rank 2, expected wait too long)"
+        )
+        self.assertIsNone(describe_refusal(line(1)))
+
     def test_output_between_log_lines_is_ignored(self):
         self.assertIsNone(parse_log_line("Traceback (most recent call last):"))
         self.assertEqual(list(read_log_lines([])), [])
