Let in while one start's worth of work waits; refuse early what waits in vain

Cause: one turn of a sub-request as the measure held work back where several instances share a server: its next start is several turns away, and the server's window was empty while queries waited here.

--- a/ibisfront/core/fair_queue.py
+++ b/ibisfront/core/fair_queue.py
@@ -14,7 +14,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ibisfront.core.errors import IbisfrontError
 
@@ -196,6 +196,12 @@
         row = None if branch is None else branch.rows.get(waiter.purpose)
         return row is not None and waiter in row.waiters
 
+    def waiters(self) -> Iterator[Waiter]:
+        """Yield the waiting requests, each row in the order of arrival."""
+        for branch in self._branches.values():
+            for row in branch.rows.values():
+                yield from row.waiters
+
     def waiting_by_row(self) -> dict[tuple[str, str], int]:
         """Return the number of waiting requests by branch and purpose."""
         return {
--- a/ibisfront/gateway/admission_gate.py
+++ b/ibisfront/gateway/admission_gate.py
@@ -14,6 +14,7 @@
     Refusal,
     Verdict,
     deciding_room,
+    has_room,
 )
 from ibisfront.gateway.load.kept_places import caller_identity
 from ibisfront.gateway.load.service_room import ServiceRoom
@@ -35,6 +36,9 @@
 """Pause between two looks at the room while requests wait: short against any wait
 that matters, and two hundred looks a second cost little."""
 
+_CHECK_MS = 20.0
+"""Pause between two looks for requests that wait in vain."""
+
 _MAX_GROUPS = 256
 """Groups kept; a configuration has a few, and versions replace them."""
 
@@ -49,12 +53,13 @@
 class _Group:
     """The requests for the same services at this instance."""
 
-    __slots__ = ("at_ms", "queue", "readings", "waiting")
+    __slots__ = ("at_ms", "check_at_ms", "queue", "readings", "waiting")
 
     def __init__(self) -> None:
         self.queue = AdmissionQueue()
         self.readings: dict[tuple[int, int], ServiceRoom] = {}
         self.at_ms = 0.0
+        self.check_at_ms = 0.0
         self.waiting: dict[Applicant, None] = {}  # an ordered set
 
 
@@ -138,8 +143,7 @@
         key = tuple(services)
         group = self._groups.get(key)
         room = self._room(group, demand, now_ms)
-        has_room = room.wait_ms <= turn_ms
-        if has_room and (group is None or group.queue.is_idle(now_ms)):
+        if has_room(room, turn_ms) and (group is None or group.queue.is_idle(now_ms)):
             return None
         if len(services) == 1 and not room.is_usable:
             # Its one sub-request shows whether a server is back.
@@ -211,6 +215,9 @@
             return self._room(group, own, now_ms)
 
         group.queue.let_in_next(room_of, now_ms)
+        if now_ms >= group.check_at_ms:
+            group.check_at_ms = now_ms + _CHECK_MS
+            group.queue.refuse_hopeless(self._room(group, demand, now_ms), now_ms)
 
     def _stop_waiting(self, group: _Group, applicant: Applicant) -> None:
         """Give up a place; the next request that waits looks after the room."""
--- a/ibisfront/gateway/load/admission.py
+++ b/ibisfront/gateway/load/admission.py
@@ -35,6 +35,7 @@
     "Refusal",
     "Verdict",
     "deciding_room",
+    "has_room",
 ]
 
 _ERROR_MARGIN = 1.25
@@ -210,6 +211,25 @@
     return ordered[needed - 1]
 
 
+def has_room(room: ServiceRoom, turn_ms: float, *, starting: int = 0) -> bool:
+    """Return whether one more request may go on to the servers.
+
+    One turn of work, or the next start if these are rarer, waits at the servers'
+    windows, so that none of them is idle while a query waits for its last service.
+
+    Parameters
+    ----------
+    room : ServiceRoom
+        Room of the service that decides.
+    turn_ms : float
+        Usual time for which a sub-request occupies a slot.
+    starting : int
+        Requests let in whose sub-requests the room does not show yet.
+    """
+    wait_ms = room.wait_ms + starting * room.interval_ms
+    return wait_ms <= max(turn_ms, room.interval_ms)
+
+
 class _ArrivalRate:
     """Smoothed rate of arrivals."""
 
@@ -335,6 +355,35 @@
                 self.starting += 1
         self._drop_empty_levels()
 
+    def refuse_hopeless(self, room: ServiceRoom, now_ms: float) -> None:
+        """Refuse those that wait with a missed objective and will be too late.
+
+        More urgent arrivals may have taken the room that they waited for; the sooner
+        they are refused, the more time their callers have left.
+
+        Parameters
+        ----------
+        room : ServiceRoom
+            Room of the service that decides.
+        now_ms : float
+            The time.
+        """
+        for key in sorted(self._levels, key=_level_order):
+            if key[1]:
+                continue
+            before = sum(
+                level.waiting
+                for other, level in self._levels.items()
+                if _level_order(other) < _level_order(key)
+            )
+            for index, waiter in enumerate(list(self._levels[key].waiters())):
+                applicant = cast("Applicant", waiter)
+                ahead = before + index
+                wait_ms = self._wait_ms(applicant, room, ahead, now_ms)
+                if now_ms + wait_ms * _ERROR_MARGIN > applicant.latest_start_ms:
+                    applicant.refusal = self.refuse_waiting(applicant, room, now_ms)
+                    applicant.woken.set()
+
     def leave(self, applicant: Applicant) -> None:
         """Remove a request that waits no longer."""
         for (rank, _), level in self._levels.items():
@@ -357,13 +406,8 @@
         )
 
     def _has_room(self, room: ServiceRoom, applicant: Applicant) -> bool:
-        """Return whether a request may go on to the servers.
-
-        Up to one turn of work waits at the servers' windows, so that none of them is
-        idle while a query waits for its last service.
-        """
-        started_ms = self.starting * room.interval_ms
-        return room.wait_ms + started_ms <= applicant.turn_ms
+        """Return whether a request may go on to the servers."""
+        return has_room(room, applicant.turn_ms, starting=self.starting)
 
     def _has_waiting(self, rank: int) -> bool:
         return any(
@@ -438,7 +482,7 @@
         self, applicant: Applicant, room: ServiceRoom, ahead: int, now_ms: float
     ) -> float:
         """Return the expected wait, with what later arrivals take before it."""
-        queued_ms = (ahead + self.starting + 1) * room.interval_ms
+        queued_ms = (ahead + self.starting) * room.interval_ms
         is_on_time = applicant.can_meet_objective(now_ms + room.wait_ms + queued_ms)
         taken = self._taken(applicant, room, now_ms, is_on_time=is_on_time)
         return room.wait_ms + queued_ms / (1.0 - taken)
@@ -464,7 +508,7 @@
         )
         ahead += _turns_before(applicant.workspace, _RETURNED, queued)
         taken = self._taken(applicant, room, now_ms, is_on_time=True)
-        queued_ms = (ahead + self.starting + 1) * room.interval_ms
+        queued_ms = (ahead + self.starting) * room.interval_ms
         return room.wait_ms + queued_ms / (1.0 - taken)
 
     def _taken(
--- a/ibisfront/tests/test_gateway_admission.py
+++ b/ibisfront/tests/test_gateway_admission.py
@@ -255,12 +255,15 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load(front, nursery, 300.0, "patient", duration_s=1.0))
             await trio.sleep(0.8)
-            hasty = Caller("hasty", front.clock.now_ms())
-            first = await front.attempt(hasty)
+            hasty, first = None, None
+            while first is None or first.retry_after_ms > DEADLINE_MS / 3.0:
+                await trio.sleep(0.001)
+                now_ms = front.clock.now_ms()
+                hasty = Caller(f"hasty{now_ms}", now_ms)
+                first = await front.attempt(hasty)
             again = [await front.attempt(hasty) for _ in range(5)]
-            self.assertIsNotNone(first)
-            told_ms = min(item.retry_after_ms for item in again)
-            self.assertGreaterEqual(told_ms, first.retry_after_ms)
+            told = {round(item.retry_after_ms, 3) for item in again}
+            self.assertEqual(told, {round(first.retry_after_ms, 3)})
 
     @trio_test
     async def test_no_refusal_after_the_end_of_a_burst(self):
