--- a/ibisfront/gateway/admission_gate.py
+++ b/ibisfront/gateway/admission_gate.py
@@ -6,16 +6,12 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 import msgspec
+import trio
 
 from ibisfront.core.counters import CounterKind
-from ibisfront.gateway.load.admission import (
-    AdmissionQueue,
-    Applicant,
-    Refusal,
-    Verdict,
-    deciding_room,
-    has_room,
-)
+from ibisfront.gateway.load.admission import AdmissionQueue
+from ibisfront.gateway.load.applicant import Applicant, Refusal, Verdict
+from ibisfront.gateway.load.enough_room import deciding_room, has_room
 from ibisfront.gateway.load.kept_places import caller_identity
 from ibisfront.gateway.load.service_room import ServiceRoom
 from ibisfront.gateway.route_state import give_up_at_ms
@@ -32,9 +28,12 @@
 _ROOM_TTL_MS = 2.0
 """Age up to which the room of a group is used again; what was let in since counts."""
 
-_POLL_MS = 5.0
-"""Pause between two looks at the room while requests wait: short against any wait
-that matters, and two hundred looks a second cost little."""
+_LEAST_PAUSE_MS = 5.0
+_LONGEST_PAUSE_MS = 20.0
+_PAUSE_SHARE = 0.25
+"""Pause between two looks at the room while requests wait, as a share of the time
+between two starts, and its bounds: a look at a hundred services costs about as much as
+sending a few sub-requests."""
 
 _CHECK_MS = 20.0
 """Pause between two looks for requests that wait in vain."""
@@ -194,17 +193,25 @@
                     return group.queue.refuse_waiting(applicant, room, now_ms)
                 pause_ms = applicant.latest_start_ms - now_ms
                 if applicant is next(iter(group.waiting)):
-                    pause_ms = min(pause_ms, _POLL_MS)
+                    pause_ms = min(pause_ms, self._pause_ms(group, demand, now_ms))
                 with clock.timeout_ms(pause_ms):
                     await applicant.woken.wait()
                 applicant.rearm()
                 if applicant is next(iter(group.waiting)):
                     self._let_in(group, demand)
+        except trio.Cancelled:
+            self._counters.add(CounterKind.CANCELLATIONS, "asker_left_waiting")
+            raise
         finally:
             self._stop_waiting(group, applicant)
         self._record_wait(applicant)
         return None
 
+    def _pause_ms(self, group: _Group, demand: _Demand, now_ms: float) -> float:
+        room = self._room(group, demand, now_ms)
+        pause_ms = _PAUSE_SHARE * room.interval_ms
+        return min(max(pause_ms, _LEAST_PAUSE_MS), _LONGEST_PAUSE_MS)
+
     def _let_in(self, group: _Group, demand: _Demand) -> None:
         now_ms = self._clock.now_ms()
 
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.instances.crash_reports import CrashReports
-    from ibisfront.gateway.load.admission import Refusal
+    from ibisfront.gateway.load.applicant import Refusal
     from ibisfront.gateway.load.retry_budget import RetryBudgets
     from ibisfront.gateway.load.service_room import ServiceRoom
     from ibisfront.gateway.messages import InboundRequest
--- a/ibisfront/gateway/load/admission.py
+++ b/ibisfront/gateway/load/admission.py
@@ -16,237 +16,38 @@
 
 import math
 from collections import Counter
-from enum import StrEnum
 from typing import TYPE_CHECKING, cast
 
-import msgspec
-import trio
-
-from ibisfront.core.fair_queue import FairQueue, Waiter
+from ibisfront.core.fair_queue import FairQueue
+from ibisfront.gateway.load.applicant import (
+    NEW,
+    RETURNED,
+    Applicant,
+    Refusal,
+    Verdict,
+)
+from ibisfront.gateway.load.arrival_rates import ArrivalRates
+from ibisfront.gateway.load.enough_room import has_room
 from ibisfront.gateway.load.kept_places import KeptPlaces
-from ibisfront.gateway.load.service_room import ServiceRoom
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
+
+    from ibisfront.gateway.load.service_room import ServiceRoom
 
-__all__ = [
-    "AdmissionQueue",
-    "Applicant",
-    "Refusal",
-    "Verdict",
-    "deciding_room",
-    "has_room",
-]
+__all__ = ["AdmissionQueue"]
 
 _ERROR_MARGIN = 1.25
 """Factor on an expected wait before it counts against a deadline: a request that is
 held and then refused has cost its caller more than one that is refused at once."""
 
-_HONOURED_SHARE = 1.0 / 3.0
-"""Share of the time left up to which callers honour a time to come back."""
-
 _MAX_WAITING = 512
 """Waiting requests, a bound on memory; estimated waits are far longer by then."""
 
-_RATE_WINDOW_MS = 500.0
-"""Time constant of the rate of arrivals: some waits long, short against a burst."""
-
-_MAX_PREEMPTED_SHARE = 0.9
-"""Largest share of the room that later, more urgent requests are expected to take."""
-
 _UNKNOWN_WAIT_MS = 150.0
 """Time to come back if no server is usable, which says nothing about when one will
 be: long enough for a failed server to be tried again."""
 
-_NEW, _RETURNED = "new", "returned"
-
-
-class Verdict(StrEnum):
-    """What becomes of a request on arrival."""
-
-    LET_IN = "let_in"
-    WAIT = "wait"
-    REFUSE = "refuse"
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """Why a request is refused, and when to come back.
-
-    Attributes
-    ----------
-    reason : str
-        ``no_room`` on arrival, ``no_room_in_time`` after a wait, ``queue_full`` if it
-        gave way to others.
-    retry_after_ms : float
-        Time until there will be room for this caller.
-    wait_ms : float
-        The expected wait that decided it; infinite without a usable server.
-    ahead : int
-        Requests and kept places that go first.
-    """
-
-    reason: str
-    retry_after_ms: float
-    wait_ms: float
-    ahead: int
-
-
-class Applicant(Waiter):
-    """One request that asks to be let in.
-
-    Parameters
-    ----------
-    rank : int
-        Its rank, kept while it waits; 0 is the most urgent.
-    workspace : str
-        The workspace that it counts against.
-    identity : bytes
-        What tells a caller that comes back from others.
-    work_ms : float
-        Time in which it is served, without a wait, nearly always.
-    turn_ms : float
-        Usual time for which one of its sub-requests occupies a slot.
-    deadline_at_ms : float
-        When its answer must be ready.
-    objective_at_ms : float
-        Latest time of an answer that meets the latency objective; infinite if none
-        can meet it.
-    objective_ms : float
-        The latency objective of its route.
-
-    Attributes
-    ----------
-    refusal : Refusal or None
-        Set if it is refused while it waits.
-    woken : trio.Event
-        Set when it is let in, refused, or to look after the queue.
-    since_ms : float
-        When it began to wait.
-    """
-
-    __slots__ = (
-        "deadline_at_ms",
-        "identity",
-        "objective_at_ms",
-        "objective_ms",
-        "rank",
-        "refusal",
-        "since_ms",
-        "turn_ms",
-        "woken",
-        "work_ms",
-    )
-
-    def __init__(
-        self,
-        *,
-        rank: int,
-        workspace: str,
-        identity: bytes,
-        work_ms: float,
-        turn_ms: float,
-        deadline_at_ms: float,
-        objective_at_ms: float,
-        objective_ms: float,
-    ) -> None:
-        super().__init__(workspace, _NEW, weight=1.0, urgent=False)
-        self.rank = rank
-        self.identity = identity
-        self.work_ms = work_ms
-        self.turn_ms = turn_ms
-        self.deadline_at_ms = deadline_at_ms
-        self.objective_at_ms = objective_at_ms
-        self.objective_ms = objective_ms
-        self.refusal: Refusal | None = None
-        self.since_ms = 0.0
-        self.woken = trio.Event()
-
-    def start(self) -> None:
-        """Let it in."""
-        super().start()
-        self.woken.set()
-
-    def rearm(self) -> None:
-        """Wait for the next wake-up."""
-        if self.woken.is_set():
-            self.woken = trio.Event()
-
-    @property
-    def workspace(self) -> str:
-        """The workspace that it counts against."""
-        return self.branch
-
-    @property
-    def latest_start_ms(self) -> float:
-        """Latest start with which it can be served before its deadline."""
-        return self.deadline_at_ms - self.work_ms
-
-    def can_meet_objective(self, start_ms: float) -> bool:
-        """Return whether it meets its objective if it starts at a time."""
-        if math.isinf(self.objective_at_ms):
-            return False
-        return start_ms + self.work_ms <= self.objective_at_ms
-
-    def mark_returned(self, now_ms: float) -> None:
-        """Let it take turns with new callers, with an objective of its own."""
-        self.purpose = _RETURNED
-        self.objective_at_ms = now_ms + self.objective_ms
-
-
-def deciding_room(rooms: Iterable[ServiceRoom], needed: int) -> ServiceRoom:
-    """Return the room of the service that decides when enough parts can start.
-
-    Parameters
-    ----------
-    rooms : iterable of ServiceRoom
-        The rooms of all services of a request.
-    needed : int
-        Number of services that it needs; the last of these decides, not the mean.
-    """
-    if needed <= 0:
-        return ServiceRoom()
-    ordered = sorted(rooms, key=lambda room: room.wait_ms)
-    if needed > len(ordered):
-        return ServiceRoom(wait_ms=math.inf)
-    return ordered[needed - 1]
-
-
-def has_room(room: ServiceRoom, turn_ms: float, *, starting: int = 0) -> bool:
-    """Return whether one more request may go on to the servers.
-
-    One turn of work, or the next start if these are rarer, waits at the servers'
-    windows, so that none of them is idle while a query waits for its last service.
-
-    Parameters
-    ----------
-    room : ServiceRoom
-        Room of the service that decides.
-    turn_ms : float
-        Usual time for which a sub-request occupies a slot.
-    starting : int
-        Requests let in whose sub-requests the room does not show yet.
-    """
-    wait_ms = room.wait_ms + starting * room.interval_ms
-    return wait_ms <= max(turn_ms, room.interval_ms)
-
-
-class _ArrivalRate:
-    """Smoothed rate of arrivals."""
-
-    __slots__ = ("_at_ms", "_value")
-
-    def __init__(self) -> None:
-        self._value = 0.0
-        self._at_ms = -math.inf
-
-    def record(self, now_ms: float) -> None:
-        self._value = self.per_ms(now_ms) * _RATE_WINDOW_MS + 1.0
-        self._at_ms = now_ms
-
-    def per_ms(self, now_ms: float) -> float:
-        decay = math.exp(-(now_ms - self._at_ms) / _RATE_WINDOW_MS)
-        return self._value * decay / _RATE_WINDOW_MS
-
 
 class AdmissionQueue:
     """The requests of one group of services that wait to be let in.
@@ -263,7 +64,7 @@
 
     def __init__(self) -> None:
         self._levels: dict[tuple[int, bool], FairQueue] = {}
-        self._rates: dict[int, _ArrivalRate] = {}
+        self._rates = ArrivalRates()
         self.places = KeptPlaces()
         self.starting = 0
 
@@ -297,7 +98,7 @@
         now_ms : float
             The time.
         """
-        self._rates.setdefault(applicant.rank, _ArrivalRate()).record(now_ms)
+        self._rates.record(applicant.rank, now_ms)
         is_early = False
         due_in_ms = self.places.claim(applicant, now_ms, slack_ms=applicant.turn_ms)
         if due_in_ms is not None:
@@ -428,9 +229,9 @@
             return False
         if applicant.can_meet_objective(now_ms + wait_ms):
             return True
-        if applicant.purpose == _RETURNED or math.isinf(applicant.objective_at_ms):
+        if applicant.purpose == RETURNED or math.isinf(applicant.objective_at_ms):
             return True
-        return not _can_return(applicant, place_ms, now_ms)
+        return not applicant.would_return(place_ms, now_ms)
 
     def _refuse(
         self,
@@ -442,7 +243,7 @@
         now_ms: float,
     ) -> Refusal:
         """Return a refusal; keep a place if the caller would come back for it."""
-        if not _can_return(applicant, place_ms, now_ms):
+        if not applicant.would_return(place_ms, now_ms):
             return Refusal(reason, max(wait_ms, place_ms), wait_ms, ahead)
         self.places.keep(applicant, due_at_ms=now_ms + place_ms, now_ms=now_ms)
         return Refusal(reason, place_ms, wait_ms, ahead)
@@ -459,7 +260,7 @@
                 ahead += level.waiting
             elif on_time == is_on_time:
                 queued.update(level.waiting_by_row())
-        if applicant.purpose == _NEW:
+        if applicant.purpose == NEW:
             # The places of those that come back are due after this one's.
             ahead += self._count_places(applicant, queued, now_ms)
         return ahead + _turns_before(applicant.workspace, applicant.purpose, queued)
@@ -475,7 +276,7 @@
         for place in self.places.pending(now_ms):
             more_urgent += place.rank < applicant.rank
             if place.rank == applicant.rank:
-                queued[place.workspace, _RETURNED] += 1
+                queued[place.workspace, RETURNED] += 1
         return more_urgent
 
     def _wait_ms(
@@ -484,7 +285,12 @@
         """Return the expected wait, with what later arrivals take before it."""
         queued_ms = (ahead + self.starting) * room.interval_ms
         is_on_time = applicant.can_meet_objective(now_ms + room.wait_ms + queued_ms)
-        taken = self._taken(applicant, room, now_ms, is_on_time=is_on_time)
+        taken = self._rates.share_taken(
+            applicant.rank,
+            interval_ms=room.interval_ms,
+            is_on_time=is_on_time,
+            now_ms=now_ms,
+        )
         return room.wait_ms + queued_ms / (1.0 - taken)
 
     def _place_wait_ms(
@@ -501,32 +307,21 @@
                 ahead += level.waiting
             elif rank == applicant.rank and on_time:
                 queued.update(level.waiting_by_row())
-        returned = queued[applicant.workspace, _RETURNED]
+        returned = queued[applicant.workspace, RETURNED]
         # New callers take the other turns as long as more of them arrive.
-        queued[applicant.workspace, _NEW] = max(
-            queued[applicant.workspace, _NEW], returned
+        queued[applicant.workspace, NEW] = max(
+            queued[applicant.workspace, NEW], returned
+        )
+        ahead += _turns_before(applicant.workspace, RETURNED, queued)
+        taken = self._rates.share_taken(
+            applicant.rank,
+            interval_ms=room.interval_ms,
+            is_on_time=True,
+            now_ms=now_ms,
         )
-        ahead += _turns_before(applicant.workspace, _RETURNED, queued)
-        taken = self._taken(applicant, room, now_ms, is_on_time=True)
         queued_ms = (ahead + self.starting) * room.interval_ms
         return room.wait_ms + queued_ms / (1.0 - taken)
 
-    def _taken(
-        self,
-        applicant: Applicant,
-        room: ServiceRoom,
-        now_ms: float,
-        *,
-        is_on_time: bool,
-    ) -> float:
-        """Return the share of the room that later arrivals take before a request."""
-        rate_per_ms = sum(
-            rate.per_ms(now_ms)
-            for rank, rate in self._rates.items()
-            if rank < applicant.rank or (rank == applicant.rank and not is_on_time)
-        )
-        return min(rate_per_ms * room.interval_ms, _MAX_PREEMPTED_SHARE)
-
     def _push(self, applicant: Applicant, now_ms: float) -> None:
         applicant.since_ms = now_ms
         is_on_time = applicant.can_meet_objective(now_ms)
@@ -570,7 +365,7 @@
 
     Workspaces take turns, and in each of them new callers and those that come back.
     """
-    other = _NEW if row == _RETURNED else _RETURNED
+    other = NEW if row == RETURNED else RETURNED
     own = queued[workspace, row]
     own += min(queued[workspace, other], own + 1)
     totals: Counter[str] = Counter()
@@ -579,11 +374,3 @@
     return own + sum(
         min(count, own + 1) for name, count in totals.items() if name != workspace
     )
-
-
-def _can_return(applicant: Applicant, wait_ms: float, now_ms: float) -> bool:
-    """Return whether a caller would come back at a time and could be served then."""
-    left_ms = applicant.deadline_at_ms - now_ms
-    if wait_ms > _HONOURED_SHARE * left_ms:
-        return False
-    return wait_ms + applicant.work_ms <= left_ms
--- a/ibisfront/gateway/load/kept_places.py
+++ b/ibisfront/gateway/load/kept_places.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from ibisfront.gateway.load.admission import Applicant
+    from ibisfront.gateway.load.applicant import Applicant
     from ibisfront.gateway.messages import InboundRequest
 
 __all__ = ["KeptPlace", "KeptPlaces", "caller_identity"]
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -12,7 +12,7 @@
 from ibisfront.core.logs import LogPart, part_logger
 
 if TYPE_CHECKING:
-    from ibisfront.gateway.load.admission import Refusal
+    from ibisfront.gateway.load.applicant import Refusal
     from ibisfront.gateway.load.baseline_latency import BaselineLatency
     from ibisfront.gateway.messages import CallerReply, InboundRequest
     from ibisfront.gateway.state.configuration import Route
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -30,7 +30,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.gateway.gateway_context import GatewayContext
-    from ibisfront.gateway.load.admission import Refusal
+    from ibisfront.gateway.load.applicant import Refusal
     from ibisfront.gateway.load.reachability import Reachability
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.queries.coordinated_query import StartRemoteCall
--- a/ibisfront/tests/test_gateway_admission.py
+++ b/ibisfront/tests/test_gateway_admission.py
@@ -12,8 +12,8 @@
 from ibisfront.core.clock import Clock
 from ibisfront.core.counters import Counters
 from ibisfront.gateway.admission_gate import AdmissionGate
-from ibisfront.gateway.load.admission import deciding_room
 from ibisfront.gateway.load.baseline_latency import BaselineLatency
+from ibisfront.gateway.load.enough_room import deciding_room
 from ibisfront.gateway.load.service_room import ServiceRoom
 from ibisfront.gateway.messages import InboundRequest
 from ibisfront.testing.gateway_fixture import HOST, forward_route
