--- a/ibisfront/gateway/admission_gate.py
+++ b/ibisfront/gateway/admission_gate.py
@@ -111,7 +111,6 @@
         services: Sequence[str],
         needed: int,
         objective_at_ms: Callable[[], float],
-        is_begun: bool = False,
     ) -> Refusal | None:
         """Wait until a request may go on; return why not if it may not.
 
@@ -129,9 +128,6 @@
             Number of these that it needs.
         objective_at_ms : callable
             Returns the latest time of an answer that meets the latency objective.
-        is_begun : bool
-            Whether other parts of it run already: it then goes on at once if it can
-            be served at all.
         """
         if needed <= 0:
             return None
@@ -159,8 +155,6 @@
         )
         if group is None:
             group = self._add_group(key, now_ms)
-        if is_begun:
-            return group.queue.decide_begun(applicant, room, now_ms)
         verdict, refusal = group.queue.decide(applicant, room, now_ms)
         if verdict is Verdict.WAIT:
             refusal = await self._wait(group, demand, applicant)
--- a/ibisfront/gateway/load/admission.py
+++ b/ibisfront/gateway/load/admission.py
@@ -126,17 +126,6 @@
             "no_room", applicant, wait_ms, place_ms, ahead, now_ms
         )
 
-    def decide_begun(
-        self, applicant: Applicant, room: ServiceRoom, now_ms: float
-    ) -> Refusal | None:
-        """Refuse parts of a query that runs already only if they would be too late."""
-        left_ms = applicant.latest_start_ms - now_ms
-        if room.wait_ms * _ERROR_MARGIN <= left_ms:
-            self.starting += 1
-            return None
-        retry_ms = room.wait_ms if room.is_usable else _UNKNOWN_WAIT_MS
-        return Refusal("no_room", retry_ms, room.wait_ms, self.waiting)
-
     def let_in_next(
         self, room_of: Callable[[Applicant], ServiceRoom], now_ms: float
     ) -> None:
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -194,7 +194,10 @@
         remote_plan = None
         if query.is_whole and self._delegation is not None:
             remote_plan = self._delegation.plan_remote_zone(route, gathering)
-        refusal = await self._admit(pending, remote_plan, is_begun=not query.is_whole)
+        refusal = None
+        if query.is_whole:
+            # Other parts of a query that is not whole run already, elsewhere.
+            refusal = await self._admit(pending, remote_plan)
         if refusal is not None:
             reply = gateway_context.refuse_for_room(
                 request, refusal, context, is_delegated=True
@@ -253,11 +256,7 @@
         return await self._gather(request, route, route.gathering)
 
     async def _admit(
-        self,
-        pending: _PendingQuery,
-        remote_plan: RemotePlan | None,
-        *,
-        is_begun: bool = False,
+        self, pending: _PendingQuery, remote_plan: RemotePlan | None
     ) -> Refusal | None:
         """Wait until the servers that are queried from here have room for a query.
 
@@ -267,15 +266,17 @@
         if remote_plan is not None:
             delegated = frozenset(remote_plan.services)
             services = tuple(name for name in services if name not in delegated)
-        elsewhere = len(pending.gathering.services) - len(services)
+        total = len(pending.gathering.services)
+        # Both sides lack some parts under load, each its share of what may be missing.
+        spare = total - pending.gathering.needed_parts
+        missing = math.ceil(spare * len(services) / max(total, 1))
         return await self._gateway_context.admission.enter(
             pending.request,
             pending.route,
             pending.context,
             services=services,
-            needed=pending.gathering.needed_parts - elsewhere,
+            needed=len(services) - missing,
             objective_at_ms=lambda: pending.end_at_ms,
-            is_begun=is_begun,
         )
 
     async def _run_locally(
--- a/ibisfront/tests/test_fair_queue.py
+++ b/ibisfront/tests/test_fair_queue.py
@@ -26,6 +26,21 @@
         first = Counter(queue.pop().branch for _ in range(40))
         self.assertEqual(first, {"vestry": 30, "harbour": 10})
 
+    @trio_test
+    async def test_branches_of_a_fixed_weight_are_served_alike(self):
+        """Guards against a branch that gains turns by using more rows."""
+        queue = FairQueue(branch_weight=1.0)
+        for _ in range(20):
+            for purpose in ("new", "returned"):
+                queue.push(waiter("vestry", purpose))
+            queue.push(waiter("harbour", "new"))
+        started = []
+        for _ in range(20):
+            first = queue.peek()
+            self.assertIs(queue.pop(), first)
+            started.append(first.branch)
+        self.assertEqual(Counter(started), {"vestry": 10, "harbour": 10})
+
     @trio_test
     async def test_an_idle_branch_waits_for_one_request_of_a_flood_only(self):
         queue = FairQueue()
--- a/ibisfront/tests/test_gateway_refusals.py
+++ b/ibisfront/tests/test_gateway_refusals.py
@@ -70,6 +70,16 @@
             received = sum(len(item.received) for item in fixture.all_servers())
             self.assertEqual(received, 0)
 
+    @trio_test
+    async def test_nothing_is_kept_where_nobody_competes(self):
+        """Guards against a cost for each request where there is room."""
+        fixture = GatewayFixture(gather_route(8))
+        async with fixture.running() as gateway:
+            gate = set_room(gateway, Room())
+            replies = [await fixture.send_request() for _ in range(20)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual((gate._groups, gate.waiting_by_rank()), ({}, {}))
+
     @trio_test
     async def test_coordinators_refusal_reaches_the_caller_with_its_time(self):
         """Guards against a 502, or a guessed time, when all coordinators are full."""
