Queries wait beside those that need as many of the same services

Cause: with one queue for all queries over the same services, the room was read for what the first of them needs, and a query that can do without the scarce service waited behind one that cannot: 211 ms instead of under 50 in test_query_that_needs_fewer_services_does_not_wait_for_a_scarce_one, which failed on the code before. Ranks between such queues are kept by the servers' queues.

--- a/ibisfront/gateway/admission_gate.py
+++ b/ibisfront/gateway/admission_gate.py
@@ -50,13 +50,16 @@
 
 
 class _Group:
-    """The requests for the same services at this instance."""
+    """The requests that need as many of the same services at this instance.
+
+    Those that need fewer may have room while others wait for a scarce service.
+    """
 
     __slots__ = ("at_ms", "check_at_ms", "queue", "readings", "waiting")
 
     def __init__(self) -> None:
         self.queue = AdmissionQueue()
-        self.readings: dict[tuple[int, int], ServiceRoom] = {}
+        self.readings: dict[int, ServiceRoom] = {}
         self.at_ms = 0.0
         self.check_at_ms = 0.0
         self.waiting: dict[Applicant, None] = {}  # an ordered set
@@ -92,7 +95,7 @@
         self._clock = clock
         self._counters = counters
         self._read_room = read_room
-        self._groups: dict[tuple[str, ...], _Group] = {}
+        self._groups: dict[tuple[int, Sequence[str]], _Group] = {}
 
     def waiting_by_rank(self) -> dict[int, int]:
         """Return the number of waiting requests by rank."""
@@ -135,7 +138,7 @@
         baseline = context.baseline
         turn_ms = min(baseline.unloaded_ms, baseline.median_ms)
         demand = _Demand(services, needed, context.rank, turn_ms)
-        key = tuple(services)
+        key = (needed, tuple(services))
         group = self._groups.get(key)
         room = self._room(group, demand, now_ms)
         if has_room(room, turn_ms) and (group is None or group.queue.is_idle(now_ms)):
@@ -163,7 +166,7 @@
             self._counters.add(CounterKind.ADMISSIONS, f"refused_rank_{rank}")
         return refusal
 
-    def _add_group(self, key: tuple[str, ...], now_ms: float) -> _Group:
+    def _add_group(self, key: tuple[int, Sequence[str]], now_ms: float) -> _Group:
         if len(self._groups) >= _MAX_GROUPS:
             for other, group in list(self._groups.items()):
                 if not group.waiting and group.queue.is_idle(now_ms):
@@ -246,10 +249,9 @@
             group.readings.clear()
             group.at_ms = now_ms
             group.queue.starting = 0
-        key = (demand.rank, demand.needed)
-        room = group.readings.get(key)
+        room = group.readings.get(demand.rank)
         if room is None:
-            room = group.readings[key] = self._read(demand, now_ms)
+            room = group.readings[demand.rank] = self._read(demand, now_ms)
         return room
 
     def _read(self, demand: _Demand, now_ms: float) -> ServiceRoom:
--- a/ibisfront/tests/test_gateway_refusals.py
+++ b/ibisfront/tests/test_gateway_refusals.py
@@ -29,6 +29,17 @@
         return ServiceRoom(self.wait_ms, self.interval_ms)
 
 
+class ScarceRoom:
+    """Ample room but for some services."""
+
+    def __init__(self, rooms):
+        self.rooms = rooms
+
+    def read(self, service, rank, work_ms, now_ms):
+        room = self.rooms.get(service, Room())
+        return room.read(service, rank, work_ms, now_ms)
+
+
 def set_room(gateway, room):
     """Make a gateway see this room; return its gate."""
     context = gateway._gateway_context
@@ -70,6 +81,33 @@
             received = sum(len(item.received) for item in fixture.all_servers())
             self.assertEqual(received, 0)
 
+    @trio_test
+    async def test_query_that_needs_fewer_services_does_not_wait_for_a_scarce_one(self):
+        """Guards against queries held behind others that need a scarce service."""
+        strict = gather_route(10, minimum=1.0, objective_ms=600.0)
+        lenient = gather_route(
+            10, minimum=0.9, name="lenient", path_prefix="/lenient/", objective_ms=600.0
+        )
+        fixture = GatewayFixture(strict, lenient)
+        took_ms = {}
+
+        async def ask(path):
+            started_ms = fixture.clock.now_ms()
+            self.assertEqual((await fixture.send_request(path)).status, 200)
+            took_ms[path] = fixture.clock.now_ms() - started_ms
+
+        async with fixture.running() as gateway:
+            rooms = {"part-0": Room(wait_ms=200.0)}
+            set_room(gateway, ScarceRoom(rooms))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, "/search/a")
+                await trio.sleep(0.01)
+                nursery.start_soon(ask, "/lenient/a")
+                await trio.sleep(0.2)
+                rooms.clear()
+        self.assertGreater(took_ms["/search/a"], 200.0)
+        self.assertLess(took_ms["/lenient/a"], 50.0)
+
     @trio_test
     async def test_nothing_is_kept_where_nobody_competes(self):
         """Guards against a cost for each request where there is room."""
