--- a/ibisfront/gateway/load/server_window.py
+++ b/ibisfront/gateway/load/server_window.py
@@ -83,7 +83,7 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether it has no limit."""
+        """Whether it had no limit when it was last used."""
         return math.isinf(self._limit)
 
     @property
@@ -91,10 +91,15 @@
         """Maximum number of requests in flight; infinite while it is open."""
         return self._limit if self.is_open else float(int(self._limit))
 
+    @property
+    def share(self) -> float:
+        """The instance's share of the server's slots, at least one."""
+        return max(self.slots / max(self.senders, 1), 1.0)
+
     @property
     def interval_ms(self) -> float:
         """The mean time between two starts by this instance while it is full."""
-        concurrency = self._share if self.is_open else self.limit
+        concurrency = self.share if self.is_open else self.limit
         return self.reply_ms / concurrency
 
     def delay_ms(self, now_ms: float) -> float:
@@ -106,12 +111,13 @@
 
     def has_room(self, now_ms: float, *, sent: int) -> bool:
         """Return whether one more request may be sent beside ``sent`` others."""
-        if self.is_open:
-            return True
-        if now_ms > self._pressed_at_ms + _REOPEN_MS:
+        return self.is_open_at(now_ms) or sent < self.limit
+
+    def is_open_at(self, now_ms: float) -> bool:
+        """Return whether it has no limit; open it if nothing waited for some time."""
+        if not self.is_open and now_ms > self._pressed_at_ms + _REOPEN_MS:
             self._limit = math.inf
-            return True
-        return sent < self.limit
+        return self.is_open
 
     def record_waiting(self, now_ms: float) -> None:
         """Record that a request waits for the window."""
@@ -144,7 +150,7 @@
         self.reply_ms = _smoothed(self.reply_ms, unloaded_ms + delay_ms)
         if self._delay_ms > _QUEUEING_FACTOR * self._work_ms:
             self._pressed_at_ms = now_ms
-            self._decrease(now_ms, took_ms, _DECREASE_FACTOR, sent, least=self._share)
+            self._decrease(now_ms, took_ms, _DECREASE_FACTOR, sent, least=self.share)
         elif not self.is_open and sent >= self.limit:
             self._limit += _INCREASE_PER_REPLY
 
@@ -153,11 +159,6 @@
         self._pressed_at_ms = now_ms
         self._decrease(now_ms, took_ms, _REJECTED_FACTOR, sent, least=1.0)
 
-    @property
-    def _share(self) -> float:
-        """The instance's share of the server's slots, at least one."""
-        return max(self.slots / max(self.senders, 1), 1.0)
-
     def _decrease(
         self, now_ms: float, took_ms: float, factor: float, sent: int, *, least: float
     ) -> None:
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -163,8 +163,14 @@
     @property
     def has_room(self) -> bool:
         """Whether an exchange can be sent without waiting for another one to end."""
-        is_free = bool(self._idle) or self.size < self.maximum
-        return is_free and self._has_window(self._clock.now_ms())
+        if not self._has_connection:
+            return False
+        return self._server.window.is_open or self._has_window(self._clock.now_ms())
+
+    @property
+    def _has_connection(self) -> bool:
+        """Whether a connection is idle or may be opened."""
+        return bool(self._idle) or self.size < self.maximum
 
     @property
     def sent(self) -> int:
@@ -250,7 +256,7 @@
         bool
             Whether a connection is being opened.
         """
-        if self._opening or not self.has_room or self._is_closed:
+        if self._opening or not self._has_connection or self._is_closed:
             return False
         self._start_opening(timeout_ms)
         return True
@@ -292,10 +298,11 @@
             index -= 1
         self._waiting.insert(index, exchange)
 
-    def _next_waiting(self, now_ms: float) -> Exchange:
-        """Remove and return the waiting exchange to send next.
+    def _next_waiting(self, now_ms: float) -> Exchange | None:
+        """Remove and return the waiting exchange to send next; None to wait.
 
-        Of those with the same rank, the ones that are late anyway come last.
+        Of those with the same rank, the ones that are late anyway come last, and use no
+        more than this instance's share of the server's slots.
         """
         first = self._waiting[0]
         if not self._server.window.is_open:
@@ -306,6 +313,8 @@
                 if not exchange.would_be_late(replied_ms):
                     self._waiting.remove(exchange)
                     return exchange
+            if len(self._sent) >= self._server.window.share:
+                return None
         return self._waiting.popleft()
 
     def _start_opening(self, timeout_ms: float = math.inf) -> None:
@@ -348,7 +357,8 @@
         if not usage.is_begun:
             self._record_reset()
             return
-        if self._waiting and self.size < self.maximum:
+        can_open = self.size < self.maximum
+        if self._waiting and can_open and self._has_window(self._clock.now_ms()):
             self._start_opening()
 
     def _must_check(self, now_ms: float) -> bool:
@@ -397,6 +407,8 @@
         now_ms = self._clock.now_ms()
         while self._waiting and connection.is_idle and self._has_window(now_ms):
             exchange = self._next_waiting(now_ms)
+            if exchange is None:
+                break
             if not exchange.has_ended and self._send(connection, exchange, now_ms):
                 return
         if not connection.is_idle:
