A request that can be served late waits instead of coming back

Cause: one that would miss its objective was refused with a place, and its caller often reached an instance that did not know it.

--- a/ibisfront/gateway/load/admission.py
+++ b/ibisfront/gateway/load/admission.py
@@ -116,7 +116,7 @@
         place_ms = self._place_wait_ms(applicant, room, now_ms)
         if is_early and due_in_ms is not None:
             return Verdict.REFUSE, Refusal("no_room", due_in_ms, wait_ms, ahead)
-        if self._may_wait(applicant, wait_ms, place_ms, now_ms):
+        if self._may_wait(applicant, wait_ms, now_ms):
             self._push(applicant, now_ms)
             self._bound()
             if applicant.refusal is not None:
@@ -205,22 +205,13 @@
             for (other, _), level in self._levels.items()
         )
 
-    def _may_wait(
-        self, applicant: Applicant, wait_ms: float, place_ms: float, now_ms: float
-    ) -> bool:
-        """Return whether a request waits here rather than come back.
+    def _may_wait(self, applicant: Applicant, wait_ms: float, now_ms: float) -> bool:
+        """Return whether a request can be served before its deadline if it waits.
 
-        One that would miss its objective here meets it on a second attempt, if its
-        caller honours the time to come back and has enough time left then.
+        One that will miss its objective waits too: refused, it would come back to an
+        instance that may not know its place.
         """
-        left_ms = applicant.latest_start_ms - now_ms
-        if wait_ms * _ERROR_MARGIN > left_ms:
-            return False
-        if applicant.can_meet_objective(now_ms + wait_ms):
-            return True
-        if applicant.purpose == RETURNED or math.isinf(applicant.objective_at_ms):
-            return True
-        return not applicant.would_return(place_ms, now_ms)
+        return wait_ms * _ERROR_MARGIN <= applicant.latest_start_ms - now_ms
 
     def _refuse(
         self,
