--- a/ibisfront/cli/explain.py
+++ b/ibisfront/cli/explain.py
@@ -9,6 +9,7 @@
 from ibisfront.cli.command import JSON_OPTION, ToolCommand
 from ibisfront.cli.exits import ExitCode
 from ibisfront.cli.log_lines import LogLine, parse_log_line, read_text_lines
+from ibisfront.cli.refusal_reasons import explain_reason
 from ibisfront.cli.refusals import describe_refusal
 
 if TYPE_CHECKING:
@@ -75,6 +76,9 @@
     refusal = describe_refusal(line)
     if refusal is not None:
         yield f"    {refusal}"
+    meaning = explain_reason(str(line.fields.get("reason", "")))
+    if meaning is not None:
+        yield f"    {meaning}"
     for name, value in line.fields.items():
         if name not in _SEPARATELY_SHOWN and name != "request_id":
             yield f"    {name}: {value}"
--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -26,6 +26,8 @@
     CONNECTIONS = "connections"
     EJECTIONS = "ejections"
     QUARANTINES = "quarantines"
+    OTHER_ZONE_REQUESTS = "other_zone_requests"
+    OTHER_ZONE_BYTES = "other_zone_bytes"
     PLATFORM_CALLS = "platform_calls"
     PEER_MESSAGES = "peer_messages"
     PEER_BYTES = "peer_bytes"
@@ -36,6 +38,7 @@
     SERVER_LOADS = "server_loads"
     CLAIMS = "claims"
     SHARES = "shares"
+    QUOTAS = "quotas"
 
 
 COUNTER_HELP: dict[CounterKind, str] = {
@@ -52,6 +55,8 @@
     CounterKind.CONNECTIONS: "Connections to backend servers, by event.",
     CounterKind.EJECTIONS: "Ejections of backend servers, by reason.",
     CounterKind.QUARANTINES: "Requests suspected of crashing backend servers.",
+    CounterKind.OTHER_ZONE_REQUESTS: "Requests sent to another zone, by reason.",
+    CounterKind.OTHER_ZONE_BYTES: "Bytes of requests to and replies of other zones.",
     CounterKind.PLATFORM_CALLS: "Calls to the platform, by outcome.",
     CounterKind.PEER_MESSAGES: "Messages between instances, by outcome.",
     CounterKind.PEER_BYTES: "Bytes exchanged between instances.",
@@ -62,6 +67,7 @@
     CounterKind.SERVER_LOADS: "Ignored load reports of backend servers, by reason.",
     CounterKind.CLAIMS: "Claims of non-idempotent requests, by outcome.",
     CounterKind.SHARES: "Shares of limits, by event.",
+    CounterKind.QUOTAS: "Requests counted against workspaces' limits, by event.",
 }
 """Description of each kind, for operators."""
 
--- a/ibisfront/gateway/admission_gate.py
+++ b/ibisfront/gateway/admission_gate.py
@@ -85,13 +85,21 @@
         Returns the room of a service.
     counters : Counters
         Counts waits and refusals by rank.
+    is_active : callable
+        Returns whether requests wait for room at all; otherwise all are let in.
     """
 
-    __slots__ = ("_clock", "_counters", "_groups", "_read_room")
+    __slots__ = ("_clock", "_counters", "_groups", "_is_active", "_read_room")
 
     def __init__(
-        self, *, clock: Clock, read_room: ReadRoom, counters: Counters
+        self,
+        *,
+        clock: Clock,
+        read_room: ReadRoom,
+        counters: Counters,
+        is_active: Callable[[], bool],
     ) -> None:
+        self._is_active = is_active
         self._clock = clock
         self._counters = counters
         self._read_room = read_room
@@ -132,7 +140,7 @@
         objective_at_ms : callable
             Returns the latest time of an answer that meets the latency objective.
         """
-        if needed <= 0:
+        if needed <= 0 or not self._is_active():
             return None
         now_ms = self._clock.now_ms()
         baseline = context.baseline
@@ -181,7 +189,7 @@
         clock = self._clock
         group.waiting[applicant] = None
         try:
-            while not applicant.started:
+            while not applicant.started and self._is_active():
                 now_ms = clock.now_ms()
                 if applicant.refusal is not None:
                     return applicant.refusal
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -9,10 +9,23 @@
 from ibisfront.gateway.load.service_room import service_room
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observability import RequestTrace, refusal_fields
+from ibisfront.gateway.queries.delegated_query import no_room_header
 from ibisfront.gateway.queries.service_call import CallContext
-from ibisfront.gateway.route_state import RouteStates, caller_deadline_at_ms
+from ibisfront.gateway.route_state import (
+    RouteStates,
+    caller_deadline_at_ms,
+    rank_of,
+)
+from ibisfront.gateway.workspaces.authentication import (
+    KeyRefusal,
+    accepts_delegated,
+    authenticate,
+)
+from ibisfront.gateway.workspaces.keys import digest_key, split_credentials
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.instances.crash_reports import CrashReports
     from ibisfront.gateway.load.applicant import Refusal
@@ -29,6 +42,7 @@
 
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
+_UNAUTHORIZED = 401
 _UNAVAILABLE = 503
 
 _RETRY_AFTER_MS = 150.0
@@ -53,6 +67,9 @@
         Counters and log lines.
     crash_reports : CrashReports, optional
         Tracks requests that crash servers; without it none is refused for that.
+    is_fresh : callable, optional
+        Returns whether this instance knows the newest configuration; by default it
+        always does.
 
     Attributes
     ----------
@@ -69,6 +86,7 @@
     __slots__ = (
         "_budgets",
         "_crash_reports",
+        "_is_fresh",
         "_observer",
         "admission",
         "clock",
@@ -88,9 +106,11 @@
         clock: Clock,
         observer: Observer,
         crash_reports: CrashReports | None = None,
+        is_fresh: Callable[[], bool] = lambda: True,
     ) -> None:
         self._budgets = budgets
         self._crash_reports = crash_reports
+        self._is_fresh = is_fresh
         self._observer = observer
         self.registry = registry
         self.wire = wire
@@ -99,7 +119,10 @@
         self.rotation = Rotation()
         self.table: RouteTable | None = None
         self.admission = AdmissionGate(
-            clock=clock, read_room=self._read_room, counters=observer.counters
+            clock=clock,
+            read_room=self._read_room,
+            counters=observer.counters,
+            is_active=lambda: self.waits_for_room,
         )
 
     @property
@@ -107,6 +130,15 @@
         """The version of the configuration in force, if one is loaded."""
         return None if self.table is None else self.table.configuration.version
 
+    @property
+    def waits_for_room(self) -> bool:
+        """Whether requests wait for room, or are refused, before they begin.
+
+        Only where callers of several workspaces compete. Elsewhere the windows of the
+        servers alone, urgent requests first, serve more of them in time.
+        """
+        return self.table is not None and bool(self.table.workspaces)
+
     def apply_table(self, table: RouteTable) -> None:
         """Apply a new route table; drop the state of routes that it lacks."""
         self.table = table
@@ -128,7 +160,7 @@
             payload=payload,
             is_idempotent=route.is_idempotent,
             attempts=route.attempts,
-            rank=route.rank,
+            rank=rank_of(request, route),
             has_reply_body=request.method != b"HEAD",
             baseline=self.states.for_route(route).baseline,
             registry=self.registry,
@@ -139,6 +171,56 @@
             is_repeat=is_repeat,
         )
 
+    def authorize(self, request: InboundRequest, route: Route) -> CallerReply | None:
+        """Authorize a caller's request, or return its refusal.
+
+        The request loses its keys and gets its workspace. One that has waited is
+        authorized again: its key may have been revoked meanwhile.
+        """
+        assert self.table is not None
+        directory = self.table.workspaces
+        if not directory:
+            return None
+        before = request.workspace
+        request.headers, keys = split_credentials(request.headers, self.wire)
+        if keys:
+            request.key_digests = tuple(digest_key(key) for key in keys)
+        outcome = authenticate(
+            directory,
+            request.key_digests,
+            is_public=route.is_public,
+            is_fresh=self._is_fresh,
+        )
+        if isinstance(outcome, KeyRefusal):
+            request.workspace = ""
+            if outcome.is_final:
+                return CallerReply(_UNAUTHORIZED, [], b"", outcome.value)
+            return self.not_run_reply(outcome.value)
+        request.workspace = "" if outcome is None else outcome.name
+        request.rank = None if outcome is None else outcome.rank
+        if before and before != request.workspace:
+            # It has been counted against the limit of the other workspace.
+            return self.not_run_reply("workspace_changed")
+        return None
+
+    def authorize_delegated(
+        self, request: InboundRequest, route: Route
+    ) -> CallerReply | None:
+        """Authorize a query that another instance delegates, or return its refusal.
+
+        An instance without workspaces in its configuration leaves a caller's keys in
+        the request; the servers must not get them.
+        """
+        assert self.table is not None
+        directory = self.table.workspaces
+        if not accepts_delegated(
+            directory, request.workspace, is_public=route.is_public
+        ):
+            return self.not_run_reply("other_workspaces")
+        if directory:
+            request.headers, _ = split_credentials(request.headers, self.wire)
+        return None
+
     def not_run_reply(
         self, reason: str, retry_after_ms: float | None = None
     ) -> CallerReply:
@@ -154,17 +236,70 @@
         wait_ms = _RETRY_AFTER_MS if retry_after_ms is None else retry_after_ms
         return CallerReply(_UNAVAILABLE, [self.wire.retry_after(wait_ms)], b"", reason)
 
-    def refuse_for_room(
+    async def admit(
         self,
         request: InboundRequest,
-        refusal: Refusal,
+        route: Route,
         context: CallContext,
         *,
+        services: Sequence[str],
+        needed: int,
+        objective_at_ms: Callable[[], float],
         is_delegated: bool = False,
+    ) -> CallerReply | None:
+        """Wait until a request may go on; return its refusal if it may not.
+
+        The configuration may have changed meanwhile, and with it the workspace of the
+        key.
+
+        Parameters
+        ----------
+        request : InboundRequest
+            The request.
+        route : Route
+            Its route.
+        context : CallContext
+            The context of its sub-requests.
+        services : sequence of str
+            The services that it goes to from here.
+        needed : int
+            Number of these that it needs.
+        objective_at_ms : callable
+            Returns the latest time of an answer that meets the latency objective.
+        is_delegated : bool
+            Whether another instance has delegated it.
+        """
+        table = self.table
+        refusal = await self.admission.enter(
+            request,
+            route,
+            context,
+            services=services,
+            needed=needed,
+            objective_at_ms=objective_at_ms,
+        )
+        if refusal is not None:
+            return self._refuse_for_room(
+                request, refusal, context, is_delegated=is_delegated
+            )
+        if self.table is table:
+            return None
+        authorize = self.authorize_delegated if is_delegated else self.authorize
+        reply = authorize(request, route)
+        return None if reply is None else self.refuse(request, reply)
+
+    def _refuse_for_room(
+        self,
+        request: InboundRequest,
+        refusal: Refusal,
+        context: CallContext,
+        *,
+        is_delegated: bool,
     ) -> CallerReply:
         """Record a request that is refused for lack of room; return the reply."""
         reply = self.not_run_reply(refusal.reason, refusal.retry_after_ms)
-        now_ms = self.clock.now_ms()
+        if is_delegated:
+            reply.headers.append(no_room_header())
         self._observer.record_refused(
             request,
             reply,
@@ -173,7 +308,7 @@
                 request,
                 refusal,
                 rank=context.rank,
-                now_ms=now_ms,
+                now_ms=self.clock.now_ms(),
                 is_delegated=is_delegated,
             ),
         )
@@ -209,9 +344,15 @@
         )
 
     def record_run(
-        self, request: InboundRequest, *, has_reply: bool, servers_lost: int
+        self,
+        request: InboundRequest,
+        *,
+        may_have_arrived: bool,
+        has_reply: bool,
+        servers_lost: int,
     ) -> None:
-        """Record what became of the servers that ran a request."""
+        """Record whether a request reached servers, and what became of these."""
+        request.reached_servers = request.reached_servers or may_have_arrived
         if self._crash_reports is not None:
             self._crash_reports.record_run(
                 request, has_reply=has_reply, servers_lost=servers_lost
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from typing import TYPE_CHECKING, Any
 
@@ -10,6 +11,7 @@
 from ibisfront.core.counters import CounterKind, Counters
 from ibisfront.core.latencies import RouteLatencies
 from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.gateway.workspaces.keys import loggable_digest
 
 if TYPE_CHECKING:
     from ibisfront.gateway.load.applicant import Refusal
@@ -24,6 +26,8 @@
 _MAX_DECISIONS = 40
 """Decisions in one log line; a query over many services may have more if all fail."""
 
+_OVER_LIMIT = 429
+
 _DELEGATED_PARTS = "delegated_parts"
 _ROUTINE_REASONS = frozenset(("whole", "answered", "partial", _DELEGATED_PARTS))
 """Reasons whose log lines are dropped in favour of those of failures."""
@@ -141,6 +145,8 @@
             "late_after_ms": round(baseline.late_ms, 1),
             "extras": trace.extras,
         }
+        if request.workspace:
+            fields["workspace"] = request.workspace
         if parts:
             fields["parts"] = parts
         # Whether delegated parts are late is decided by the requesting instance.
@@ -194,7 +200,11 @@
             What decided it, for the log.
         """
         self.counters.add(CounterKind.REFUSALS, reply.reason)
-        fields = {
+        # A flood over a limit would displace the warnings about failures.
+        level = logging.INFO if reply.status == _OVER_LIMIT else logging.WARNING
+        if not _LOG.isEnabledFor(level):
+            return
+        fields: dict[str, Any] = {
             "request_id": request.request_id,
             "host": request.host,
             "path": request.path,
@@ -203,7 +213,14 @@
             "reason": reply.reason,
             **(details or {}),
         }
-        _LOG.warning("Refused %d: %s.", reply.status, reply.reason, extra=fields)
+        if request.workspace:
+            fields["workspace"] = request.workspace
+        elif request.key_digests:
+            fields["key_digests"] = [
+                loggable_digest(digest) for digest in request.key_digests
+            ]
+        message = "Refused %d: %s."
+        _LOG.log(level, message, reply.status, reply.reason, extra=fields)
 
 
 def refusal_fields(
--- a/ibisfront/gateway/queries/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from ibisfront.gateway.load.coordinator_load import LoadReport
 from ibisfront.gateway.messages import BackendReply, Header, InboundRequest
 
 if TYPE_CHECKING:
@@ -15,8 +17,10 @@
 __all__ = [
     "DelegatedQuery",
     "format_delegated_query",
+    "load_header",
     "no_room_header",
     "parse_delegated_query",
+    "parse_load",
     "parse_signatures",
     "reached_header",
     "reports_no_room",
@@ -33,10 +37,27 @@
 _WHOLE = b"x-ibisfront-whole"
 _MINIMUM = b"x-ibisfront-minimum"
 _REPEAT = b"x-ibisfront-repeat"
+_WORKSPACE = b"x-ibisfront-workspace"
+_RANK = b"x-ibisfront-rank"
 _SIGNATURES = b"x-ibisfront-signatures"
 _UNREACHABLE = b"x-ibisfront-out-of-reach"
 _REACHED = b"x-ibisfront-reached"
 _NO_ROOM = b"x-ibisfront-no-room"
+_LOAD = b"x-ibisfront-load"
+
+_INTERNAL = frozenset(
+    (
+        _GATHERING,
+        _SERVICES,
+        _OBJECTIVE,
+        _WHOLE,
+        _MINIMUM,
+        _REPEAT,
+        _WORKSPACE,
+        _RANK,
+    )
+)
+"""Headers that only instances set; those of a caller are dropped."""
 
 
 class DelegatedQuery(msgspec.Struct, frozen=True):
@@ -45,7 +66,8 @@
     Attributes
     ----------
     request : InboundRequest
-        The caller's request, unchanged.
+        The caller's request, with the workspace and the rank that the sender has
+        decided, and otherwise unchanged.
     gathering : str
         The digest of the sender's gathering.
     services : int
@@ -82,11 +104,15 @@
 def parse_delegated_query(request: InboundRequest) -> DelegatedQuery | None:
     """Parse a request from another instance; return None if it is malformed."""
     values = {name.lower(): value for name, value in request.headers}
-    internal = (_GATHERING, _SERVICES, _OBJECTIVE, _WHOLE, _MINIMUM, _REPEAT)
-    headers = [item for item in request.headers if item[0].lower() not in internal]
+    rank = values.get(_RANK)
     try:
         return DelegatedQuery(
-            request=msgspec.structs.replace(request, headers=headers),
+            request=msgspec.structs.replace(
+                request,
+                headers=_without_internal(request.headers),
+                workspace=values.get(_WORKSPACE, b"").decode(),
+                rank=None if rank is None else int(rank),
+            ),
             gathering=values[_GATHERING].decode("ascii"),
             services=int(values[_SERVICES], 16),
             objective_remaining_ms=float(values[_OBJECTIVE]),
@@ -132,6 +158,23 @@
     return (_NO_ROOM, b"1")
 
 
+def load_header(report: LoadReport) -> Header:
+    """Return the header of a reply that carries the coordinator's load."""
+    return (_LOAD, b"%d %.2f" % (report.running, report.slowness))
+
+
+def parse_load(reply: BackendReply) -> LoadReport | None:
+    """Return the load that a coordinator reports; None if missing or malformed."""
+    value = next((text for name, text in reply.headers if name.lower() == _LOAD), b"")
+    running, _, slowness = value.partition(b" ")
+    try:
+        report = LoadReport(int(running), float(slowness))
+    except ValueError:
+        return None
+    is_valid = report.running >= 0 and math.isfinite(report.slowness)
+    return report if is_valid else None
+
+
 def signatures_header(signatures: Sequence[bytes]) -> Header:
     """Return the header that lists the parts of a delegated answer."""
     return (_SIGNATURES, b",".join(signatures))
@@ -140,7 +183,7 @@
 def format_delegated_query(query: DelegatedQuery) -> InboundRequest:
     """Return the request that :func:`parse_delegated_query` parses to this query."""
     headers: list[Header] = [
-        *query.request.headers,
+        *_without_internal(query.request.headers),
         (_GATHERING, query.gathering.encode("ascii")),
         (_SERVICES, b"%x" % query.services),
         (_OBJECTIVE, b"%.1f" % query.objective_remaining_ms),
@@ -151,7 +194,15 @@
         headers.append((_MINIMUM, b"%d" % query.minimum_parts))
     if query.is_repeat:
         headers.append((_REPEAT, b"1"))
-    return msgspec.structs.replace(query.request, headers=headers)
+    if query.request.workspace:
+        headers.append((_WORKSPACE, query.request.workspace.encode()))
+    if query.request.rank is not None:
+        headers.append((_RANK, b"%d" % query.request.rank))
+    return msgspec.structs.replace(query.request, headers=headers, workspace="")
+
+
+def _without_internal(headers: Sequence[Header]) -> list[Header]:
+    return [item for item in headers if item[0].lower() not in _INTERNAL]
 
 
 def service_bitmask(gathering: Gathering, selected: Sequence[str]) -> int:
--- a/ibisfront/gateway/queries/delegation.py
+++ b/ibisfront/gateway/queries/delegation.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibisfront.gateway.load.baseline_latency import BaselineLatency
+from ibisfront.gateway.load.coordinator_load import CoordinatorChoice, QueryLoad
 from ibisfront.gateway.load.coordinator_room import (
     CoordinatorRoom,
     preferred_peers,
@@ -61,10 +62,16 @@
         The instances that run scatter-gather queries.
     clock : Clock
         The tier's clock.
+
+    Attributes
+    ----------
+    load : QueryLoad
+        Load of this instance due to queries that others delegate to it.
     """
 
     __slots__ = (
         "_baselines",
+        "_choice",
         "_clock",
         "_coordinators",
         "_peers",
@@ -72,6 +79,7 @@
         "_registry",
         "_room",
         "_zone",
+        "load",
     )
 
     def __init__(
@@ -91,6 +99,8 @@
         self._room = CoordinatorRoom()
         self._placements: dict[str, _Placement] = {}
         self._baselines: dict[str, BaselineLatency] = {}
+        self._choice = CoordinatorChoice(lambda: coordinators.capacities)
+        self.load = QueryLoad()
 
     @property
     def uses_coordinators(self) -> bool:
@@ -153,7 +163,7 @@
         gathering: Gathering,
         tried: Sequence[Server] = (),
         *,
-        identity: Callable[[], bytes],
+        identity: Callable[[], bytes] | None = None,
     ) -> RemotePlan | None:
         """Return a plan for a whole query, preferring coordinators of this zone.
 
@@ -167,40 +177,68 @@
             key=lambda zone: (zone != self._zone, zone),
         )
         for zone in zones:
-            candidates = self._available_peers(zone)
-            if self._room.is_scarce(now_ms):
-                if tried:
-                    candidates = self._room.with_room(candidates, now_ms)
-                else:
-                    late_ms = baseline.late_ms
-                    candidates = [
-                        item
-                        for item in candidates
-                        if not item.is_overdue(now_ms, late_ms)
-                    ]
-                    candidates = preferred_peers(candidates, identity())
-            peer = choose_server(
-                candidates, list(tried), now_ms=now_ms, baseline_ms=baseline.median_ms
-            )
-            if peer is not None and not peer.is_overdue(now_ms, baseline.late_ms):
-                return RemotePlan(peer, gathering.services, baseline, is_whole=True)
+            peer = self._choose_coordinator(zone, tried, baseline, now_ms, identity)
+            if peer is not None:
+                return RemotePlan(
+                    peer,
+                    gathering.services,
+                    baseline,
+                    is_whole=True,
+                    choice=self._choice,
+                )
         return None
 
+    def _choose_coordinator(
+        self,
+        zone: str,
+        tried: Sequence[Server],
+        baseline: BaselineLatency,
+        now_ms: float,
+        identity: Callable[[], bytes] | None,
+    ) -> Server | None:
+        """Return the coordinator of a zone for a query, or None."""
+        available = [
+            peer
+            for peer in self._available_peers(zone)
+            if peer.is_usable
+            and peer.can_accept(now_ms)
+            and not peer.is_overdue(now_ms, baseline.late_ms)
+        ]
+        candidates = [peer for peer in self._coordinators_of(zone) if peer not in tried]
+        if self._room.is_scarce(now_ms):
+            if tried:
+                candidates = self._room.with_room(candidates, now_ms)
+            elif identity is not None:
+                candidates = preferred_peers(available, identity())
+        return self._choice.choose(
+            candidates,
+            is_available=available.__contains__,
+            now_ms=now_ms,
+            baseline=baseline,
+        )
+
     def _available_peers(self, zone: str) -> list[Server]:
         """Return the available instances of a zone that run scatter-gather."""
         now_ms = self._clock.now_ms()
+        return [
+            peer
+            for peer in self._coordinators_of(zone)
+            if peer.is_reachable(now_ms) and now_ms >= peer.not_before_ms
+        ]
+
+    def _coordinators_of(self, zone: str) -> list[Server]:
+        """Return the instances of a zone that run scatter-gather."""
         coordinator_ids = self._coordinators.of_zone(zone)
         return [
             peer
             for peer in self._peers.of_service(zone)
-            if (not coordinator_ids or peer.entry.server_id in coordinator_ids)
-            and peer.is_reachable(now_ms)
-            and now_ms >= peer.not_before_ms
+            if not coordinator_ids or peer.entry.server_id in coordinator_ids
         ]
 
     def retain(self, names: Container[str]) -> None:
         """Drop the state of all other routes."""
         retain_routes(self._baselines, names)
+        self.load.retain(names)
         retain_routes(self._placements, names)
 
     def _baseline(self, route: Route) -> BaselineLatency:
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -12,17 +12,25 @@
 from ibisfront.gateway.queries.delegated_query import (
     DelegatedQuery,
     format_delegated_query,
+    parse_load,
     parse_signatures,
     reports_no_room,
     reports_servers_reached,
     reports_servers_unreachable,
     service_bitmask,
 )
+from ibisfront.gateway.queries.zone_traffic import (
+    ZoneTraffic,
+    record_received,
+    record_sent,
+)
 from ibisfront.gateway.servers.exchange import Exchange
 from ibisfront.gateway.servers.server import Server
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.gateway.load.coordinator_load import CoordinatorChoice
     from ibisfront.gateway.messages import BackendReply, InboundRequest
     from ibisfront.gateway.state.configuration import Gathering
     from ibisfront.gateway.wire import WireCodec
@@ -55,12 +63,15 @@
     is_whole : bool
         Whether the whole query is delegated; the instance may then delegate the
         parts of other zones in turn.
+    choice : CoordinatorChoice, optional
+        Told the load that the reply reports.
     """
 
     peer: Server
     services: tuple[str, ...]
     baseline: BaselineLatency
     is_whole: bool = False
+    choice: CoordinatorChoice | None = None
 
 
 class RemoteCall:
@@ -74,6 +85,8 @@
         The tier's clock.
     on_change : callable
         Called when the call has ended.
+    counters : Counters
+        Counts what is sent to other zones.
 
     Attributes
     ----------
@@ -95,6 +108,7 @@
 
     __slots__ = (
         "_clock",
+        "_counters",
         "_exchange",
         "_on_change",
         "_plan",
@@ -108,8 +122,14 @@
     )
 
     def __init__(
-        self, plan: RemotePlan, *, clock: Clock, on_change: Callable[[], None]
+        self,
+        plan: RemotePlan,
+        *,
+        clock: Clock,
+        on_change: Callable[[], None],
+        counters: Counters,
     ) -> None:
+        self._counters = counters
         self._plan = plan
         self._clock = clock
         self._on_change = on_change
@@ -132,6 +152,11 @@
         """The id of the instance called."""
         return self._plan.peer.entry.server_id
 
+    @property
+    def _reason(self) -> ZoneTraffic:
+        is_whole = self._plan.is_whole
+        return ZoneTraffic.WHOLE_QUERY if is_whole else ZoneTraffic.PARTS
+
     @property
     def is_open(self) -> bool:
         """Whether an answer may still arrive."""
@@ -197,7 +222,7 @@
             may differ: most change other routes only, and they take seconds to
             reach all instances while the store rejects some.
         rank : int
-            The route's rank.
+            The request's rank.
         end_at_ms : float
             When the query ends with the parts received.
         give_up_at_ms : float
@@ -222,7 +247,9 @@
                 is_repeat=is_repeat,
             )
             encode_for = wire.encode_request(format_delegated_query(query))
-            return encode_for(self.peer_id, give_up_at_ms - at_ms)
+            data = encode_for(self.peer_id, give_up_at_ms - at_ms)
+            record_sent(self._counters, self.peer, self._reason, data)
+            return data
 
         self._exchange = Exchange(
             self._plan.peer,
@@ -257,19 +284,11 @@
         if peer.pool is not None:
             peer.pool.record_ended(exchange)
         if exchange.reply is not None:
-            if reports_no_room(exchange.reply):
-                # Its time says nothing about how long a query takes.
-                peer.record_alive(now_ms)
-                self.is_refused = True
-                self.room_at_ms = now_ms + (exchange.reply.retry_after_ms or 0.0)
-                if not exchange.is_abandoned:
-                    self._on_change()
-                return
-            baseline = self._plan.baseline
-            took_ms = now_ms - exchange.waiting_since_ms
-            peer.record_reply(now_ms, took_ms=took_ms, baseline_ms=baseline.median_ms)
-            baseline.record_ms(took_ms)
-            self._apply_reply(exchange.reply)
+            size_bytes = len(exchange.reply.body)
+            record_received(self._counters, peer, self._reason, size_bytes)
+            self._record_load(exchange, exchange.reply, now_ms)
+            self._record_latency(exchange, exchange.reply, now_ms)
+            self._apply_reply(exchange.reply, now_ms)
         else:
             self.is_refused = exchange.sent_at_ms is None
             if exchange.sent_at_ms is not None and not exchange.is_cancelled:
@@ -277,8 +296,38 @@
         if not exchange.is_abandoned:
             self._on_change()
 
-    def _apply_reply(self, reply: BackendReply) -> None:
+    def _record_latency(
+        self, exchange: Exchange, reply: BackendReply, now_ms: float
+    ) -> None:
+        """Record a reply's latency; that of a refusal says nothing about a query's."""
+        peer = self._plan.peer
+        if reply.status == _UNAVAILABLE:
+            # It may refuse one workspace or one version, and nothing else.
+            peer.record_alive(now_ms)
+            return
+        baseline = self._plan.baseline
+        took_ms = now_ms - exchange.waiting_since_ms
+        peer.record_reply(now_ms, took_ms=took_ms, baseline_ms=baseline.median_ms)
+        baseline.record_ms(took_ms)
+
+    def _record_load(
+        self, exchange: Exchange, reply: BackendReply, now_ms: float
+    ) -> None:
+        """Record the coordinator's load, which refusals report too."""
+        choice = self._plan.choice
+        if choice is None:
+            return
+        if reply.status == _OK:
+            took_ms = now_ms - exchange.waiting_since_ms
+            choice.record_reply(self.peer_id, took_ms / self._plan.baseline.median_ms)
+        report = parse_load(reply)
+        if report is not None:
+            choice.record_report(self.peer_id, report, now_ms)
+
+    def _apply_reply(self, reply: BackendReply, now_ms: float) -> None:
         self.is_refused = reply.status == _UNAVAILABLE
+        if self.is_refused and reports_no_room(reply):
+            self.room_at_ms = now_ms + (reply.retry_after_ms or 0.0)
         self.servers_unreachable = self.is_refused and reports_servers_unreachable(
             reply
         )
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -18,7 +18,7 @@
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
-    no_room_header,
+    load_header,
     reached_header,
     signatures_header,
     unreachable_header,
@@ -26,11 +26,10 @@
 from ibisfront.gateway.queries.gather_run import GatherRun
 from ibisfront.gateway.queries.records import top_records
 from ibisfront.gateway.queries.remote_call import RemoteCall
-from ibisfront.gateway.route_state import give_up_at_ms
+from ibisfront.gateway.route_state import give_up_at_ms, rank_of
 
 if TYPE_CHECKING:
     from ibisfront.gateway.gateway_context import GatewayContext
-    from ibisfront.gateway.load.applicant import Refusal
     from ibisfront.gateway.load.reachability import Reachability
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.queries.coordinated_query import StartRemoteCall
@@ -166,6 +165,20 @@
 
     async def answer_delegated(self, query: DelegatedQuery) -> CallerReply:
         """Return the parts of a query that another instance delegates."""
+        if self._delegation is None:
+            return await self._answer_delegated(query)
+        load = self._delegation.load
+        load.begin()
+        try:
+            reply = await self._answer_delegated(query)
+        finally:
+            load.end()
+        reply.headers.append(
+            load_header(load.report(self._gateway_context.clock.now_ms()))
+        )
+        return reply
+
+    async def _answer_delegated(self, query: DelegatedQuery) -> CallerReply:
         gateway_context = self._gateway_context
         request = query.request
         table = gateway_context.table
@@ -178,6 +191,9 @@
             return gateway_context.refuse(
                 request, gateway_context.not_run_reply("other_gathering")
             )
+        refusal = gateway_context.authorize_delegated(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
         if query.is_whole and not self._reachability.can_serve(route):
             reply = gateway_context.unreachable_reply()
             reply.headers.append(unreachable_header())
@@ -197,15 +213,18 @@
         refusal = None
         if query.is_whole:
             # Other parts of a query that is not whole run already, elsewhere.
-            refusal = await self._admit(pending, remote_plan)
+            refusal = await self._admit(pending, remote_plan, is_delegated=True)
         if refusal is not None:
-            reply = gateway_context.refuse_for_room(
-                request, refusal, context, is_delegated=True
-            )
-            reply.headers.append(no_room_header())
-            return reply
+            return refusal
         run = await self._run_locally(pending, remote_plan)
         reply = self._delegated_reply(run, gathering)
+        if self._delegation is not None and run.has_enough_parts:
+            self._delegation.load.record_answer(
+                gateway_context.clock.now_ms(),
+                route=route.name,
+                is_whole=query.is_whole,
+                began_at_ms=request.arrived_at_ms,
+            )
         gateway_context.record(request, route, reply, context, parts=_parts_text(run))
         # The other instance matches the reply to its query by this header.
         reply.headers.append(gateway_context.wire.request_id(request.request_id))
@@ -231,7 +250,7 @@
         else:
             refusal = await self._admit(pending, remote_plan)
             if refusal is not None:
-                return gateway_context.refuse_for_room(request, refusal, context)
+                return refusal
             run = await self._run_locally(pending, remote_plan)
         if run.remote is not None and run.remote.servers_unreachable:
             self.record_unreachable()
@@ -253,15 +272,24 @@
             return gateway_context.refuse(
                 request, gateway_context.not_run_reply(_NO_COORDINATOR)
             )
+        refusal = gateway_context.authorize(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
         return await self._gather(request, route, route.gathering)
 
     async def _admit(
-        self, pending: _PendingQuery, remote_plan: RemotePlan | None
-    ) -> Refusal | None:
+        self,
+        pending: _PendingQuery,
+        remote_plan: RemotePlan | None,
+        *,
+        is_delegated: bool = False,
+    ) -> CallerReply | None:
         """Wait until the servers that are queried from here have room for a query.
 
         The instance that runs the delegated parts decides on those.
         """
+        if not self._gateway_context.waits_for_room:
+            return None
         services = pending.gathering.services
         context = pending.context
         now_ms = context.clock.now_ms()
@@ -274,13 +302,14 @@
         # Both sides lack some parts under load, each its share of what may be missing.
         spare = total - pending.gathering.needed_parts
         missing = math.ceil(spare * len(services) / max(total, 1))
-        return await self._gateway_context.admission.enter(
+        return await self._gateway_context.admit(
             pending.request,
             pending.route,
             pending.context,
             services=services,
             needed=len(services) - missing,
             objective_at_ms=lambda: pending.end_at_ms,
+            is_delegated=is_delegated,
         )
 
     async def _run_locally(
@@ -382,7 +411,10 @@
             raise
         finally:
             self._gateway_context.record_run(
-                pending.request, has_reply=run.has_reply, servers_lost=run.servers_lost
+                pending.request,
+                may_have_arrived=run.may_have_arrived,
+                has_reply=run.has_reply,
+                servers_lost=run.servers_lost,
             )
 
     def _remote_starter(self, pending: _PendingQuery) -> StartRemoteCall:
@@ -393,13 +425,16 @@
             remote_plan: RemotePlan, is_repeat: bool, on_change: Callable[[], None]
         ) -> RemoteCall:
             remote = RemoteCall(
-                remote_plan, clock=gateway_context.clock, on_change=on_change
+                remote_plan,
+                clock=gateway_context.clock,
+                on_change=on_change,
+                counters=pending.context.counters,
             )
             remote.start(
                 pending.request,
                 wire=gateway_context.wire,
                 gathering=pending.gathering,
-                rank=pending.route.rank,
+                rank=rank_of(pending.request, pending.route),
                 end_at_ms=pending.effective_end_at_ms,
                 give_up_at_ms=pending.give_up_at_ms,
                 objective_ms=pending.route.objective_ms,
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import os
 import tomllib
-from collections.abc import Mapping
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.gateway.settings import Bounds, GatewaySettings
 
-__all__ = ["SETTINGS_PATH_VARIABLE", "read_platform_settings", "settings_path"]
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["SETTINGS_PATH_VARIABLE", "read_platform_settings"]
 
 SETTINGS_PATH_VARIABLE = "IBISFRONT_BOOT"
 """The environment variable that holds the path of the settings file."""
@@ -57,6 +58,10 @@
     # Limits on requests to a cold server, not on the length of its warm-up.
     warmup_excess: float = 1.0
     warmup_slack: float = 0.0
+    # Missing where workspaces have no limits.
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.0
+    quota_slack: float = 0.0
 
 
 class _Store(msgspec.Struct):
@@ -83,24 +88,6 @@
     bootstrap: bool = False
 
 
-def settings_path(environment: Mapping[str, str] = os.environ) -> Path:
-    """Return the path of the settings file.
-
-    Raises
-    ------
-    IbisfrontError
-        ``bad_settings`` if the variable is not set.
-    """
-    value = environment.get(SETTINGS_PATH_VARIABLE, "")
-    if not value:
-        raise IbisfrontError(
-            ErrorKind.BAD_SETTINGS,
-            f"{SETTINGS_PATH_VARIABLE} is not set:"
-            " set it to the path of the settings file",
-        )
-    return Path(value)
-
-
 def read_platform_settings(path: Path) -> GatewaySettings:
     """Read the settings file.
 
@@ -137,6 +124,9 @@
             evacuation_ms=bounds.evacuate_ms,
             cold_excess=bounds.warmup_excess,
             cold_slack=bounds.warmup_slack,
+            quota_window_ms=bounds.quota_window_s * _MILLISECONDS_PER_SECOND,
+            quota_excess=bounds.quota_excess,
+            quota_slack=bounds.quota_slack,
         ),
         zones=frozenset(file.zones),
     )
--- a/ibisfront/tests/test_gateway_admission.py
+++ b/ibisfront/tests/test_gateway_admission.py
@@ -100,6 +100,7 @@
             clock=self.clock,
             read_room=self.station.read_room,
             counters=self.counters,
+            is_active=lambda: True,
         )
         self.baseline = BaselineLatency(WORK_MS)
         for _ in range(64):
