Merge admission where workspaces compete

Without workspaces nothing is read or held, so that the two tests of the windows that failed with admission on everywhere pass unchanged.

--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -149,6 +150,10 @@
         else:
             self._scatter_gather.record_reachable()
 
+    def waiting_by_rank(self) -> dict[int, int]:
+        """Return the number of requests that wait for room, by rank."""
+        return self._gateway_context.admission.waiting_by_rank()
+
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Return the answer to one request of a caller."""
         gateway_context = self._gateway_context
@@ -252,6 +257,18 @@
         gateway_context = self._gateway_context
         service = self._round_robin.next_service(route)
         context = gateway_context.call_context(request, route)
+        refusal = await gateway_context.admit(
+            request,
+            route,
+            context,
+            services=(service,),
+            needed=1,
+            objective_at_ms=partial(
+                gateway_context.states.for_route(route).objective_at_ms, request, route
+            ),
+        )
+        if refusal is not None:
+            return refusal
         run = ForwardRun(
             service,
             context,
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from ibisfront.gateway.admission_gate import AdmissionGate
 from ibisfront.gateway.instances.rotation import Rotation
+from ibisfront.gateway.load.service_room import service_room
 from ibisfront.gateway.messages import CallerReply
-from ibisfront.gateway.observability import RequestTrace
+from ibisfront.gateway.observability import RequestTrace, refusal_fields
+from ibisfront.gateway.queries.delegated_query import no_room_header
 from ibisfront.gateway.queries.service_call import CallContext
 from ibisfront.gateway.route_state import (
     RouteStates,
@@ -21,11 +24,13 @@
 from ibisfront.gateway.workspaces.keys import digest_key, split_credentials
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from ibisfront.core.clock import Clock
     from ibisfront.gateway.instances.crash_reports import CrashReports
+    from ibisfront.gateway.load.applicant import Refusal
     from ibisfront.gateway.load.retry_budget import RetryBudgets
+    from ibisfront.gateway.load.service_room import ServiceRoom
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.observability import Observer
     from ibisfront.gateway.servers.server import Server
@@ -68,6 +73,8 @@
 
     Attributes
     ----------
+    admission : AdmissionGate
+        Asked before the first sub-request of each request.
     states : RouteStates
         Measurements per route.
     table : RouteTable or None
@@ -81,6 +88,7 @@
         "_crash_reports",
         "_is_fresh",
         "_observer",
+        "admission",
         "clock",
         "registry",
         "rotation",
@@ -110,12 +118,27 @@
         self.states = RouteStates()
         self.rotation = Rotation()
         self.table: RouteTable | None = None
+        self.admission = AdmissionGate(
+            clock=clock,
+            read_room=self._read_room,
+            counters=observer.counters,
+            is_active=lambda: self.waits_for_room,
+        )
 
     @property
     def version(self) -> int | None:
         """The version of the configuration in force, if one is loaded."""
         return None if self.table is None else self.table.configuration.version
 
+    @property
+    def waits_for_room(self) -> bool:
+        """Whether requests wait for room, or are refused, before they begin.
+
+        Only where callers of several workspaces compete. Elsewhere the windows of the
+        servers alone, urgent requests first, serve more of them in time.
+        """
+        return self.table is not None and bool(self.table.workspaces)
+
     def apply_table(self, table: RouteTable) -> None:
         """Apply a new route table; drop the state of routes that it lacks."""
         self.table = table
@@ -213,6 +236,84 @@
         wait_ms = _RETRY_AFTER_MS if retry_after_ms is None else retry_after_ms
         return CallerReply(_UNAVAILABLE, [self.wire.retry_after(wait_ms)], b"", reason)
 
+    async def admit(
+        self,
+        request: InboundRequest,
+        route: Route,
+        context: CallContext,
+        *,
+        services: Sequence[str],
+        needed: int,
+        objective_at_ms: Callable[[], float],
+        is_delegated: bool = False,
+    ) -> CallerReply | None:
+        """Wait until a request may go on; return its refusal if it may not.
+
+        The configuration may have changed meanwhile, and with it the workspace of the
+        key.
+
+        Parameters
+        ----------
+        request : InboundRequest
+            The request.
+        route : Route
+            Its route.
+        context : CallContext
+            The context of its sub-requests.
+        services : sequence of str
+            The services that it goes to from here.
+        needed : int
+            Number of these that it needs.
+        objective_at_ms : callable
+            Returns the latest time of an answer that meets the latency objective.
+        is_delegated : bool
+            Whether another instance has delegated it.
+        """
+        table = self.table
+        refusal = await self.admission.enter(
+            request,
+            route,
+            context,
+            services=services,
+            needed=needed,
+            objective_at_ms=objective_at_ms,
+        )
+        if refusal is not None:
+            return self._refuse_for_room(
+                request, refusal, context, is_delegated=is_delegated
+            )
+        if self.table is table:
+            return None
+        authorize = self.authorize_delegated if is_delegated else self.authorize
+        reply = authorize(request, route)
+        return None if reply is None else self.refuse(request, reply)
+
+    def _refuse_for_room(
+        self,
+        request: InboundRequest,
+        refusal: Refusal,
+        context: CallContext,
+        *,
+        is_delegated: bool,
+    ) -> CallerReply:
+        """Record a request that is refused for lack of room; return the reply."""
+        reply = self.not_run_reply(refusal.reason, refusal.retry_after_ms)
+        if is_delegated:
+            reply.headers.append(no_room_header())
+        self._observer.record_refused(
+            request,
+            reply,
+            version=self.version,
+            details=refusal_fields(
+                request,
+                refusal,
+                rank=context.rank,
+                now_ms=self.clock.now_ms(),
+                is_delegated=is_delegated,
+            ),
+        )
+        return reply
+
     def unreachable_reply(self) -> CallerReply:
         """Return the refusal for a route with too few reachable servers.
 
@@ -231,6 +332,17 @@
         left_ms = self._crash_reports.quarantine_left_ms(request)
         return self.not_run_reply("quarantined", left_ms) if left_ms else None
 
+    def _read_room(
+        self, service: str, rank: int, work_ms: float, now_ms: float
+    ) -> ServiceRoom:
+        """Return the room of a service."""
+        return service_room(
+            self.registry.of_service(service),
+            now_ms=now_ms,
+            rank=rank,
+            work_ms=work_ms,
+        )
+
     def record_run(
         self,
         request: InboundRequest,
--- a/ibisfront/gateway/observability.py
+++ b/ibisfront/gateway/observability.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -13,11 +14,12 @@
 from ibisfront.gateway.workspaces.keys import loggable_digest
 
 if TYPE_CHECKING:
+    from ibisfront.gateway.load.applicant import Refusal
     from ibisfront.gateway.load.baseline_latency import BaselineLatency
     from ibisfront.gateway.messages import CallerReply, InboundRequest
     from ibisfront.gateway.state.configuration import Route
 
-__all__ = ["Decision", "Observer", "RequestTrace"]
+__all__ = ["Decision", "Observer", "RequestTrace", "refusal_fields"]
 
 _LOG = part_logger(LogPart.QUERY)
 
@@ -177,9 +179,26 @@
         _LOG.info("The requester disconnected.", extra=fields)
 
     def record_refused(
-        self, request: InboundRequest, reply: CallerReply, *, version: int | None
+        self,
+        request: InboundRequest,
+        reply: CallerReply,
+        *,
+        version: int | None,
+        details: dict[str, Any] | None = None,
     ) -> None:
-        """Record a request that was refused before any decision."""
+        """Record a request that was refused before any decision.
+
+        Parameters
+        ----------
+        request : InboundRequest
+            The request.
+        reply : CallerReply
+            The refusal.
+        version : int or None
+            The configuration in force.
+        details : dict, optional
+            What decided it, for the log.
+        """
         self.counters.add(CounterKind.REFUSALS, reply.reason)
         # A flood over a limit would displace the warnings about failures.
         level = logging.INFO if reply.status == _OVER_LIMIT else logging.WARNING
@@ -192,6 +211,7 @@
             "version": version,
             "status": reply.status,
             "reason": reply.reason,
+            **(details or {}),
         }
         if request.workspace:
             fields["workspace"] = request.workspace
@@ -201,3 +221,29 @@
             ]
         message = "Refused %d: %s."
         _LOG.log(level, message, reply.status, reply.reason, extra=fields)
+
+
+def refusal_fields(
+    request: InboundRequest,
+    refusal: Refusal,
+    *,
+    rank: int,
+    now_ms: float,
+    is_delegated: bool,
+) -> dict[str, Any]:
+    """Return what decided a refusal for lack of room, as fields of a log line."""
+    wait_ms = refusal.wait_ms
+    waited_ms = now_ms - request.arrived_at_ms
+    left_ms = None
+    if request.deadline_ms is not None:
+        left_ms = round(request.deadline_ms - waited_ms, 1)
+    return {
+        "expected_wait_ms": round(wait_ms, 1) if math.isfinite(wait_ms) else None,
+        "ahead": refusal.ahead,
+        "rank": rank,
+        "workspace": request.workspace,
+        "waited_ms": round(waited_ms, 1),
+        "left_ms": left_ms,
+        "retry_after_ms": round(refusal.retry_after_ms, 1),
+        "delegated": is_delegated,
+    }
--- a/ibisfront/gateway/queries/delegated_query.py
+++ b/ibisfront/gateway/queries/delegated_query.py
@@ -18,10 +18,12 @@
     "DelegatedQuery",
     "format_delegated_query",
     "load_header",
+    "no_room_header",
     "parse_delegated_query",
     "parse_load",
     "parse_signatures",
     "reached_header",
+    "reports_no_room",
     "reports_servers_reached",
     "reports_servers_unreachable",
     "service_bitmask",
@@ -40,6 +42,7 @@
 _SIGNATURES = b"x-ibisfront-signatures"
 _UNREACHABLE = b"x-ibisfront-out-of-reach"
 _REACHED = b"x-ibisfront-reached"
+_NO_ROOM = b"x-ibisfront-no-room"
 _LOAD = b"x-ibisfront-load"
 
 _INTERNAL = frozenset(
@@ -145,6 +148,16 @@
     return (_REACHED, b"1")
 
 
+def reports_no_room(reply: BackendReply) -> bool:
+    """Return whether an instance refused because its servers have no room."""
+    return any(name.lower() == _NO_ROOM for name, _ in reply.headers)
+
+
+def no_room_header() -> Header:
+    """Return the header of a refusal for lack of room; nothing was sent."""
+    return (_NO_ROOM, b"1")
+
+
 def load_header(report: LoadReport) -> Header:
     """Return the header of a reply that carries the coordinator's load."""
     return (_LOAD, b"%d %.2f" % (report.running, report.slowness))
--- a/ibisfront/gateway/queries/remote_call.py
+++ b/ibisfront/gateway/queries/remote_call.py
@@ -14,6 +14,7 @@
     format_delegated_query,
     parse_load,
     parse_signatures,
+    reports_no_room,
     reports_servers_reached,
     reports_servers_unreachable,
     service_bitmask,
@@ -101,6 +102,8 @@
         Whether it refused because it cannot reach the servers.
     reached_servers : bool
         Whether it refused after servers had received parts and rejected them.
+    room_at_ms : float or None
+        When it will have room, if it refused because it has none.
     """
 
     __slots__ = (
@@ -112,6 +115,7 @@
         "is_refused",
         "reached_servers",
         "records",
+        "room_at_ms",
         "servers_unreachable",
         "services",
         "signatures",
@@ -136,6 +140,7 @@
         self.is_refused = False
         self.servers_unreachable = False
         self.reached_servers = False
+        self.room_at_ms: float | None = None
 
     @property
     def peer(self) -> Server:
@@ -283,7 +288,7 @@
             record_received(self._counters, peer, self._reason, size_bytes)
             self._record_load(exchange, exchange.reply, now_ms)
             self._record_latency(exchange, exchange.reply, now_ms)
-            self._apply_reply(exchange.reply)
+            self._apply_reply(exchange.reply, now_ms)
         else:
             self.is_refused = exchange.sent_at_ms is None
             if exchange.sent_at_ms is not None and not exchange.is_cancelled:
@@ -319,8 +324,10 @@
         if report is not None:
             choice.record_report(self.peer_id, report, now_ms)
 
-    def _apply_reply(self, reply: BackendReply) -> None:
+    def _apply_reply(self, reply: BackendReply, now_ms: float) -> None:
         self.is_refused = reply.status == _UNAVAILABLE
+        if self.is_refused and reports_no_room(reply):
+            self.room_at_ms = now_ms + (reply.retry_after_ms or 0.0)
         self.servers_unreachable = self.is_refused and reports_servers_unreachable(
             reply
         )
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,6 +13,7 @@
 from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
+from ibisfront.gateway.load.kept_places import caller_identity
 from ibisfront.gateway.load.scarce_services import any_scarce, services_left_out
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
@@ -209,6 +210,12 @@
         remote_plan = None
         if query.is_whole and self._delegation is not None:
             remote_plan = self._delegation.plan_remote_zone(route, gathering)
+        refusal = None
+        if query.is_whole:
+            # Other parts of a query that is not whole run already, elsewhere.
+            refusal = await self._admit(pending, remote_plan, is_delegated=True)
+        if refusal is not None:
+            return refusal
         run = await self._run_locally(pending, remote_plan)
         reply = self._delegated_reply(run, gathering)
         if self._delegation is not None and run.has_enough_parts:
@@ -234,11 +241,16 @@
         pending = _PendingQuery(request, route, gathering, context, end_at_ms)
         remote_plan = None
         if self._delegation is not None:
-            remote_plan = self._delegation.plan(route, gathering)
+            remote_plan = self._delegation.plan(
+                route, gathering, identity=partial(caller_identity, request)
+            )
         run: GatherRun | CoordinatedQuery
         if remote_plan is not None and remote_plan.is_whole:
             run = await self._run_coordinated(pending, remote_plan)
         else:
+            refusal = await self._admit(pending, remote_plan)
+            if refusal is not None:
+                return refusal
             run = await self._run_locally(pending, remote_plan)
         if run.remote is not None and run.remote.servers_unreachable:
             self.record_unreachable()
@@ -265,6 +277,41 @@
             return gateway_context.refuse(request, refusal)
         return await self._gather(request, route, route.gathering)
 
+    async def _admit(
+        self,
+        pending: _PendingQuery,
+        remote_plan: RemotePlan | None,
+        *,
+        is_delegated: bool = False,
+    ) -> CallerReply | None:
+        """Wait until the servers that are queried from here have room for a query.
+
+        The instance that runs the delegated parts decides on those.
+        """
+        if not self._gateway_context.waits_for_room:
+            return None
+        services = pending.gathering.services
+        context = pending.context
+        now_ms = context.clock.now_ms()
+        if any_scarce(services, context.registry.of_service, now_ms):
+            remote_plan = None
+        if remote_plan is not None:
+            delegated = frozenset(remote_plan.services)
+            services = tuple(name for name in services if name not in delegated)
+        total = len(pending.gathering.services)
+        # Both sides lack some parts under load, each its share of what may be missing.
+        spare = total - pending.gathering.needed_parts
+        missing = math.ceil(spare * len(services) / max(total, 1))
+        return await self._gateway_context.admit(
+            pending.request,
+            pending.route,
+            pending.context,
+            services=services,
+            needed=len(services) - missing,
+            objective_at_ms=lambda: pending.end_at_ms,
+            is_delegated=is_delegated,
+        )
+
     async def _run_locally(
         self, pending: _PendingQuery, remote_plan: RemotePlan | None
     ) -> GatherRun:
@@ -337,10 +384,14 @@
             plan=remote_plan,
             start_remote=self._remote_starter(pending),
             next_plan=partial(
-                self._delegation.plan_whole_query, pending.route, pending.gathering
+                self._delegation.plan_whole_query,
+                pending.route,
+                pending.gathering,
+                identity=partial(caller_identity, pending.request),
             ),
             give_up_at_ms=pending.give_up_at_ms,
             may_retry=self._delegation.may_retry(pending.route, pending.gathering),
+            record_no_room=self._delegation.record_no_room,
         )
         await self._run_until_cancelled(run, pending)
         run.end(at_once=True)
@@ -428,6 +479,9 @@
         """Return the refusal of a query for which no sub-request was sent."""
         if run.remote is not None and run.remote.servers_unreachable:
             return self._gateway_context.unreachable_reply()
+        if isinstance(run, CoordinatedQuery) and run.room_at_ms is not None:
+            wait_ms = run.room_at_ms - self._gateway_context.clock.now_ms()
+            return self._gateway_context.not_run_reply("no_room", max(wait_ms, 0.0))
         is_untried = isinstance(run, CoordinatedQuery) and not run.may_have_arrived
         reason = _NO_COORDINATOR if is_untried else "no_server"
         return self._gateway_context.not_run_reply(reason)
