Scatter-gather and pool: replies, the pending query and the connection are modules of their own

The code only moved: replies to queries that have ended (query_replies), the query that is about to run (pending_query), a server's connection and the check of a new one (server_connection). 356 tests of the gateway, the front and the laboratory pass.

--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -7,41 +7,39 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
-from ibisfront.gateway.gateway_context import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ibisfront.gateway.instances.liveness_probe import liveness_prober
 from ibisfront.gateway.load.gather_plan import gather_plan
 from ibisfront.gateway.load.kept_places import caller_identity
 from ibisfront.gateway.load.scarce_services import any_scarce, services_left_out
-from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
     load_header,
-    reached_header,
-    signatures_header,
     unreachable_header,
 )
 from ibisfront.gateway.queries.gather_run import GatherRun
-from ibisfront.gateway.queries.records import top_records
+from ibisfront.gateway.queries.pending_query import PendingQuery, delegated_gathering
+from ibisfront.gateway.queries.query_replies import (
+    NO_COORDINATOR,
+    QueryReplies,
+    parts_text,
+)
 from ibisfront.gateway.queries.remote_call import RemoteCall
-from ibisfront.gateway.route_state import give_up_at_ms, rank_of
+from ibisfront.gateway.route_state import rank_of
 
 if TYPE_CHECKING:
     from ibisfront.gateway.gateway_context import GatewayContext
     from ibisfront.gateway.load.reachability import Reachability
-    from ibisfront.gateway.messages import InboundRequest
+    from ibisfront.gateway.messages import CallerReply, InboundRequest
     from ibisfront.gateway.queries.coordinated_query import StartRemoteCall
     from ibisfront.gateway.queries.delegated_query import DelegatedQuery
     from ibisfront.gateway.queries.delegation import Delegation
     from ibisfront.gateway.queries.remote_call import RemotePlan
-    from ibisfront.gateway.queries.service_call import CallContext
     from ibisfront.gateway.state.configuration import Gathering, Route
 
 __all__ = ["ScatterGather"]
 
-_NO_COORDINATOR = "no_gatherer"
 _VERSION_SKEW_MS = 60.0
 """Largest difference between the arrivals of a new version at two instances: the pause
 before a state source sends an update, and the latency of the network paths."""
@@ -55,43 +53,6 @@
 state source every second or two, while others restart. The end of a partition is
 reported at once."""
 
-_MAX_LOGGED_SERVICES = 4
-"""Maximum number of services without an answer listed in a log line."""
-
-
-class _PendingQuery(msgspec.Struct, frozen=True):
-    """A query to run.
-
-    Attributes
-    ----------
-    request : InboundRequest
-        The request.
-    route : Route
-        Its route.
-    gathering : Gathering
-        The services and the minimum coverage.
-    context : CallContext
-        The context of its sub-requests.
-    end_at_ms : float
-        When it ends with the parts received, if they suffice.
-    """
-
-    request: InboundRequest
-    route: Route
-    gathering: Gathering
-    context: CallContext
-    end_at_ms: float
-
-    @property
-    def give_up_at_ms(self) -> float:
-        """Latest time of its final answer."""
-        return give_up_at_ms(self.request, self.route)
-
-    @property
-    def effective_end_at_ms(self) -> float:
-        """When it ends if the parts received suffice, with time left to answer."""
-        return min(self.end_at_ms, self.give_up_at_ms)
-
 
 class ScatterGather:
     """Runs scatter-gather queries.
@@ -110,6 +71,7 @@
         "_delegation",
         "_gateway_context",
         "_reachability",
+        "_replies",
         "_start_liveness_probe",
         "_unreachable_until_ms",
     )
@@ -126,6 +88,7 @@
         )
         self._delegation = delegation
         self._reachability = reachability
+        self._replies = QueryReplies(gateway_context, reachability)
         self._unreachable_until_ms = -math.inf
 
     @property
@@ -159,7 +122,7 @@
     ) -> CallerReply:
         """Return the answer to a caller's query."""
         reply = await self._gather(request, route, gathering)
-        if reply.reason != _NO_COORDINATOR:
+        if reply.reason != NO_COORDINATOR:
             return reply
         return await self._retry_gather(request)
 
@@ -201,12 +164,12 @@
         quarantined = gateway_context.quarantine_reply(request)
         if quarantined is not None:
             return gateway_context.refuse(request, quarantined)
-        gathering = _delegated_gathering(query, route.gathering)
+        gathering = delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_remaining_ms
         context = gateway_context.call_context(
             request, route, is_repeat=query.is_repeat
         )
-        pending = _PendingQuery(request, route, gathering, context, end_at_ms)
+        pending = PendingQuery(request, route, gathering, context, end_at_ms)
         remote_plan = None
         if query.is_whole and self._delegation is not None:
             remote_plan = self._delegation.plan_remote_zone(route, gathering)
@@ -217,7 +180,7 @@
         if refusal is not None:
             return refusal
         run = await self._run_locally(pending, remote_plan)
-        reply = self._delegated_reply(run, gathering)
+        reply = self._replies.to_instance(run, gathering)
         if self._delegation is not None and run.has_enough_parts:
             self._delegation.load.record_answer(
                 gateway_context.clock.now_ms(),
@@ -225,7 +188,7 @@
                 is_whole=query.is_whole,
                 began_at_ms=request.arrived_at_ms,
             )
-        gateway_context.record(request, route, reply, context, parts=_parts_text(run))
+        gateway_context.record(request, route, reply, context, parts=parts_text(run))
         # The other instance matches the reply to its query by this header.
         reply.headers.append(gateway_context.wire.request_id(request.request_id))
         return reply
@@ -238,7 +201,7 @@
             request, route
         )
         context = gateway_context.call_context(request, route)
-        pending = _PendingQuery(request, route, gathering, context, end_at_ms)
+        pending = PendingQuery(request, route, gathering, context, end_at_ms)
         remote_plan = None
         if self._delegation is not None:
             remote_plan = self._delegation.plan(
@@ -254,8 +217,8 @@
             run = await self._run_locally(pending, remote_plan)
         if run.remote is not None and run.remote.servers_unreachable:
             self.record_unreachable()
-        reply = self._caller_reply(run, gathering)
-        gateway_context.record(request, route, reply, context, parts=_parts_text(run))
+        reply = self._replies.to_caller(run, gathering)
+        gateway_context.record(request, route, reply, context, parts=parts_text(run))
         return reply
 
     async def _retry_gather(self, request: InboundRequest) -> CallerReply:
@@ -270,7 +233,7 @@
         route = gateway_context.table.find(request.host, request.path)
         if route is None or route.gathering is None:
             return gateway_context.refuse(
-                request, gateway_context.not_run_reply(_NO_COORDINATOR)
+                request, gateway_context.not_run_reply(NO_COORDINATOR)
             )
         refusal = gateway_context.authorize(request, route)
         if refusal is not None:
@@ -279,7 +242,7 @@
 
     async def _admit(
         self,
-        pending: _PendingQuery,
+        pending: PendingQuery,
         remote_plan: RemotePlan | None,
         *,
         is_delegated: bool = False,
@@ -313,7 +276,7 @@
         )
 
     async def _run_locally(
-        self, pending: _PendingQuery, remote_plan: RemotePlan | None
+        self, pending: PendingQuery, remote_plan: RemotePlan | None
     ) -> GatherRun:
         """Run a query on this instance.
 
@@ -349,7 +312,7 @@
         run.end(at_once=context.baseline.is_loaded)
         return run
 
-    def _left_out(self, pending: _PendingQuery) -> list[str]:
+    def _left_out(self, pending: PendingQuery) -> list[str]:
         """Return the services that a query leaves out.
 
         The instance that delegated a part of a query counts on every service of it.
@@ -369,7 +332,7 @@
         )
 
     async def _run_coordinated(
-        self, pending: _PendingQuery, remote_plan: RemotePlan
+        self, pending: PendingQuery, remote_plan: RemotePlan
     ) -> CoordinatedQuery:
         """Run a query on a coordinator.
 
@@ -398,7 +361,7 @@
         return run
 
     async def _run_until_cancelled(
-        self, run: GatherRun | CoordinatedQuery, pending: _PendingQuery
+        self, run: GatherRun | CoordinatedQuery, pending: PendingQuery
     ) -> None:
         """Run a query; cancel its work if the caller disconnects."""
         try:
@@ -417,7 +380,7 @@
                 servers_lost=run.servers_lost,
             )
 
-    def _remote_starter(self, pending: _PendingQuery) -> StartRemoteCall:
+    def _remote_starter(self, pending: PendingQuery) -> StartRemoteCall:
         """Return a function that delegates parts of a query to another instance."""
         gateway_context = self._gateway_context
 
@@ -452,94 +415,3 @@
         requested directly only if the other instance is lost.
         """
         return self._delegation is not None and self._delegation.uses_coordinators
-
-    def _caller_reply(
-        self, run: GatherRun | CoordinatedQuery, gathering: Gathering
-    ) -> CallerReply:
-        if not run.has_enough_parts:
-            return self._failure_reply(run)
-        signatures, bodies = run.answer()
-        missing = run.total_parts - len(signatures)
-        body = top_records(bodies, gathering.top_count)
-        headers = self._gateway_context.wire.gathered_headers(signatures, missing)
-        return CallerReply(200, headers, body, "partial" if missing else "whole")
-
-    def _delegated_reply(self, run: GatherRun, gathering: Gathering) -> CallerReply:
-        signatures, bodies = run.answer()
-        if not signatures:
-            reply = self._failure_reply(run)
-            if run.may_have_arrived:
-                reply.headers.append(reached_header())
-            return reply
-        records = top_records(bodies, gathering.top_count)
-        headers = [signatures_header(signatures)]
-        return CallerReply(200, headers, records, "delegated_parts")
-
-    def _refusal(self, run: GatherRun | CoordinatedQuery) -> CallerReply:
-        """Return the refusal of a query for which no sub-request was sent."""
-        if run.remote is not None and run.remote.servers_unreachable:
-            return self._gateway_context.unreachable_reply()
-        if isinstance(run, CoordinatedQuery) and run.room_at_ms is not None:
-            wait_ms = run.room_at_ms - self._gateway_context.clock.now_ms()
-            return self._gateway_context.not_run_reply("no_room", max(wait_ms, 0.0))
-        is_untried = isinstance(run, CoordinatedQuery) and not run.may_have_arrived
-        reason = _NO_COORDINATOR if is_untried else "no_server"
-        return self._gateway_context.not_run_reply(reason)
-
-    def _failure_reply(self, run: GatherRun | CoordinatedQuery) -> CallerReply:
-        if not run.may_have_run:
-            return self._refusal(run)
-        if run.ended_unresponsive:
-            return self._failure(BAD_GATEWAY, "all_silent", closes=True)
-        if run.is_open:
-            return self._failure(GATEWAY_TIMEOUT, "too_few_parts_in_time")
-        return self._failure(BAD_GATEWAY, "too_few_parts")
-
-    def _failure(
-        self, status: int, reason: str, *, closes: bool = False
-    ) -> CallerReply:
-        """Return the failure of a query that may have run.
-
-        If this instance is partitioned, the caller's retry can succeed only after
-        the load balancer has switched to another zone.
-        """
-        gateway_context = self._gateway_context
-        table = gateway_context.table
-        if table is None or not self._reachability.is_partitioned(table):
-            return CallerReply(status, [], b"", reason, closes=closes)
-        now_ms = gateway_context.clock.now_ms()
-        gateway_context.rotation.record(is_ready=False, now_ms=now_ms)
-        retry_after = gateway_context.wire.retry_after(
-            gateway_context.rotation.wait_ms(now_ms)
-        )
-        return CallerReply(status, [retry_after], b"", reason, closes=True)
-
-
-def _delegated_gathering(
-    query: DelegatedQuery, route_gathering: Gathering
-) -> Gathering:
-    """Return the gathering to run for another instance.
-
-    Any number of delegated parts is useful there, since the others come from other
-    servers; only those without which the query fails are awaited past the latency
-    objective. A whole query that ended at the objective with too few parts would
-    fail, although the missing ones were about to arrive and a late answer still has
-    value: it runs until there are enough.
-    """
-    services = query.select(route_gathering.services)
-    coverage = route_gathering.minimum_coverage
-    if not query.is_whole:
-        coverage = query.minimum_parts / max(len(services), 1)
-    return msgspec.structs.replace(
-        route_gathering, services=services, minimum_coverage=coverage
-    )
-
-
-def _parts_text(run: GatherRun | CoordinatedQuery) -> str:
-    missing = run.missing_calls[:_MAX_LOGGED_SERVICES]
-    names = ", ".join(f"{call.service} ({call.last_error})" for call in missing)
-    text = f"{run.received_parts}/{run.total_parts} {names}"
-    if run.remote is None:
-        return text
-    delegated = len(run.remote.services)
-    return f"{text}; {len(run.remote.signatures)}/{delegated} by {run.remote.peer_id}"
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -5,17 +5,21 @@
 import errno
 import math
 from collections import deque
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Protocol, TypeAlias
+from typing import TYPE_CHECKING
 
 import trio
 
 from ibisfront.gateway.messages import ExchangeErrorKind
+from ibisfront.gateway.servers.server_connection import (
+    ConnectionUsage,
+    OpenServerConnection,
+    ServerConnection,
+    check_ms,
+)
 from ibisfront.gateway.servers.server_event_log import ServerEventLog
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
-    from ibisfront.core.types import Address
     from ibisfront.gateway.servers.exchange import Exchange
     from ibisfront.gateway.servers.server import Server
 
@@ -38,56 +42,6 @@
 _RESET_MEMORY_MS = 10_000.0
 """How long after a server has reset a new connection others are checked first."""
 
-_CHECK_CONNECTS = 1.0
-_CHECK_MARGIN_MS = 2.0
-"""How long a new connection is checked before it is used: a server at its limit resets
-it within the time that connecting took, and the margin to accept it."""
-
-
-class ServerConnection(Protocol):
-    """An open connection that carries one exchange at a time."""
-
-    def send(self, exchange: Exchange, now_ms: float) -> bool:
-        """Send an exchange; return False if no byte could be sent."""
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether it can send an exchange now."""
-
-    @property
-    def expires_at_ms(self) -> float:
-        """When the server closes it if it stays idle."""
-
-    def close(self) -> None:
-        """Close it immediately."""
-
-    async def run(self, on_idle: Callable[[ServerConnection], None]) -> None:
-        """Read replies until the connection ends."""
-
-
-OpenServerConnection: TypeAlias = "Callable[[Address], Awaitable[ServerConnection]]"
-"""Connects to a server; raises ``OSError`` if that fails."""
-
-
-class _Usage:
-    """Whether a connection is in use yet."""
-
-    __slots__ = ("_on_idle", "is_begun")
-
-    def __init__(self, on_idle: Callable[[ServerConnection], None]) -> None:
-        self._on_idle = on_idle
-        self.is_begun = False
-
-    def begin(self, connection: ServerConnection) -> None:
-        """Use the connection from now on."""
-        self.is_begun = True
-        self._on_idle(connection)
-
-    def on_idle(self, connection: ServerConnection) -> None:
-        """Reuse the connection; a new one that is being checked waits."""
-        if self.is_begun:
-            self._on_idle(connection)
-
 
 class ServerPool:
     """The connections to one server, and the exchanges that wait for one.
@@ -339,7 +293,7 @@
         now_ms = self._clock.now_ms()
         self._server.record_connected(now_ms)
         self._connections.add(connection)
-        usage = _Usage(self._on_idle)
+        usage = ConnectionUsage(self._on_idle)
         try:
             if self._must_check(now_ms):
                 self._nursery.start_soon(
@@ -371,9 +325,9 @@
         return not self.keeps_idle or now_ms < self._resets_until_ms
 
     async def _use_after_check(
-        self, connection: ServerConnection, usage: _Usage, connect_ms: float
+        self, connection: ServerConnection, usage: ConnectionUsage, connect_ms: float
     ) -> None:
-        await self._clock.sleep_ms(_CHECK_CONNECTS * connect_ms + _CHECK_MARGIN_MS)
+        await self._clock.sleep_ms(check_ms(connect_ms))
         if connection in self._connections and not usage.is_begun:
             usage.begin(connection)
 
