Crashing requests: refusals name the fingerprint, releases are logged and counted

Cause: the logs of an incident could not say which quarantine a refusal belonged to, when a copy went to servers after one, nor how many runs ended without seeing what became of their servers.

Change: 'Refused 503: quarantined' has the fingerprint and the time to come back; a copy that leaves a quarantine is logged and counted ('released'); a run that reached servers, got no reply and saw no loss is counted ('no_loss_seen'). No decision changes.

--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -172,9 +172,9 @@
         if not self._reachability.can_serve(route):
             self.report_readiness()
             return gateway_context.refuse(request, gateway_context.unreachable_reply())
-        quarantined = gateway_context.quarantine_reply(request)
+        quarantined = gateway_context.refuse_quarantined(request)
         if quarantined is not None:
-            return gateway_context.refuse(request, quarantined)
+            return quarantined
         workspace = self.table.workspaces.named(request.workspace)
         if self._take_quota is None or workspace is None or not workspace.is_limited:
             return await self._run(request, route)
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ibisfront.gateway.admission_gate import AdmissionGate
 from ibisfront.gateway.instances.rotation import Rotation
+from ibisfront.gateway.load.crash_suspects import fingerprint_of
 from ibisfront.gateway.load.service_room import service_room
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observability import RequestTrace, refusal_fields
@@ -325,12 +326,19 @@
         reply.closes = True
         return reply
 
-    def quarantine_reply(self, request: InboundRequest) -> CallerReply | None:
-        """Return the refusal of a request that crashes servers; None for others."""
+    def refuse_quarantined(self, request: InboundRequest) -> CallerReply | None:
+        """Refuse a request that crashes servers; return None for others."""
         if self._crash_reports is None:
             return None
         left_ms = self._crash_reports.quarantine_left_ms(request)
-        return self.not_run_reply("quarantined", left_ms) if left_ms else None
+        if not left_ms:
+            return None
+        reply = self.not_run_reply("quarantined", left_ms)
+        details = {
+            "fingerprint": fingerprint_of(request),
+            "retry_after_ms": round(left_ms, 1),
+        }
+        return self.refuse(request, reply, details)
 
     def _read_room(
         self, service: str, rank: int, work_ms: float, now_ms: float
@@ -355,7 +363,10 @@
         request.reached_servers = request.reached_servers or may_have_arrived
         if self._crash_reports is not None:
             self._crash_reports.record_run(
-                request, has_reply=has_reply, servers_lost=servers_lost
+                request,
+                may_have_arrived=may_have_arrived,
+                has_reply=has_reply,
+                servers_lost=servers_lost,
             )
 
     def answer_crash_report(self, request: InboundRequest) -> CallerReply | None:
@@ -364,9 +375,16 @@
             return None
         return self._crash_reports.answer(request)
 
-    def refuse(self, request: InboundRequest, reply: CallerReply) -> CallerReply:
+    def refuse(
+        self,
+        request: InboundRequest,
+        reply: CallerReply,
+        details: dict[str, Any] | None = None,
+    ) -> CallerReply:
         """Record a request that is refused before any sub-request; return the reply."""
-        self._observer.record_refused(request, reply, version=self.version)
+        self._observer.record_refused(
+            request, reply, version=self.version, details=details
+        )
         return reply
 
     def record_cancelled(
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -28,6 +28,7 @@
 __all__ = ["CrashReport", "CrashReports"]
 
 _LOG = part_logger(LogPart.PEERS)
+_QUERY_LOG = part_logger(LogPart.QUERY)
 
 _TARGET = b"/ibisfront/crashes"
 _OK = 200
@@ -100,10 +101,23 @@
 
     def quarantine_left_ms(self, request: InboundRequest) -> float:
         """Return how long a request is refused; 0 if it may be sent to servers."""
-        return self._suspects.quarantine_left_ms(request, self._clock.now_ms())
+        left_ms = self._suspects.quarantine_left_ms(request, self._clock.now_ms())
+        if not left_ms and self._suspects.is_evident(request):
+            self._counters.add(CounterKind.QUARANTINES, "released")
+            fields = {
+                "request_id": request.request_id,
+                "fingerprint": fingerprint_of(request),
+            }
+            _QUERY_LOG.info("A request leaves its quarantine.", extra=fields)
+        return left_ms
 
     def record_run(
-        self, request: InboundRequest, *, has_reply: bool, servers_lost: int
+        self,
+        request: InboundRequest,
+        *,
+        may_have_arrived: bool,
+        has_reply: bool,
+        servers_lost: int,
     ) -> None:
         """Record the end of a run of a request; report it if servers were lost.
 
@@ -111,12 +125,16 @@
         ----------
         request : InboundRequest
             The request.
+        may_have_arrived : bool
+            Whether any server may have received it.
         has_reply : bool
             Whether any server has run it and replied.
         servers_lost : int
             Servers that closed the connection while they ran it.
         """
         if not has_reply and not servers_lost:
+            if may_have_arrived:
+                self._counters.add(CounterKind.QUARANTINES, "no_loss_seen")
             return
         now_ms = self._clock.now_ms()
         fingerprint = fingerprint_of(request)
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -135,6 +135,13 @@
         suspect.last_seen_ms = now_ms
         return suspect.quarantined_until_ms - now_ms
 
+    def is_evident(self, request: InboundRequest) -> bool:
+        """Return whether a request is known to crash servers, in quarantine or not."""
+        if not self._suspects:
+            return False
+        suspect = self._suspects.get(fingerprint_of(request))
+        return suspect is not None and suspect.is_evident
+
     def record_answer(self, fingerprint: str, now_ms: float) -> bool:
         """Record a reply of a server; return whether that cleared a suspicion."""
         self._answered_at_ms[fingerprint] = now_ms
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -161,9 +161,9 @@
             reply = gateway_context.unreachable_reply()
             reply.headers.append(unreachable_header())
             return gateway_context.refuse(request, reply)
-        quarantined = gateway_context.quarantine_reply(request)
+        quarantined = gateway_context.refuse_quarantined(request)
         if quarantined is not None:
-            return gateway_context.refuse(request, quarantined)
+            return quarantined
         gathering = delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_remaining_ms
         context = gateway_context.call_context(
