--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -87,6 +87,8 @@
         Connections that it accepts; it resets others as soon as they are open.
     crash_path : bytes or None
         Path of the requests that crash it: it closes their connections.
+    crash_ms : float or None
+        Time until it crashes; its latency if None.
     body : bytes
         Body of its replies.
     received : list of Exchange
@@ -106,6 +108,7 @@
         "body",
         "cancelled",
         "connections",
+        "crash_ms",
         "crash_path",
         "drops_connections",
         "entry",
@@ -127,6 +130,7 @@
         self.not_run = False
         self.drops_connections = False
         self.crash_path: bytes | None = None
+        self.crash_ms: float | None = None
         self.accepts_connections = True
         self.maximum_connections = math.inf
         self.body = b""
@@ -217,8 +221,11 @@
         await self._sent.wait()
         self._sent = trio.Event()
         server.running += 1
+        latency_ms = server.latency_ms
+        if self._crashes and server.crash_ms is not None:
+            latency_ms = server.crash_ms
         try:
-            await trio.sleep(server.latency_ms / 1000.0)
+            await trio.sleep(latency_ms / 1000.0)
         finally:
             server.running -= 1
         if server.drops_connections or self._crashes:
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -57,6 +57,7 @@
 _FEW_CONNECTIONS = 4
 """Connection limit of a server that makes the instances use coordinators."""
 
+_INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 
 _MAX_CLOCK_READS = 1_000_000
@@ -263,10 +264,18 @@
             server.status = _UNAVAILABLE
             server.not_run = True
 
-    def crash_on(self, path: str) -> None:
+    def crash_on(self, path: str, *, after_ms: float | None = None) -> None:
         """Make all servers crash when they run a request for a path."""
         for server in self._servers.values():
             server.crash_path = path.encode()
+            server.crash_ms = after_ms
+
+    def fail(self, service: str) -> None:
+        """Make the servers of a service answer 500 to all requests, and not crash."""
+        for server in self._servers.values():
+            if server.entry.service == service:
+                server.status = _INTERNAL_ERROR
+                server.crash_path = None
 
     @property
     def received(self) -> list[Exchange]:
