Store: conditional reads and writes of the tier's own objects

The list of instances wrote its entries through calls made for it alone. The adapter now has one client for any kind of the tier's own objects (create, replace and remove on a revision); the list of instances uses it, and what it decides (replace an entry from before a restart) stands beside the list, not in the adapter. An entry removed while it is replaced is an error, as before. Behaviour on the wire unchanged: test_platform_store, 18 tests of the module and two new ones pass.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -18,12 +18,16 @@
 from ibisfront.front.garbage_collection import collect_garbage
 from ibisfront.front.process import FrontProcess
 from ibisfront.front.stopping import stop_gracefully
-from ibisfront.gateway.instances.directory import sync_instances
+from ibisfront.gateway.instances.directory import (
+    INSTANCES_KIND,
+    StoredDirectory,
+    sync_instances,
+)
 from ibisfront.http1.caller_listener import CallerListener
 from ibisfront.http1.listening import listening_socket
 from ibisfront.platform.headers import WIRE
 from ibisfront.platform.settings import read_platform_settings
-from ibisfront.platform.store import PlatformDirectory
+from ibisfront.platform.store import PlatformObjects
 
 if TYPE_CHECKING:
     import socket
@@ -131,7 +135,8 @@
     clock: Clock,
 ) -> None:
     """Register this instance and track the others."""
-    directory = PlatformDirectory(settings.store_address)
+    objects = PlatformObjects(settings.store_address, INSTANCES_KIND)
+    directory = StoredDirectory(objects)
     stack.callback(directory.close)
     nursery.start_soon(
         partial(
--- a/ibisfront/gateway/instances/directory.py
+++ b/ibisfront/gateway/instances/directory.py
@@ -11,23 +11,30 @@
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.types import Address
 from ibisfront.gateway.servers.server_entry import ServerEntry
-from ibisfront.gateway.state.store import StoreError
+from ibisfront.gateway.state.store import StoreError, StoreErrorKind
+from ibisfront.gateway.state.store_answers import decode
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from ibisfront.core.clock import Clock
+    from ibisfront.gateway.state.store import ObjectStore
 
 __all__ = [
     "ASSUMED_INSTANCES",
+    "INSTANCES_KIND",
     "Directory",
     "InstanceEntry",
+    "StoredDirectory",
     "peer_entry",
     "sync_instances",
 ]
 
 _LOG = part_logger(LogPart.MEMBERS)
 
+INSTANCES_KIND = "ibisfront-instances"
+"""Kind of the store that has an object for each instance, under its name."""
+
 _STARTUP_POLL_INTERVAL_MS = 1_000.0
 """Poll interval of the list at startup, while the other instances register too."""
 
@@ -86,6 +93,40 @@
         """Return all entries, possibly a few seconds old; raises ``StoreError``."""
 
 
+class StoredDirectory:
+    """The list of instances, as objects of the store; see ``Directory``.
+
+    Parameters
+    ----------
+    objects : ObjectStore
+        The objects.
+    """
+
+    __slots__ = ("_objects",)
+
+    def __init__(self, objects: ObjectStore) -> None:
+        self._objects = objects
+
+    async def register(self, entry: InstanceEntry) -> None:
+        """Write an instance's entry, replacing one from before a restart."""
+        spec = msgspec.json.encode(entry)
+        if await self._objects.create(entry.name, spec) is not None:
+            return
+        # It exists from before a restart; the address may have changed.
+        if await self._objects.replace(entry.name, spec) is None:
+            detail = f"{entry.name} was removed while it was replaced"
+            raise StoreError(StoreErrorKind.REFUSED, detail)
+
+    async def instances(self) -> Sequence[InstanceEntry]:
+        """Return all entries; they may be a few seconds old."""
+        listing = await self._objects.list_all(may_be_stale=True)
+        return [decode(item.spec, InstanceEntry) for item in listing.objects]
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._objects.close()
+
+
 async def sync_instances(
     directory: Directory,
     own: InstanceEntry,
--- a/ibisfront/gateway/state/store.py
+++ b/ibisfront/gateway/state/store.py
@@ -13,6 +13,7 @@
     "KindClient",
     "Listing",
     "ObjectChange",
+    "ObjectStore",
     "StoreError",
     "StoreErrorKind",
     "StoredObject",
@@ -97,13 +98,49 @@
 
 
 class KindClient(Protocol):
-    """Lists and watches the objects of one kind."""
+    """Lists and watches the objects of one kind.
+
+    Calls raise ``StoreError`` if the store does not answer or rejects them.
+    """
 
     async def list_all(self) -> Listing:
-        """Return all objects; raise ``StoreError`` on failure."""
+        """Return all objects."""
 
     async def watch(self, revision: int) -> Changes:
-        """Return the changes since a revision; raise ``StoreError`` on failure."""
+        """Return the changes since a revision, waiting for one if there is none.
+
+        The error is ``history_gone`` if the revision is too old.
+        """
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class ObjectStore(Protocol):
+    """Reads and writes the objects of one of the tier's own kinds.
+
+    All calls raise ``StoreError`` on failure. A write that fails may have been done.
+    """
+
+    async def list_all(self, *, may_be_stale: bool = False) -> Listing:
+        """Return all objects, possibly a few seconds old."""
+
+    async def read(self, name: str) -> StoredObject | None:
+        """Return an object; None if there is none."""
+
+    async def create(self, name: str, spec: bytes) -> StoredObject | None:
+        """Write a new object and return it; None if it exists."""
+
+    async def replace(
+        self, name: str, spec: bytes, revision: int | None = None
+    ) -> StoredObject | None:
+        """Replace an object and return it; None if it is gone or has changed.
+
+        Without a revision it is replaced whatever it contains.
+        """
+
+    async def remove(self, name: str, revision: int) -> None:
+        """Remove an object, if it has not changed."""
 
     def close(self) -> None:
         """Close the connection."""
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from ibisfront.gateway.instances.directory import InstanceEntry
 from ibisfront.gateway.state.store import (
     Changes,
     Listing,
@@ -21,8 +20,6 @@
 from ibisfront.http1.client import HttpClient
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from ibisfront.core.types import Address
     from ibisfront.http1.parser import RawMessage
 
@@ -30,8 +27,8 @@
     "CONFIGURATION_KIND",
     "EVACUATIONS_KIND",
     "SERVERS_KIND",
-    "PlatformDirectory",
     "PlatformKindClient",
+    "PlatformObjects",
 ]
 
 CONFIGURATION_KIND = "config"
@@ -43,9 +40,6 @@
 EVACUATIONS_KIND = "evacuations"
 """The kind that holds an object for each evacuated zone."""
 
-_INSTANCES_KIND = "ibisfront-instances"
-"""This tier's own kind: an object for each instance, under its name."""
-
 _CALL_TIMEOUT_MS = 1_200.0
 """How long an answer may take: the store answers in milliseconds, or in 0.25 s
 when it is slow."""
@@ -61,6 +55,7 @@
 
 _OK = 200
 _MULTIPLE_CHOICES = 300
+_NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
 
@@ -102,27 +97,28 @@
     current_rev: int
 
 
-class _WrittenMeta(msgspec.Struct):
-    """The name alone; a revision would make the write conditional."""
+class _WrittenMeta(msgspec.Struct, omit_defaults=True):
+    """What a write states of its object; a revision makes it conditional."""
 
     name: str
+    rev: int | None = None
 
 
 class _WrittenObject(msgspec.Struct):
     """An object to be written."""
 
     meta: _WrittenMeta
-    spec: InstanceEntry
+    spec: msgspec.Raw
 
 
 class _KindCalls:
     """Calls of the store for one kind, on one connection."""
 
-    __slots__ = ("_client", "_era", "_kind")
+    __slots__ = ("_client", "_era", "kind")
 
     def __init__(self, address: Address, kind: str) -> None:
         self._client = HttpClient(address, maximum_body_bytes=_MAXIMUM_BODY_BYTES)
-        self._kind = kind
+        self.kind = kind
         self._era = WatchedEra()
 
     def close(self) -> None:
@@ -138,20 +134,20 @@
         timeout_ms: float = _CALL_TIMEOUT_MS,
     ) -> RawMessage:
         """Make one call; raises ``StoreError`` if there is no answer."""
-        target = f"/objects/{self._kind}{suffix}"
+        target = f"/objects/{self.kind}{suffix}"
         try:
             return await self._client.call(method, target, body, timeout_ms=timeout_ms)
         except OSError as error:
-            detail = f"{self._kind}: {error or type(error).__name__}"
+            detail = f"{self.kind}: {error or type(error).__name__}"
             raise StoreError(StoreErrorKind.UNREACHABLE, detail) from error
 
     async def get(self, suffix: str, *, timeout_ms: float = _CALL_TIMEOUT_MS) -> bytes:
         """Return the body of a successful read; raises ``StoreError``."""
         message = await self.call("GET", suffix, timeout_ms=timeout_ms)
-        self._era.check(stated_era(message.headers, _ERA_HEADER), self._kind)
+        self._era.check(stated_era(message.headers, _ERA_HEADER), self.kind)
         if message.status == _OK:
             return message.body
-        raise _rejection(self._kind, message)
+        raise _rejection(self.kind, message)
 
     async def list_all(self, options: str = "") -> Listing:
         """Return all objects of the kind; raises ``StoreError``."""
@@ -172,35 +168,48 @@
             query = f"{options}&{after}" if options else after
 
 
-class PlatformDirectory:
-    """The list of instances in the store; see ``Directory``.
-
-    Parameters
-    ----------
-    address : Address
-        The store.
-    """
+class PlatformObjects:
+    """Reads and writes one of the tier's own kinds of object; see ``ObjectStore``."""
 
     __slots__ = ("_calls",)
 
-    def __init__(self, address: Address) -> None:
-        self._calls = _KindCalls(address, _INSTANCES_KIND)
-
-    async def register(self, entry: InstanceEntry) -> None:
-        """Write an instance's entry, replacing one from before a restart."""
-        body = msgspec.json.encode(_WrittenObject(_WrittenMeta(entry.name), entry))
-        message = await self._calls.call("POST", "", body)
-        if message.status == _CONFLICT:
-            # Exists from before a restart; the address may have changed.
-            name = quote(entry.name, safe="")
-            message = await self._calls.call("PUT", f"/{name}", body)
-        if not _OK <= message.status < _MULTIPLE_CHOICES:
-            raise _rejection(_INSTANCES_KIND, message)
+    def __init__(self, address: Address, kind: str) -> None:
+        self._calls = _KindCalls(address, kind)
 
-    async def instances(self) -> Sequence[InstanceEntry]:
-        """Return all entries; they may be a few seconds old."""
-        listing = await self._calls.list_all("allowStale=1")
-        return [decode(item.spec, InstanceEntry) for item in listing.objects]
+    async def list_all(self, *, may_be_stale: bool = False) -> Listing:
+        """Return all objects, possibly a few seconds old."""
+        return await self._calls.list_all("allowStale=1" if may_be_stale else "")
+
+    async def read(self, name: str) -> StoredObject | None:
+        """Return an object; None if there is none."""
+        return await self._call("GET", f"/{quote(name, safe='')}")
+
+    async def create(self, name: str, spec: bytes) -> StoredObject | None:
+        """Write a new object and return it; None if it exists."""
+        return await self._call("POST", "", _written(name, spec))
+
+    async def replace(
+        self, name: str, spec: bytes, revision: int | None = None
+    ) -> StoredObject | None:
+        """Replace an object and return it; None if it is gone or has changed."""
+        body = _written(name, spec, revision)
+        return await self._call("PUT", f"/{quote(name, safe='')}", body)
+
+    async def remove(self, name: str, revision: int) -> None:
+        """Remove an object, if it has not changed."""
+        await self._call("DELETE", f"/{quote(name, safe='')}?rev={revision}")
+
+    async def _call(
+        self, method: str, suffix: str, body: bytes = b""
+    ) -> StoredObject | None:
+        message = await self._calls.call(method, suffix, body)
+        if message.status in (_NOT_FOUND, _CONFLICT):
+            return None
+        if not _OK <= message.status < _MULTIPLE_CHOICES:
+            raise _rejection(self._calls.kind, message)
+        if method == "DELETE":
+            return None
+        return _stored_object(decode(message.body, _Object))
 
     def close(self) -> None:
         """Close the connection."""
@@ -227,23 +236,11 @@
         self._calls = _KindCalls(address, kind)
 
     async def list_all(self) -> Listing:
-        """Return all objects of the kind.
-
-        Raises
-        ------
-        StoreError
-            If the store does not answer or rejects the request.
-        """
+        """Return all objects of the kind."""
         return await self._calls.list_all()
 
     async def watch(self, revision: int) -> Changes:
-        """Return the changes since a revision, waiting for one if there is none.
-
-        Raises
-        ------
-        StoreError
-            ``history_gone`` if the revision is too old; otherwise as ``list_all``.
-        """
+        """Return the changes since a revision, waiting for one if there is none."""
         raw = await self._calls.get(
             f"?watch={revision}&waitMs={self._watch_wait_ms}",
             timeout_ms=self._watch_wait_ms + _WATCH_SLACK_MS,
@@ -267,5 +264,10 @@
     return StoreError(error, f"{kind}: status {message.status}")
 
 
+def _written(name: str, spec: bytes, revision: int | None = None) -> bytes:
+    meta = _WrittenMeta(name, revision)
+    return msgspec.json.encode(_WrittenObject(meta, msgspec.Raw(spec)))
+
+
 def _stored_object(item: _Object) -> StoredObject:
     return StoredObject(item.meta.name, item.meta.rev, bytes(item.spec))
--- a/ibisfront/tests/test_platform_store.py
+++ b/ibisfront/tests/test_platform_store.py
@@ -8,12 +8,16 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.instances.directory import (
+    INSTANCES_KIND,
+    InstanceEntry,
+    StoredDirectory,
+)
 from ibisfront.gateway.state.kind_watch import WatchTarget, watch_kind
 from ibisfront.gateway.state.route_cache import RouteCache
 from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 from ibisfront.platform.documents import configuration_from, server_entry_from
-from ibisfront.platform.store import PlatformDirectory, PlatformKindClient
+from ibisfront.platform.store import PlatformKindClient, PlatformObjects
 from ibisfront.testing.object_store import FakeObjectStore
 from ibisfront.tests import trio_test_real_clock
 
@@ -23,6 +27,11 @@
     return PlatformKindClient(store.address, kind, watch_wait_ms=wait_ms)
 
 
+def directory_of(store):
+    """Return the list of instances in a fake store."""
+    return StoredDirectory(PlatformObjects(store.address, INSTANCES_KIND))
+
+
 class RecordingTarget:
     """Records the updates that a watch delivers for a kind."""
 
@@ -256,7 +265,7 @@
         """
         store = FakeObjectStore()
         async with store.running():
-            directory = PlatformDirectory(store.address)
+            directory = directory_of(store)
             await directory.register(InstanceEntry("i1", "z1", "10.0.0.1:1"))
             await directory.register(InstanceEntry("i1", "z1", "10.0.0.2:1"))
             listed = await directory.instances()
@@ -268,7 +277,7 @@
         store = FakeObjectStore()
         store.lost_write_responses = 1
         async with store.running():
-            directory = PlatformDirectory(store.address)
+            directory = directory_of(store)
             entry = InstanceEntry("i1", "z1", "10.0.0.1:1")
             with self.assertRaises(StoreError):
                 await directory.register(entry)
@@ -276,6 +285,34 @@
             self.assertEqual(store.names("ibisfront-instances"), ["i1"])
 
 
+class ObjectsTest(unittest.TestCase):
+    """Reads and conditional writes of one kind of object."""
+
+    @trio_test_real_clock
+    async def test_write_with_an_old_revision_changes_nothing(self):
+        store = FakeObjectStore()
+        async with store.running():
+            objects = PlatformObjects(store.address, "things")
+            first = await objects.create("a/b", b'{"n":1}')
+            self.assertIsNone(await objects.create("a/b", b'{"n":2}'))
+            second = await objects.replace("a/b", b'{"n":3}', first.revision)
+            self.assertIsNone(await objects.replace("a/b", b'{"n":4}', first.revision))
+            await objects.remove("a/b", first.revision)
+            self.assertEqual(await objects.read("a/b"), second)
+            await objects.remove("a/b", second.revision)
+            self.assertIsNone(await objects.read("a/b"))
+            self.assertIsNone(await objects.replace("a/b", b'{"n":5}'))
+
+    @trio_test_real_clock
+    async def test_refused_write_is_an_error(self):
+        store = FakeObjectStore()
+        store.error_status = 429
+        async with store.running():
+            objects = PlatformObjects(store.address, "things")
+            with self.assertRaises(StoreError):
+                await objects.create("a", b"1")
+
+
 class DocumentsTest(unittest.TestCase):
     """Decoding of the store's documents."""
 
