Crashing requests: the store grants trials, one instance at a time

What callers saw: four copies of one search reached servers later than the contact bound after the third loss, where three are tolerated; each cost all servers of the search, and nothing of it was served for some 3.5 s after each.

Cause: when a quarantine ended, every instance let every copy through until it heard that one had failed: a run's length and a message later. Copies come together at that moment, as those refused shortly before are told to come back then. The bound is one over all instances and for good; nobody owned it.

Change: a request whose runs have lost three servers and got no reply reaches servers in trials only. A trial is claimed in the store, by a write that fails if the record has changed: one instance gets it, the others refuse copies until its outcome is known. Three trials for good. A trial goes to one server of one service; only when that has replied does the rest of the query run. One that reaches no server is given back. Two runs that lost servers are still followed by a quarantine before each trial. Without the store, a request that one run alone makes suspect goes on as before, others wait for it.

Why it works: the count of trials stands in one object and rises by conditional writes, so that it holds whatever the instances know, lose or miss, as long as they know that the request is suspected.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -93,6 +93,8 @@
         else:
             process.state_sync.record_first_poll()
         nursery.start_soon(process.state_sync.run)
+        stack.callback(process.suspect_records.close)
+        nursery.start_soon(process.suspect_records.run)
         nursery.start_soon(process.run_maintenance)
         nursery.start_soon(process.zone_path_monitor.run)
         nursery.start_soon(handler.run)
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -24,6 +24,7 @@
     peer_entry,
 )
 from ibisfront.gateway.instances.recent_instances import RecentInstances
+from ibisfront.gateway.instances.suspect_records import SUSPECTS_KIND, SuspectRecords
 from ibisfront.gateway.instances.zone_path_monitor import ZonePathMonitor
 from ibisfront.gateway.instances.zone_paths import ZonePaths
 from ibisfront.gateway.load.retry_budget import RetryBudgets
@@ -41,6 +42,7 @@
 from ibisfront.gateway.state.state_sync import StateSync
 from ibisfront.http1.state_client import HttpStateClient, parse_state_request
 from ibisfront.platform.headers import WIRE
+from ibisfront.platform.store import PlatformObjects
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -105,6 +107,8 @@
         Which instances coordinate queries for the others.
     crash_reports : CrashReports
         Shares with other instances which requests crash servers.
+    suspect_records : SuspectRecords
+        Keeps these requests in the store.
     quotas : Quotas
         Counts requests against the limits of workspaces.
     source : StateSource
@@ -139,6 +143,7 @@
         "settings",
         "source",
         "state_sync",
+        "suspect_records",
         "topology",
         "zone_path_monitor",
     )
@@ -222,11 +227,17 @@
             is_cut_off=lambda: self.gateway.is_partitioned,
             clock=clock,
         )
+        self.suspect_records = SuspectRecords(
+            PlatformObjects(settings.store_address, SUSPECTS_KIND),
+            clock=clock,
+            counters=self.observer.counters,
+        )
         self.crash_reports = CrashReports(
             peers=self.peers,
             wire=WIRE,
             clock=clock,
             counters=self.observer.counters,
+            records=self.suspect_records,
         )
         self.quotas = Quotas(
             own=own,
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -267,8 +267,13 @@
                 gateway_context.states.for_route(route).objective_at_ms, request, route
             ),
         )
+        if refusal is None:
+            refusal = await gateway_context.release(request, route)
         if refusal is not None:
             return refusal
+        if request.is_trial:
+            # Like a request that may run once: only one server may get it.
+            context.is_idempotent = False
         run = ForwardRun(
             service,
             context,
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -15,6 +15,7 @@
 from ibisfront.gateway.route_state import (
     RouteStates,
     caller_deadline_at_ms,
+    give_up_at_ms,
     rank_of,
 )
 from ibisfront.gateway.workspaces.authentication import (
@@ -41,6 +42,10 @@
 
 __all__ = ["BAD_GATEWAY", "GATEWAY_TIMEOUT", "GatewayContext"]
 
+_CLAIM_SHARE = 0.25
+_MAX_CLAIM_MS = 1_000.0
+"""Share of its remaining time, and the longest, that a request waits for a trial."""
+
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
 _UNAUTHORIZED = 401
@@ -331,12 +336,33 @@
         if self._crash_reports is None:
             return None
         left_ms = self._crash_reports.quarantine_left_ms(request)
-        if not left_ms:
+        return self._refuse_suspect(request, left_ms) if left_ms else None
+
+    async def release(
+        self, request: InboundRequest, route: Route
+    ) -> CallerReply | None:
+        """Let a request go to servers; return its refusal if it may not.
+
+        One that is suspected of crashing servers goes as a trial, and waits until the
+        store has granted it.
+        """
+        if self._crash_reports is None:
+            return None
+        left_ms = give_up_at_ms(request, route) - self.clock.now_ms()
+        retry_after_ms = await self._crash_reports.release(
+            request, timeout_ms=min(_CLAIM_SHARE * left_ms, _MAX_CLAIM_MS)
+        )
+        if retry_after_ms is None:
             return None
-        reply = self.not_run_reply("quarantined", left_ms)
+        return self._refuse_suspect(request, retry_after_ms)
+
+    def _refuse_suspect(
+        self, request: InboundRequest, retry_after_ms: float
+    ) -> CallerReply:
+        reply = self.not_run_reply("quarantined", retry_after_ms)
         details = {
             "fingerprint": fingerprint_of(request),
-            "retry_after_ms": round(left_ms, 1),
+            "retry_after_ms": round(retry_after_ms, 1),
         }
         return self.refuse(request, reply, details)
 
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -10,17 +10,20 @@
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.gateway.instances.suspect_records import ClaimOutcome
 from ibisfront.gateway.load.crash_suspects import (
     CrashSuspects,
     FailedRuns,
     fingerprint_of,
 )
+from ibisfront.gateway.load.token_bucket import TokenBucket
 from ibisfront.gateway.messages import CallerReply, InboundRequest
 from ibisfront.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
+    from ibisfront.gateway.instances.suspect_records import Claim, SuspectRecords
     from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.servers.server_registry import ServerRegistry
     from ibisfront.gateway.wire import WireCodec
@@ -38,6 +41,20 @@
 
 _MAX_SUSPECTS_IN_REPLY = 8
 
+_RETRY_AFTER_MS = 250.0
+"""Retry-after time while a trial is claimed or runs: its outcome is known soon after
+the first server has replied."""
+
+_UNAVAILABLE_WAIT_MS = 250.0
+"""Pause between claims while the store does not answer."""
+
+_EXHAUSTED_WAIT_MS = 60_000.0
+"""Pause before the record of an exhausted suspect is read again: an operator may have
+removed it."""
+
+_MAX_CLAIMS_PER_S = 5.0
+"""Claims of this instance; more suspects than that come from failing servers."""
+
 
 class CrashReport(msgspec.Struct, frozen=True):
     """What one instance tells another.
@@ -71,15 +88,19 @@
         The clock.
     counters : Counters
         Counts reports and refusals.
+    records : SuspectRecords
+        Grants the trials of suspected requests.
     """
 
     __slots__ = (
+        "_claim_tokens",
+        "_claiming",
         "_clock",
         "_counters",
         "_peers",
+        "_records",
+        "_report_tokens",
         "_suspects",
-        "_tokens",
-        "_tokens_at_ms",
         "_wire",
     )
 
@@ -90,26 +111,113 @@
         wire: WireCodec,
         clock: Clock,
         counters: Counters,
+        records: SuspectRecords,
     ) -> None:
         self._peers = peers
         self._wire = wire
         self._clock = clock
         self._counters = counters
+        self._records = records
         self._suspects = CrashSuspects()
-        self._tokens = _MAX_REPORTS_PER_S
-        self._tokens_at_ms = clock.now_ms()
+        self._claiming: set[str] = set()
+        now_ms = clock.now_ms()
+        self._report_tokens = TokenBucket(_MAX_REPORTS_PER_S, now_ms)
+        self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, now_ms)
 
     def quarantine_left_ms(self, request: InboundRequest) -> float:
         """Return how long a request is refused; 0 if it may be sent to servers."""
+        return self._suspects.quarantine_left_ms(request, self._clock.now_ms())
+
+    def is_suspected(self, request: InboundRequest) -> bool:
+        """Return whether a request may reach servers in trials only."""
+        return self._suspects.is_suspected(request)
+
+    async def release(
+        self, request: InboundRequest, *, timeout_ms: float
+    ) -> float | None:
+        """Let a request go to servers, as a trial if it is suspected.
+
+        Parameters
+        ----------
+        request : InboundRequest
+            The request; ``is_trial`` is set if it may reach one server first.
+        timeout_ms : float
+            How long it may wait for the store's answer.
+
+        Returns
+        -------
+        float or None
+            None if it may go on; otherwise after how many milliseconds its caller
+            should retry.
+        """
+        if not self._suspects.is_suspected(request):
+            return None
+        fingerprint = fingerprint_of(request)
         left_ms = self._suspects.quarantine_left_ms(request, self._clock.now_ms())
-        if not left_ms and self._suspects.is_evident(request):
-            self._counters.add(CounterKind.QUARANTINES, "released")
-            fields = {
-                "request_id": request.request_id,
-                "fingerprint": fingerprint_of(request),
-            }
-            _QUERY_LOG.info("A request leaves its quarantine.", extra=fields)
-        return left_ms
+        if left_ms:
+            return min(left_ms, _RETRY_AFTER_MS)
+        if fingerprint in self._claiming:
+            return _RETRY_AFTER_MS
+        known = self._suspects.known(fingerprint)
+        assert known is not None
+        if not self._claim_tokens.try_spend(self._clock.now_ms()):
+            return self._release_without_claim(fingerprint)
+        self._claiming.add(fingerprint)
+        try:
+            claim = await self._records.claim_trial(known, timeout_ms=timeout_ms)
+        finally:
+            self._claiming.discard(fingerprint)
+        return self._apply_claim(request, fingerprint, claim)
+
+    def _apply_claim(
+        self, request: InboundRequest, fingerprint: str, claim: Claim
+    ) -> float | None:
+        now_ms = self._clock.now_ms()
+        if claim.outcome is ClaimOutcome.UNAVAILABLE:
+            return self._release_without_claim(fingerprint)
+        if claim.outcome is ClaimOutcome.LIFTED:
+            self._suspects.clear(fingerprint)
+            return None
+        if claim.outcome is ClaimOutcome.EXHAUSTED:
+            self._suspects.wait(fingerprint, _EXHAUSTED_WAIT_MS, now_ms)
+            return _EXHAUSTED_WAIT_MS
+        known = self._suspects.known(fingerprint)
+        if claim.outcome is ClaimOutcome.TAKEN or claim.record is None:
+            trials = known.trials if known is not None else 0
+            self._suspects.record_trial(fingerprint, trials, now_ms)
+            if claim.record is not None:
+                self._suspects.merge(claim.record, now_ms)
+            return _RETRY_AFTER_MS
+        if known is None:
+            # A server has answered another copy meanwhile.
+            self._records.forget(fingerprint)
+            return None
+        request.is_trial = True
+        self._suspects.record_trial(fingerprint, claim.record.trials, now_ms)
+        fields = {
+            "request_id": request.request_id,
+            "fingerprint": fingerprint,
+            "trials": claim.record.trials,
+        }
+        _QUERY_LOG.warning("A suspected request is tried on one server.", extra=fields)
+        self._send_to_all(self._known_report(fingerprint))
+        return None
+
+    def _release_without_claim(self, fingerprint: str) -> float | None:
+        """Let a request go on without a trial if only one run has lost servers.
+
+        A sound request may have run beside one that crashes servers; it must not fail
+        because the store is away too.
+        """
+        if not self._suspects.is_evident(fingerprint):
+            return None
+        now_ms = self._clock.now_ms()
+        self._suspects.wait(fingerprint, _UNAVAILABLE_WAIT_MS, now_ms)
+        return _UNAVAILABLE_WAIT_MS
+
+    def _known_report(self, fingerprint: str) -> CrashReport:
+        known = self._suspects.known(fingerprint)
+        return CrashReport() if known is None else CrashReport(failed=[known])
 
     def record_run(
         self,
@@ -132,23 +240,42 @@
         servers_lost : int
             Servers that closed the connection while they ran it.
         """
-        if not has_reply and not servers_lost:
-            if may_have_arrived:
-                self._counters.add(CounterKind.QUARANTINES, "no_loss_seen")
-            return
-        now_ms = self._clock.now_ms()
         fingerprint = fingerprint_of(request)
         if has_reply:
-            if self._suspects.record_answer(fingerprint, now_ms):
-                self._counters.add(CounterKind.QUARANTINES, "cleared")
-                self._send_to_all(CrashReport(answered=[fingerprint]), now_ms)
-            return
+            self._record_answer(fingerprint)
+        elif servers_lost or (request.is_trial and may_have_arrived):
+            self._record_failed_run(request, fingerprint, servers_lost)
+        elif request.is_trial:
+            self._record_unused_trial(fingerprint)
+        elif may_have_arrived:
+            self._counters.add(CounterKind.QUARANTINES, "no_loss_seen")
+
+    def _record_answer(self, fingerprint: str) -> None:
+        if self._suspects.record_answer(fingerprint, self._clock.now_ms()):
+            self._counters.add(CounterKind.QUARANTINES, "cleared")
+            self._send_to_all(CrashReport(answered=[fingerprint]))
+            self._records.forget(fingerprint)
+
+    def _record_failed_run(
+        self, request: InboundRequest, fingerprint: str, servers_lost: int
+    ) -> None:
+        was_suspected = self._suspects.is_suspected(request)
         known = self._suspects.record_failed_run(
-            fingerprint, request.request_id, servers_lost, now_ms
+            fingerprint, request.request_id, servers_lost, self._clock.now_ms()
         )
+        if known is None:
+            return
+        self._counters.add(CounterKind.QUARANTINES, "suspected")
+        self._send_limited(CrashReport(failed=[known]))
+        if not was_suspected and self._suspects.is_suspected(request):
+            self._records.save(known)
+
+    def _record_unused_trial(self, fingerprint: str) -> None:
+        known = self._suspects.record_unused_trial(fingerprint)
         if known is not None:
-            self._counters.add(CounterKind.QUARANTINES, "suspected")
-            self._send_to_all(CrashReport(failed=[known]), now_ms)
+            self._counters.add(CounterKind.QUARANTINES, "trial_unused")
+            self._send_to_all(CrashReport(failed=[known]))
+            self._records.give_back(known)
 
     @property
     def peers(self) -> list[Server]:
@@ -191,16 +318,17 @@
         for item in report.failed:
             self._suspects.merge(item, now_ms)
         for fingerprint in report.answered:
-            self._suspects.clear(fingerprint)
+            self._suspects.record_answer(fingerprint, now_ms)
 
-    def _send_to_all(self, report: CrashReport, now_ms: float) -> None:
-        refill = (now_ms - self._tokens_at_ms) / 1_000.0 * _MAX_REPORTS_PER_S
-        self._tokens = min(self._tokens + refill, _MAX_REPORTS_PER_S)
-        self._tokens_at_ms = now_ms
-        if self._tokens < 1.0:
+    def _send_limited(self, report: CrashReport) -> None:
+        """Send a report to all unless there were too many."""
+        if self._report_tokens.try_spend(self._clock.now_ms()):
+            self._send_to_all(report)
+        else:
             self._counters.add(CounterKind.QUARANTINES, "not_reported")
-            return
-        self._tokens -= 1.0
+
+    def _send_to_all(self, report: CrashReport) -> None:
+        now_ms = self._clock.now_ms()
         for peer in self._peers.servers():
             if peer.is_reachable(now_ms):
                 self._send(peer, report)
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -20,21 +20,30 @@
 
     from ibisfront.gateway.messages import InboundRequest
 
-__all__ = ["CrashSuspects", "FailedRuns", "fingerprint_of"]
+__all__ = ["MAX_TRIALS", "CrashSuspects", "FailedRuns", "fingerprint_of"]
 
 _LOG = part_logger(LogPart.QUERY)
 
 _DIGEST_BYTES = 12
 
+MAX_TRIALS = 3
+"""Trials of a suspected request, over all instances and for good. The users tolerate
+as many copies at servers later than the contact bound after the third lost server."""
+
 _MIN_SERVERS_LOST = 3
+"""Servers lost before a request is suspected and reaches servers in trials only."""
+
 _MIN_RUNS = 2
-"""Servers lost, and runs that lost them, before a request is quarantined. In one run
-alone, the servers may have been lost for another reason at the same moment."""
+"""Runs that lost servers before a suspected request is quarantined. In one run alone,
+the servers may have been lost for another reason at the same moment."""
 
 _QUARANTINES_MS = (1_000.0, 4_000.0, 16_000.0, 64_000.0, 3_600_000.0)
-"""Durations of a request's quarantines. Each ends with a copy that may reach servers;
-three such copies are tolerated later than the contact bound of some seconds. The first
-is short, since requests that ran beside the one that crashes servers lose them too."""
+"""Durations of a request's quarantines, each followed by a trial. The first is short,
+since requests that ran beside the one that crashes servers lose them too."""
+
+_TRIAL_MS = 2_000.0
+"""How long copies wait for the outcome of a trial; longer than most deadlines. After
+that the instance that holds the trial counts as lost."""
 
 _MAX_EXTENSION = 1.0
 """Largest share by which a quarantine is extended. The extension depends on the
@@ -65,22 +74,45 @@
         Servers lost by each run, by the request id of the run.
     quarantines : int
         How often it has been quarantined.
+    trials : int
+        How many trials of it have been granted.
+    unused_trials : int
+        How many of these ended before they reached a server.
     """
 
     fingerprint: str
     servers_lost: dict[str, int]
     quarantines: int = 0
+    trials: int = 0
+    unused_trials: int = 0
+
+    @property
+    def has_trials_left(self) -> bool:
+        """Whether another trial may be granted."""
+        return self.trials - self.unused_trials < MAX_TRIALS
 
 
 class _Suspect:
     """What is known about one suspected request."""
 
-    __slots__ = ("last_seen_ms", "quarantined_until_ms", "quarantines", "servers_lost")
+    __slots__ = (
+        "last_seen_ms",
+        "quarantined_until_ms",
+        "quarantines",
+        "servers_lost",
+        "trials",
+        "unused_trials",
+        "waits_until_ms",
+    )
 
     def __init__(self) -> None:
         self.servers_lost: dict[str, int] = {}
         self.quarantines = 0
         self.quarantined_until_ms = -math.inf
+        self.trials = 0
+        self.unused_trials = 0
+        # While a trial runs, or none can be granted.
+        self.waits_until_ms = -math.inf
         self.last_seen_ms = -math.inf
 
     def add_runs(self, servers_lost: dict[str, int]) -> bool:
@@ -93,13 +125,20 @@
             del self.servers_lost[next(iter(self.servers_lost))]
         return bool(new_ids)
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether enough servers were lost, in any number of runs."""
+        return sum(self.servers_lost.values()) >= _MIN_SERVERS_LOST
+
     @property
     def is_evident(self) -> bool:
         """Whether enough servers were lost by enough runs."""
-        return (
-            len(self.servers_lost) >= _MIN_RUNS
-            and sum(self.servers_lost.values()) >= _MIN_SERVERS_LOST
-        )
+        return len(self.servers_lost) >= _MIN_RUNS and self.is_suspected
+
+    def refused_ms(self, now_ms: float) -> float:
+        """Return how long copies are refused; 0 if they are not."""
+        until_ms = max(self.quarantined_until_ms, self.waits_until_ms)
+        return max(until_ms - now_ms, 0.0)
 
 
 def fingerprint_of(request: InboundRequest) -> str:
@@ -114,9 +153,11 @@
 class CrashSuspects:
     """Decides which requests are refused because they crash servers.
 
-    A request is suspected if a run of it lost servers and no server replied to it. It
-    is quarantined once two runs have lost three servers, here or at other instances;
-    any reply clears it. Each further quarantine lasts longer.
+    A request is suspected once its runs, here or at other instances, have lost three
+    servers and no server has replied to it. Its copies then reach servers in trials
+    only: one copy at a time over all instances, at one server first, and no more than
+    ``MAX_TRIALS``. Once two runs have lost servers it is quarantined before each trial,
+    each time for longer. Any reply clears it.
     """
 
     __slots__ = ("_answered_at_ms", "_suspects")
@@ -130,18 +171,45 @@
         if not self._suspects:
             return 0.0
         suspect = self._suspects.get(fingerprint_of(request))
-        if suspect is None or now_ms >= suspect.quarantined_until_ms:
+        if suspect is None:
             return 0.0
         suspect.last_seen_ms = now_ms
-        return suspect.quarantined_until_ms - now_ms
+        return suspect.refused_ms(now_ms)
 
-    def is_evident(self, request: InboundRequest) -> bool:
-        """Return whether a request is known to crash servers, in quarantine or not."""
+    def is_suspected(self, request: InboundRequest) -> bool:
+        """Return whether a request may reach servers in trials only."""
         if not self._suspects:
             return False
         suspect = self._suspects.get(fingerprint_of(request))
+        return suspect is not None and suspect.is_suspected
+
+    def is_evident(self, fingerprint: str) -> bool:
+        """Return whether several runs of a request have lost servers."""
+        suspect = self._suspects.get(fingerprint)
         return suspect is not None and suspect.is_evident
 
+    def record_trial(self, fingerprint: str, trials: int, now_ms: float) -> None:
+        """Record that a trial has been granted; other copies wait for its outcome."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.trials = max(suspect.trials, trials)
+            suspect.waits_until_ms = now_ms + _TRIAL_MS
+
+    def wait(self, fingerprint: str, wait_ms: float, now_ms: float) -> None:
+        """Refuse copies for some time, as no trial can be granted."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.waits_until_ms = now_ms + wait_ms
+
+    def record_unused_trial(self, fingerprint: str) -> FailedRuns | None:
+        """Take back a trial that reached no server; return what is known."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return None
+        suspect.unused_trials += 1
+        suspect.waits_until_ms = -math.inf
+        return self.known(fingerprint)
+
     def record_answer(self, fingerprint: str, now_ms: float) -> bool:
         """Record a reply of a server; return whether that cleared a suspicion."""
         self._answered_at_ms[fingerprint] = now_ms
@@ -164,6 +232,11 @@
             return
         suspect = self._suspect(report.fingerprint, now_ms)
         has_new_run = suspect.add_runs(report.servers_lost)
+        if report.trials > suspect.trials:
+            self.record_trial(report.fingerprint, report.trials, now_ms)
+        if report.unused_trials > suspect.unused_trials:
+            suspect.unused_trials = report.unused_trials
+            suspect.waits_until_ms = -math.inf
         is_behind = report.quarantines > suspect.quarantines
         is_free = now_ms >= suspect.quarantined_until_ms
         if suspect.is_evident and (is_behind or (is_free and has_new_run)):
@@ -183,7 +256,13 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return None
-        return FailedRuns(fingerprint, dict(suspect.servers_lost), suspect.quarantines)
+        return FailedRuns(
+            fingerprint,
+            dict(suspect.servers_lost),
+            suspect.quarantines,
+            suspect.trials,
+            suspect.unused_trials,
+        )
 
     def all_known(self) -> Iterable[FailedRuns]:
         """Return what is known about each suspect, the latest first."""
@@ -201,12 +280,26 @@
         suspect.last_seen_ms = now_ms
         self._suspects.move_to_end(fingerprint)
         if len(self._suspects) > _MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+            self._drop_one()
         return suspect
 
+    def _drop_one(self) -> None:
+        """Forget the request seen longest ago, one that is not suspected if possible.
+
+        In an outage many requests lose a server or two; they must not displace one
+        that crashes them.
+        """
+        oldest = next(iter(self._suspects))
+        unsuspected = (
+            name for name, item in self._suspects.items() if not item.is_suspected
+        )
+        del self._suspects[next(unsuspected, oldest)]
+
     def _is_expired(self, suspect: _Suspect, now_ms: float) -> bool:
-        last_ms = max(suspect.last_seen_ms, suspect.quarantined_until_ms)
-        return now_ms > last_ms + _SUSPICION_TTL_MS
+        if suspect.is_suspected:
+            # The bound on its copies holds for good.
+            return False
+        return now_ms > suspect.last_seen_ms + _SUSPICION_TTL_MS
 
     def _quarantine(
         self, fingerprint: str, suspect: _Suspect, reported: int, now_ms: float
--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -57,6 +57,8 @@
         Digests of the keys that it carried; only where it was received.
     reached_servers : bool
         Whether any server may have received it so far, even if it rejected it.
+    is_trial : bool
+        Whether it is suspected of crashing servers and may reach one first.
     """
 
     method: bytes
@@ -73,6 +75,7 @@
     rank: int | None = None
     key_digests: tuple[str, ...] = ()
     reached_servers: bool = False
+    is_trial: bool = False
 
     @property
     def path(self) -> str:
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -54,6 +54,8 @@
         Without it the parts are requested directly as soon as the instance is late.
     left_out : sequence of str, optional
         Services that are queried only if others fail, in this order.
+    is_trial : bool, optional
+        Whether the other services are queried only once a server of one has replied.
 
     Attributes
     ----------
@@ -78,6 +80,7 @@
         "_hedge_at_ms",
         "_is_falling_back",
         "_is_past_end",
+        "_is_trial",
         "_left_out",
         "_liveness_probe",
         "_needed_parts",
@@ -105,7 +108,9 @@
         start_remote: StartRemoteCall | None = None,
         start_liveness_probe: StartLivenessProbe | None = None,
         left_out: Sequence[str] = (),
+        is_trial: bool = False,
     ) -> None:
+        self._is_trial = is_trial
         self._start_liveness_probe = start_liveness_probe
         self._liveness_probe: LivenessProbe | None = None
         self._gathering = gathering
@@ -215,9 +220,17 @@
 
     async def run(self) -> None:
         """Query every service until the plan ends the query."""
+        if self._is_trial and not await self._try_one_server():
+            return
         if self._remote_plan is not None:
             self._start_remote_call(self._remote_plan)
-        self._start_calls([call for call in self.calls if call not in self._left_out])
+        self._start_calls(
+            [
+                call
+                for call in self.calls
+                if call not in self._left_out and not call.may_have_arrived
+            ]
+        )
         while not self._is_done():
             now_ms = self._context.clock.now_ms()
             if now_ms > self._wake_at_ms + LATE_WAKE_UP_MS:
@@ -253,6 +266,39 @@
             # cancels its work.
             self.remote.end(at_once=True)
 
+    async def _try_one_server(self) -> bool:
+        """Query one service; return whether a server has replied with its part.
+
+        The next service is queried only if no server has run the query. Services whose
+        servers rejected it are retried later, from the retry budget.
+        """
+        for call in self._by_last_reply():
+            now_ms = self._context.clock.now_ms()
+            call.start(now_ms)
+            while call.is_open and now_ms < self._plan.give_up_at_ms:
+                with self._context.clock.timeout_ms(self._plan.give_up_at_ms - now_ms):
+                    await self._woken.wait()
+                self._woken = trio.Event()
+                now_ms = self._context.clock.now_ms()
+            self._failed = [item for item in self._failed if item.may_have_arrived]
+            if call.is_settled:
+                self._is_trial = False
+                self._hedge_at_ms += now_ms - self._started_ms
+                return True
+            if call.may_have_run or now_ms >= self._plan.give_up_at_ms:
+                break
+        return False
+
+    def _by_last_reply(self) -> list[ServiceCall]:
+        """Return the calls to services with servers, the last to reply first."""
+        registry = self._context.registry
+
+        def replied_ms(call: ServiceCall) -> float:
+            servers = registry.of_service(call.service)
+            return max((item.last_reply_at_ms for item in servers), default=-math.inf)
+
+        return sorted(self.calls, key=replied_ms, reverse=True)
+
     @property
     def _waits_for_remote(self) -> bool:
         """Whether the other instance's answer is pending and may still be replaced."""
@@ -321,7 +367,12 @@
             self._fallback_parts += 1
         else:
             self._direct_parts += 1
-        if self._is_past_end or self._has_withheld_retries or self._has_all_parts:
+        if (
+            self._is_past_end
+            or self._is_trial
+            or self._has_withheld_retries
+            or self._has_all_parts
+        ):
             self._wake()
 
     def _retry_failed(self, now_ms: float) -> None:
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -13,6 +13,7 @@
 from ibisfront.gateway.load.gather_plan import gather_plan
 from ibisfront.gateway.load.kept_places import caller_identity
 from ibisfront.gateway.load.scarce_services import any_scarce, services_left_out
+from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.queries.coordinated_query import CoordinatedQuery
 from ibisfront.gateway.queries.delegated_query import (
     load_header,
@@ -31,7 +32,7 @@
 if TYPE_CHECKING:
     from ibisfront.gateway.gateway_context import GatewayContext
     from ibisfront.gateway.load.reachability import Reachability
-    from ibisfront.gateway.messages import CallerReply, InboundRequest
+    from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.queries.coordinated_query import StartRemoteCall
     from ibisfront.gateway.queries.delegated_query import DelegatedQuery
     from ibisfront.gateway.queries.delegation import Delegation
@@ -144,26 +145,10 @@
     async def _answer_delegated(self, query: DelegatedQuery) -> CallerReply:
         gateway_context = self._gateway_context
         request = query.request
-        table = gateway_context.table
-        route = None if table is None else table.find(request.host, request.path)
-        if route is None or route.gathering is None:
-            return gateway_context.refuse(
-                request, gateway_context.not_run_reply("no_gathering_route")
-            )
-        if route.gathering.digest != query.gathering:
-            return gateway_context.refuse(
-                request, gateway_context.not_run_reply("other_gathering")
-            )
-        refusal = gateway_context.authorize_delegated(request, route)
-        if refusal is not None:
-            return gateway_context.refuse(request, refusal)
-        if query.is_whole and not self._reachability.can_serve(route):
-            reply = gateway_context.unreachable_reply()
-            reply.headers.append(unreachable_header())
-            return gateway_context.refuse(request, reply)
-        quarantined = gateway_context.refuse_quarantined(request)
-        if quarantined is not None:
-            return quarantined
+        route = self._route_of_delegated(query)
+        if isinstance(route, CallerReply):
+            return route
+        assert route.gathering is not None
         gathering = delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_remaining_ms
         context = gateway_context.call_context(
@@ -176,7 +161,9 @@
         refusal = None
         if query.is_whole:
             # Other parts of a query that is not whole run already, elsewhere.
-            refusal = await self._admit(pending, remote_plan, is_delegated=True)
+            refusal = await self._admit(
+                pending, remote_plan, is_delegated=True
+            ) or await gateway_context.release(request, route)
         if refusal is not None:
             return refusal
         run = await self._run_locally(pending, remote_plan)
@@ -193,6 +180,29 @@
         reply.headers.append(gateway_context.wire.request_id(request.request_id))
         return reply
 
+    def _route_of_delegated(self, query: DelegatedQuery) -> Route | CallerReply:
+        """Return the route of a query that another instance delegates, or a refusal."""
+        gateway_context = self._gateway_context
+        request = query.request
+        table = gateway_context.table
+        route = None if table is None else table.find(request.host, request.path)
+        if route is None or route.gathering is None:
+            return gateway_context.refuse(
+                request, gateway_context.not_run_reply("no_gathering_route")
+            )
+        if route.gathering.digest != query.gathering:
+            return gateway_context.refuse(
+                request, gateway_context.not_run_reply("other_gathering")
+            )
+        refusal = gateway_context.authorize_delegated(request, route)
+        if refusal is not None:
+            return gateway_context.refuse(request, refusal)
+        if query.is_whole and not self._reachability.can_serve(route):
+            reply = gateway_context.unreachable_reply()
+            reply.headers.append(unreachable_header())
+            return gateway_context.refuse(request, reply)
+        return gateway_context.refuse_quarantined(request) or route
+
     async def _gather(
         self, request: InboundRequest, route: Route, gathering: Gathering
     ) -> CallerReply:
@@ -211,7 +221,9 @@
         if remote_plan is not None and remote_plan.is_whole:
             run = await self._run_coordinated(pending, remote_plan)
         else:
-            refusal = await self._admit(pending, remote_plan)
+            refusal = await self._admit(
+                pending, remote_plan
+            ) or await gateway_context.release(request, route)
             if refusal is not None:
                 return refusal
             run = await self._run_locally(pending, remote_plan)
@@ -285,7 +297,10 @@
         """
         context = pending.context
         now_ms = context.clock.now_ms()
-        if any_scarce(pending.gathering.services, context.registry.of_service, now_ms):
+        is_trial = pending.request.is_trial
+        if is_trial or any_scarce(
+            pending.gathering.services, context.registry.of_service, now_ms
+        ):
             remote_plan = None
         context.query_time.end_at_ms = pending.effective_end_at_ms
         plan = gather_plan(
@@ -305,6 +320,7 @@
             if self._uses_coordinators
             else None,
             left_out=self._left_out(pending),
+            is_trial=is_trial,
         )
         await self._run_until_cancelled(run, pending)
         # Servers cancel a request when its connection closes. Under load that frees
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -17,6 +17,7 @@
 from ibisfront.gateway.instances.coordinators import Coordinators
 from ibisfront.gateway.instances.crash_reports import CrashReports
 from ibisfront.gateway.instances.directory import InstanceEntry
+from ibisfront.gateway.instances.suspect_records import SuspectRecords
 from ibisfront.gateway.load.retry_budget import RetryBudgets
 from ibisfront.gateway.messages import ExchangeErrorKind, InboundRequest
 from ibisfront.gateway.observability import Observer
@@ -42,6 +43,7 @@
     InMemoryConnection,
     connect_to,
 )
+from ibisfront.testing.memory_objects import MemoryObjects
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -117,6 +119,8 @@
         Headers that callers add to their requests.
     peer_connect_ms : float
         Time to open a connection between the instances.
+    records : MemoryObjects
+        What the store keeps of requests that seem to crash servers.
     """
 
     def __init__(
@@ -137,6 +141,7 @@
         self.workspaces: tuple[Workspace, ...] = ()
         self.headers: list[Header] = []
         self.peer_connect_ms = CONNECT_MS
+        self.records = MemoryObjects()
         self._route = route
         routes = [route] if extra_route is None else [route, extra_route]
         self._service_names = [name for item in routes for name in item.service_names]
@@ -304,6 +309,10 @@
             if other != zone:
                 peers.put(ServerEntry(f"instance-{other}", other, other, other))
         observer = Observer()
+        records = SuspectRecords(
+            self.records, clock=self.clock, counters=observer.counters
+        )
+        self._nursery.start_soon(records.run)
         return Gateway(
             GatewayContext(
                 registry=registry,
@@ -316,6 +325,7 @@
                     wire=WIRE,
                     clock=self.clock,
                     counters=observer.counters,
+                    records=records,
                 ),
             ),
             delegation=Delegation(
