Crashing requests: a started instance reads the suspects from the store

What callers saw: nothing yet; found while looking for the cause elsewhere.

Cause: what is known about crashing requests stood in the memory of instances. A started one asked three others; when all restart, nobody knew anything and the count of copies began anew.

Change: an instance that starts reads the records of suspects, retried until the store answers; not at the very first start of all. One call a start.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -95,6 +95,8 @@
         nursery.start_soon(process.state_sync.run)
         stack.callback(process.suspect_records.close)
         nursery.start_soon(process.suspect_records.run)
+        if not settings.is_first_start:
+            nursery.start_soon(process.crash_reports.load_records)
         nursery.start_soon(process.run_maintenance)
         nursery.start_soon(process.zone_path_monitor.run)
         nursery.start_soon(handler.run)
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -282,6 +282,12 @@
         """The other instances."""
         return list(self._peers.servers())
 
+    async def load_records(self) -> None:
+        """Learn from the store which requests are suspected, after a start."""
+        await self._records.load(
+            lambda record: self._suspects.merge(record, self._clock.now_ms())
+        )
+
     def request_known(self, peers: Sequence[Server]) -> None:
         """Ask instances what they know, after a start."""
         for peer in peers:
--- a/ibisfront/gateway/instances/suspect_records.py
+++ b/ibisfront/gateway/instances/suspect_records.py
@@ -125,13 +125,26 @@
         self._counters.add(CounterKind.QUARANTINES, claim.outcome.value)
         return claim
 
+    async def load(self, apply: Callable[[FailedRuns], None]) -> None:
+        """Read all records after a start, retried until the store answers."""
+        backoff = _new_backoff()
+        while True:
+            try:
+                async with self._lock:
+                    listing = await self._objects.list_all()
+                break
+            except StoreError as error:
+                _LOG.warning("The suspects cannot be read yet: %s.", error)
+                await self._clock.sleep_ms(backoff.next_ms())
+        for item in listing.objects:
+            try:
+                apply(decode(item.spec, FailedRuns))
+            except StoreError as error:
+                _LOG.error("Ignoring the invalid suspect %.80s: %s.", item.name, error)
+
     async def run(self) -> None:
         """Write the records in the background, until cancelled."""
-        backoff = Backoff(
-            first_ms=_FIRST_BACKOFF_MS,
-            maximum_ms=_MAXIMUM_BACKOFF_MS,
-            random=Random(),
-        )
+        backoff = _new_backoff()
         while True:
             while self._pending:
                 fingerprint, write = next(iter(self._pending.items()))
@@ -203,6 +216,12 @@
             await self._objects.replace(report.fingerprint, spec, stored.revision)
 
 
+def _new_backoff() -> Backoff:
+    return Backoff(
+        first_ms=_FIRST_BACKOFF_MS, maximum_ms=_MAXIMUM_BACKOFF_MS, random=Random()
+    )
+
+
 def _with_unused(record: FailedRuns, unused_trials: int) -> FailedRuns:
     unused_trials = max(record.unused_trials, unused_trials)
     return msgspec.structs.replace(record, unused_trials=unused_trials)
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -182,6 +182,7 @@
         self.apply_configuration(1, self._route, only=zone)
         crash_reports = gateway._gateway_context._crash_reports
         assert crash_reports is not None
+        self._nursery.start_soon(crash_reports.load_records)
         return crash_reports
 
     def request(self, path: str) -> InboundRequest:
