Crashing requests: a server's failure is no proof that it survived a request

What callers saw: nothing yet; found while looking for dropped evidence.

Cause: any reply that was not 'not run' cleared a request for a minute at the instance that got it, and told all others so. A server that fails (500), or whose deadline passed (504), may not have run the request at all; with one service whose servers fail, a crashing search was never suspected.

Change: only a reply below 500 clears a request. A trial goes on to another service past servers that fail or reject, as these are not lost; it ends at the first server that is lost or does not reply.

--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -290,7 +290,7 @@
             gateway_context.record_run(
                 request,
                 may_have_arrived=run.call.may_have_arrived,
-                has_reply=run.call.has_reply,
+                is_survived=run.call.is_survived,
                 servers_lost=run.call.servers_lost,
             )
         run.end(at_once=not route.is_idempotent)
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -382,7 +382,7 @@
         request: InboundRequest,
         *,
         may_have_arrived: bool,
-        has_reply: bool,
+        is_survived: bool,
         servers_lost: int,
     ) -> None:
         """Record whether a request reached servers, and what became of these."""
@@ -391,7 +391,7 @@
             self._crash_reports.record_run(
                 request,
                 may_have_arrived=may_have_arrived,
-                has_reply=has_reply,
+                is_survived=is_survived,
                 servers_lost=servers_lost,
             )
 
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -64,7 +64,7 @@
     failed : list of FailedRuns
         Requests that lost servers.
     answered : list of str
-        Fingerprints of requests that a server has replied to.
+        Fingerprints of requests that a server has run to their end.
     """
 
     failed: list[FailedRuns] = []
@@ -224,7 +224,7 @@
         request: InboundRequest,
         *,
         may_have_arrived: bool,
-        has_reply: bool,
+        is_survived: bool,
         servers_lost: int,
     ) -> None:
         """Record the end of a run of a request; report it if servers were lost.
@@ -235,13 +235,13 @@
             The request.
         may_have_arrived : bool
             Whether any server may have received it.
-        has_reply : bool
-            Whether any server has run it and replied.
+        is_survived : bool
+            Whether any server has run it to its end.
         servers_lost : int
             Servers that closed the connection while they ran it.
         """
         fingerprint = fingerprint_of(request)
-        if has_reply:
+        if is_survived:
             self._record_answer(fingerprint)
         elif servers_lost or (request.is_trial and may_have_arrived):
             self._record_failed_run(request, fingerprint, servers_lost)
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -64,7 +64,7 @@
 
 
 class FailedRuns(msgspec.Struct, frozen=True):
-    """The runs of a request that lost servers and got no reply from any.
+    """The runs of a request that lost servers, none of which ran it to its end.
 
     Attributes
     ----------
@@ -154,10 +154,10 @@
     """Decides which requests are refused because they crash servers.
 
     A request is suspected once its runs, here or at other instances, have lost three
-    servers and no server has replied to it. Its copies then reach servers in trials
+    servers and no server has run it to its end. Its copies then reach servers in trials
     only: one copy at a time over all instances, at one server first, and no more than
     ``MAX_TRIALS``. Once two runs have lost servers it is quarantined before each trial,
-    each time for longer. Any reply clears it.
+    each time for longer. It is cleared once a server has run it to its end.
     """
 
     __slots__ = ("_answered_at_ms", "_suspects")
@@ -211,7 +211,7 @@
         return self.known(fingerprint)
 
     def record_answer(self, fingerprint: str, now_ms: float) -> bool:
-        """Record a reply of a server; return whether that cleared a suspicion."""
+        """Record that a server has run it; return whether that cleared a suspicion."""
         self._answered_at_ms[fingerprint] = now_ms
         self._answered_at_ms.move_to_end(fingerprint)
         if len(self._answered_at_ms) > _MAX_ANSWERED:
@@ -243,7 +243,7 @@
             self._quarantine(report.fingerprint, suspect, report.quarantines, now_ms)
 
     def is_answered(self, fingerprint: str, now_ms: float) -> bool:
-        """Return whether a server has replied to a request a short time ago."""
+        """Return whether a server has run a request to its end a short time ago."""
         answered_at_ms = self._answered_at_ms.get(fingerprint, -math.inf)
         return now_ms < answered_at_ms + _ANSWERED_TTL_MS
 
--- a/ibisfront/gateway/queries/coordinated_query.py
+++ b/ibisfront/gateway/queries/coordinated_query.py
@@ -156,8 +156,8 @@
         return self._may_have_arrived or has_arrived
 
     @property
-    def has_reply(self) -> bool:
-        """Whether any server has run a part and replied."""
+    def is_survived(self) -> bool:
+        """Whether any server has run a part to its end."""
         return bool(self.received_parts)
 
     @property
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -177,10 +177,10 @@
         return any(call.may_have_arrived for call in self._all_calls)
 
     @property
-    def has_reply(self) -> bool:
-        """Whether any server has run a part and replied."""
+    def is_survived(self) -> bool:
+        """Whether any server has run a part to its end."""
         return bool(self._remote_parts) or any(
-            call.has_reply for call in self._all_calls
+            call.is_survived for call in self._all_calls
         )
 
     @property
@@ -269,8 +269,8 @@
     async def _try_one_server(self) -> bool:
         """Query one service; return whether a server has replied with its part.
 
-        The next service is queried only if no server has run the query. Services whose
-        servers rejected it are retried later, from the retry budget.
+        The next service is queried only if the server has rejected the query or failed
+        without being lost. Such services are retried later, from the retry budget.
         """
         for call in self._by_last_reply():
             now_ms = self._context.clock.now_ms()
@@ -285,7 +285,9 @@
                 self._is_trial = False
                 self._hedge_at_ms += now_ms - self._started_ms
                 return True
-            if call.may_have_run or now_ms >= self._plan.give_up_at_ms:
+            if now_ms >= self._plan.give_up_at_ms or (
+                call.may_have_run and call.failure is None
+            ):
                 break
         return False
 
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -392,7 +392,7 @@
             self._gateway_context.record_run(
                 pending.request,
                 may_have_arrived=run.may_have_arrived,
-                has_reply=run.has_reply,
+                is_survived=run.is_survived,
                 servers_lost=run.servers_lost,
             )
 
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -38,6 +38,9 @@
 """Minimum pause before a failed part is retried, in which some of the requests queued
 at a server complete."""
 
+_INTERNAL_ERROR = 500
+"""The lowest status of a server that fails."""
+
 _CANCEL_SLOWNESS = 2.0
 """Slowness of a server above which abandoned requests are cancelled."""
 
@@ -121,8 +124,9 @@
         The retry-after time of the last "not run" reply, if it states one.
     attempts_sent : int
         Number of exchanges started.
-    has_reply : bool
-        Whether any server has run the request and replied.
+    is_survived : bool
+        Whether a server has run the request to its end: it replied with another
+        status than that of a failing server, which may never have run it whole.
     servers_lost : int
         Number of servers that closed the connection while they ran it.
     may_have_arrived : bool
@@ -142,7 +146,7 @@
         "_tried",
         "attempts_sent",
         "failure",
-        "has_reply",
+        "is_survived",
         "last_error",
         "may_have_arrived",
         "reply",
@@ -175,7 +179,7 @@
         self.attempts_sent = 0
         self._is_primary = False
         self.may_have_arrived = False
-        self.has_reply = False
+        self.is_survived = False
         self.servers_lost = 0
 
     @property
@@ -427,7 +431,8 @@
                 # store may still list it for some time.
                 server.is_removed = True
             return
-        self._has_run = self.has_reply = True
+        self._has_run = True
+        self.is_survived = self.is_survived or reply.status < _INTERNAL_ERROR
         if reply.is_success:
             took_ms = now_ms - exchange.waiting_since_ms
             baseline = self._context.baseline
--- a/ibisfront/tests/test_gateway_suspect_records.py
+++ b/ibisfront/tests/test_gateway_suspect_records.py
@@ -139,7 +139,7 @@
         request = self.zones.request("/search/a")
         request.request_id = run
         self.reports("z0").record_run(
-            request, may_have_arrived=True, has_reply=False, servers_lost=servers
+            request, may_have_arrived=True, is_survived=False, servers_lost=servers
         )
         await trio.sleep(0.1)
 
@@ -188,6 +188,19 @@
             await zones.send_request("z1")
             self.assertEqual(len(zones.received), 1)
 
+    @trio_test
+    async def test_trial_goes_on_past_servers_that_fail(self):
+        """Guards against a sound request refused for good by failing servers."""
+        async with self.zones.running():
+            await self.lose("r1")
+            for service in range(5):
+                self.zones.fail(f"part-{service}")
+            await self.zones.send_request("z1")
+            self.assertFalse(self.reports("z1").is_suspected(self.request()))
+
+    def request(self):
+        return self.zones.request("/search/a")
+
     @trio_test
     async def test_trial_that_reaches_no_server_is_not_used_up(self):
         """Guards against a sound request refused for good after an outage."""
@@ -217,7 +230,7 @@
             request.request_id = "r1"
             reports = zones.gateways["z0"]._gateway_context._crash_reports
             reports.record_run(
-                request, may_have_arrived=True, has_reply=False, servers_lost=3
+                request, may_have_arrived=True, is_survived=False, servers_lost=3
             )
             await zones.gateways["z0"].answer(zones.request("/fetch/a"))
             self.assertEqual(len(zones.received), 1)
