Crashing requests: servers lost after the end of a run are counted

Cause: a run reported what it had seen at its end. One that ends because no server replies sees the losses later, on connections that are still open, or never, if it closes them because the servers are loaded.

Reports are sent for a run's first loss and when the request becomes suspected, not for each loss.

Before: a search whose servers crash after 200 ms is unsuspected after its first copy (test_servers_lost_after_the_end_of_a_run_are_not_counted fails without the change, is_suspected False at both instances); now suspected at both. The fixture's connections no longer report a server as lost when this side closed them.

--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from ibisfront.gateway.admission_gate import AdmissionGate
@@ -175,8 +176,13 @@
             trace=RequestTrace(request.arrived_at_ms),
             counters=self._observer.counters,
             is_repeat=is_repeat,
+            record_late_loss=partial(self._record_late_loss, request),
         )
 
+    def _record_late_loss(self, request: InboundRequest) -> None:
+        if self._crash_reports is not None:
+            self._crash_reports.record_late_loss(request)
+
     def authorize(self, request: InboundRequest, route: Route) -> CallerReply | None:
         """Authorize a caller's request, or return its refusal.
 
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets
+from collections import OrderedDict
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -52,6 +53,9 @@
 """Pause before the record of an exhausted suspect is read again: an operator may have
 removed it."""
 
+_MAX_RUNS = 64
+"""Runs whose servers may be lost after their end; that takes a second at most."""
+
 _MAX_CLAIMS_PER_S = 5.0
 """Claims of this instance; more suspects than that come from failing servers."""
 
@@ -97,6 +101,7 @@
         "_claiming",
         "_clock",
         "_counters",
+        "_lost_by_run",
         "_peers",
         "_records",
         "_report_tokens",
@@ -120,6 +125,8 @@
         self._records = records
         self._suspects = CrashSuspects()
         self._claiming: set[str] = set()
+        # Of the latest runs that no server has survived, by request id.
+        self._lost_by_run: OrderedDict[str, int] = OrderedDict()
         now_ms = clock.now_ms()
         self._report_tokens = TokenBucket(_MAX_REPORTS_PER_S, now_ms)
         self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, now_ms)
@@ -241,6 +248,10 @@
             Servers that closed the connection while they ran it.
         """
         fingerprint = fingerprint_of(request)
+        if may_have_arrived and not is_survived:
+            self._lost_by_run[request.request_id] = servers_lost
+            if len(self._lost_by_run) > _MAX_RUNS:
+                self._lost_by_run.popitem(last=False)
         if is_survived:
             self._record_answer(fingerprint)
         elif servers_lost or (request.is_trial and may_have_arrived):
@@ -250,6 +261,17 @@
         elif may_have_arrived:
             self._counters.add(CounterKind.QUARANTINES, "no_loss_seen")
 
+    def record_late_loss(self, request: InboundRequest) -> None:
+        """Record that a server was lost by a run that has ended.
+
+        A run may end before it sees what becomes of its servers, for instance because
+        all of them are silent.
+        """
+        lost = self._lost_by_run.get(request.request_id)
+        if lost is not None:
+            self._lost_by_run[request.request_id] = lost + 1
+            self._record_failed_run(request, fingerprint_of(request), lost + 1)
+
     def _record_answer(self, fingerprint: str) -> None:
         if self._suspects.record_answer(fingerprint, self._clock.now_ms()):
             self._counters.add(CounterKind.QUARANTINES, "cleared")
@@ -259,15 +281,20 @@
     def _record_failed_run(
         self, request: InboundRequest, fingerprint: str, servers_lost: int
     ) -> None:
+        before = self._suspects.known(fingerprint)
         was_suspected = self._suspects.is_suspected(request)
         known = self._suspects.record_failed_run(
             fingerprint, request.request_id, servers_lost, self._clock.now_ms()
         )
         if known is None:
             return
+        is_suspected = self._suspects.is_suspected(request)
+        is_known_run = before is not None and request.request_id in before.servers_lost
+        if is_known_run and is_suspected is was_suspected:
+            return
         self._counters.add(CounterKind.QUARANTINES, "suspected")
         self._send_limited(CrashReport(failed=[known]))
-        if not was_suspected and self._suspects.is_suspected(request):
+        if is_suspected and not was_suspected:
             self._records.save(known)
 
     def _record_unused_trial(self, fingerprint: str) -> None:
--- a/ibisfront/gateway/queries/service_call.py
+++ b/ibisfront/gateway/queries/service_call.py
@@ -48,6 +48,10 @@
 """Traffic between zones of closing a connection and opening another, in bytes."""
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 class CallContext(msgspec.Struct):
     """The context that all calls of one caller's request share.
 
@@ -82,6 +86,8 @@
         that each sub-request is an extra attempt.
     query_time : QueryTime
         When the query has to end to be in time.
+    record_late_loss : callable
+        Records that a server was lost whose reply was no longer awaited.
     """
 
     request_id: bytes
@@ -98,6 +104,7 @@
     counters: Counters
     is_repeat: bool = False
     query_time: QueryTime = msgspec.field(default_factory=QueryTime)
+    record_late_loss: Callable[[], None] = _ignore
 
 
 class ServiceCall:
@@ -456,6 +463,8 @@
         error = exchange.error
         assert error is not None
         self.servers_lost += error.is_server_lost
+        if error.is_server_lost and exchange.is_abandoned:
+            self._context.record_late_loss()
         if error.may_have_run:
             self._has_run = True
         elif error.kind is not ExchangeErrorKind.WITHDRAWN:
--- a/ibisfront/testing/gateway_fixture.py
+++ b/ibisfront/testing/gateway_fixture.py
@@ -207,13 +207,15 @@
                     on_idle(self)
         finally:
             server.connections -= 1
+            is_closed_here = self._scope.cancel_called
             self._scope.cancel()
             exchange, self._exchange = self._exchange, None
             if exchange is not None:
                 server.cancelled += 1
+                is_lost = self._crashes or self._is_reset
                 exchange.fail(
                     ExchangeErrorKind.CONNECTION_LOST,
-                    is_server_lost=self._crashes or self._is_reset,
+                    is_server_lost=is_lost and not is_closed_here,
                 )
 
     async def _serve_one(self) -> None:
--- a/ibisfront/tests/test_crashing_copies.py
+++ b/ibisfront/tests/test_crashing_copies.py
@@ -103,6 +103,19 @@
                 await trio.sleep(0.5)
         self.assertLessEqual(len(copies.late), TOLERATED_COPIES)
 
+    @trio_test
+    async def test_servers_lost_after_the_end_of_a_run_are_not_counted(self):
+        """Guards against the same already for the second copy."""
+        zones = TwoZones(gather_route(6))
+        copies = Copies(zones, crash_after_ms=200.0)
+        async with zones.running():
+            reply = await copies.send("z0")
+            await trio.sleep(0.5)
+            for gateway in zones.gateways.values():
+                reports = gateway._gateway_context._crash_reports
+                self.assertTrue(reports.is_suspected(zones.request(SEARCH)))
+        self.assertEqual(reply.reason, "all_silent")
+
 
 class DroppedEvidenceTest(unittest.TestCase):
     """Evidence that an instance drops, never gets or forgets."""
