Crashing requests: reports are repeated until they are confirmed

What callers saw: nothing yet; found while looking for dropped evidence.

Cause: a report went to each instance once, to those within reach, five a second at most. An instance that was out of reach, or whose connection had gone silent, or that was spared by the limit, learned of a crashing request only when it had run one itself.

Change: each instance that has not replied to a report gets it again every 0.5 s once it can be reached, on another connection, and also those reports that the limit had held back.

Before: test_instance_that_missed_a_report_never_gets_it fails without the repeats (is_suspected False 4 s after the instance answers again); now True.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -477,6 +477,7 @@
             self._event_log.flush()
             self.registry.probe_unreachable()
             self.peers.probe_unreachable()
+            self.crash_reports.repeat_unconfirmed()
 
     def replace_servers(
         self,
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
+from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -40,6 +42,10 @@
 _MAX_REPORTS_PER_S = 5.0
 """Reports sent to all other instances; more come from failing servers, not requests."""
 
+_REPEAT_MS = 500.0
+"""Interval at which an unconfirmed report is repeated; some repeats fit into the
+contact bound of some seconds."""
+
 _MAX_SUSPECTS_IN_REPLY = 8
 
 _RETRY_AFTER_MS = 250.0
@@ -75,12 +81,23 @@
     answered: list[str] = []
 
 
+class _Unconfirmed:
+    """What one instance has not confirmed yet: fingerprints, and the last try."""
+
+    __slots__ = ("exchange", "names", "sent_at_ms")
+
+    def __init__(self) -> None:
+        self.names: set[str] = set()
+        self.sent_at_ms = -math.inf
+        self.exchange: Exchange | None = None
+
+
 class CrashReports:
     """Shares the suspects of all instances.
 
     A report goes from the instance that saw a failed run to all others, and the reply
-    to it holds what the other knows. Each report repeats all that is known about a
-    request, so that a lost one is made up for by the next.
+    to it holds what the other knows. It is repeated to those that have not replied,
+    also once they can be reached again.
 
     Parameters
     ----------
@@ -106,6 +123,7 @@
         "_records",
         "_report_tokens",
         "_suspects",
+        "_unconfirmed",
         "_wire",
     )
 
@@ -127,6 +145,7 @@
         self._claiming: set[str] = set()
         # Of the latest runs that no server has survived, by request id.
         self._lost_by_run: OrderedDict[str, int] = OrderedDict()
+        self._unconfirmed: dict[str, _Unconfirmed] = {}
         now_ms = clock.now_ms()
         self._report_tokens = TokenBucket(_MAX_REPORTS_PER_S, now_ms)
         self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, now_ms)
@@ -353,22 +372,71 @@
         for fingerprint in report.answered:
             self._suspects.record_answer(fingerprint, now_ms)
 
+    def repeat_unconfirmed(self) -> None:
+        """Send reports again to the instances that have not confirmed them."""
+        if not self._unconfirmed:
+            return
+        now_ms = self._clock.now_ms()
+        peers = {peer.entry.server_id: peer for peer in self._peers.servers()}
+        for name, unconfirmed in list(self._unconfirmed.items()):
+            peer = peers.get(name)
+            known = [self._suspects.known(item) for item in unconfirmed.names]
+            failed = [item for item in known if item is not None]
+            if peer is None or not failed:
+                del self._unconfirmed[name]
+            elif now_ms >= unconfirmed.sent_at_ms + _REPEAT_MS and peer.is_reachable(
+                now_ms
+            ):
+                self._counters.add(CounterKind.QUARANTINES, "reported_again")
+                if unconfirmed.exchange is not None:
+                    # Its connection may have gone silent for good.
+                    unconfirmed.exchange.abandon(at_once=True)
+                self._send_failed(peer, failed[:_MAX_SUSPECTS_IN_REPLY], now_ms)
+
     def _send_limited(self, report: CrashReport) -> None:
-        """Send a report to all unless there were too many."""
+        """Send a report to all at once, or later if there were too many."""
         if self._report_tokens.try_spend(self._clock.now_ms()):
             self._send_to_all(report)
-        else:
-            self._counters.add(CounterKind.QUARANTINES, "not_reported")
+            return
+        self._counters.add(CounterKind.QUARANTINES, "not_reported")
+        for peer in self._peers.servers():
+            self._unconfirmed_by(peer).names.update(_names(report.failed))
 
     def _send_to_all(self, report: CrashReport) -> None:
         now_ms = self._clock.now_ms()
         for peer in self._peers.servers():
-            if peer.is_reachable(now_ms):
+            if report.failed:
+                self._unconfirmed_by(peer).names.update(_names(report.failed))
+            if not peer.is_reachable(now_ms):
+                continue
+            if report.failed:
+                self._send_failed(peer, report.failed, now_ms)
+            else:
                 self._send(peer, report)
 
-    def _send(self, peer: Server, report: CrashReport) -> None:
-        if peer.pool is None:
+    def _send_failed(
+        self, peer: Server, failed: list[FailedRuns], now_ms: float
+    ) -> None:
+        unconfirmed = self._unconfirmed_by(peer)
+        unconfirmed.sent_at_ms = now_ms
+        unconfirmed.exchange = self._send(peer, CrashReport(failed=failed))
+
+    def _unconfirmed_by(self, peer: Server) -> _Unconfirmed:
+        return self._unconfirmed.setdefault(peer.entry.server_id, _Unconfirmed())
+
+    def _record_confirmed(self, peer: Server, report: CrashReport) -> None:
+        """Record that an instance has replied to a report."""
+        name = peer.entry.server_id
+        unconfirmed = self._unconfirmed.get(name)
+        if unconfirmed is None:
             return
+        unconfirmed.names -= _names(report.failed)
+        if not unconfirmed.names:
+            del self._unconfirmed[name]
+
+    def _send(self, peer: Server, report: CrashReport) -> Exchange | None:
+        if peer.pool is None:
+            return None
         request_id = secrets.token_hex(8)
         address = peer.entry.address.encode()
         now_ms = self._clock.now_ms()
@@ -387,19 +455,21 @@
             peer,
             request_id=request_id.encode(),
             payload=lambda at_ms: encode_for(peer.entry.server_id, _TIMEOUT_MS),
-            on_end=self._on_exchange_end,
+            on_end=partial(self._on_exchange_end, report),
             rank=0,
             created_at_ms=now_ms,
             expected_ms=_TIMEOUT_MS,
         )
         peer.pool.submit(exchange)
+        return exchange
 
-    def _on_exchange_end(self, exchange: Exchange) -> None:
+    def _on_exchange_end(self, sent: CrashReport, exchange: Exchange) -> None:
         if exchange.server.pool is not None:
             exchange.server.pool.record_ended(exchange)
         if exchange.reply is None:
             return
         exchange.server.record_alive(self._clock.now_ms())
+        self._record_confirmed(exchange.server, sent)
         if exchange.reply.status != _OK:
             # An instance of an earlier version does not know reports.
             self._counters.add(CounterKind.QUARANTINES, "not_understood")
@@ -409,6 +479,10 @@
             self._merge(report)
 
 
+def _names(failed: Iterable[FailedRuns]) -> set[str]:
+    return {item.fingerprint for item in failed}
+
+
 def _decode(body: bytes) -> CrashReport | None:
     try:
         return msgspec.msgpack.decode(body, type=CrashReport)
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -61,6 +61,7 @@
 
 _INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
+_MAINTENANCE_INTERVAL_S = 0.1
 
 _MAX_CLOCK_READS = 1_000_000
 """Far above the reads of any test: forty queries take about ten thousand."""
@@ -161,9 +162,17 @@
             self._nursery = nursery
             self.gateways = {zone: self._gateway(zone) for zone in self._zones}
             self.apply_configuration(1, self._route)
+            nursery.start_soon(self._repeat_reports)
             yield
             nursery.cancel_scope.cancel()
 
+    async def _repeat_reports(self) -> None:
+        """Repeat unconfirmed crash reports, as the maintenance of an instance does."""
+        while True:
+            await trio.sleep(_MAINTENANCE_INTERVAL_S)
+            for zone in self.gateways:
+                self.crash_reports(zone).repeat_unconfirmed()
+
     def apply_configuration(
         self, version: int, route: Route, *, only: str | None = None
     ) -> None:
@@ -178,13 +187,18 @@
 
     def restart(self, zone: str) -> CrashReports:
         """Replace the instance of a zone; return its crash reports."""
-        gateway = self.gateways[zone] = self._gateway(zone)
+        self.gateways[zone] = self._gateway(zone)
         self.apply_configuration(1, self._route, only=zone)
-        crash_reports = gateway._gateway_context._crash_reports
-        assert crash_reports is not None
+        crash_reports = self.crash_reports(zone)
         self._nursery.start_soon(crash_reports.load_records)
         return crash_reports
 
+    def crash_reports(self, zone: str) -> CrashReports:
+        """Return what the instance of a zone knows about crashing requests."""
+        crash_reports = self.gateways[zone]._gateway_context._crash_reports
+        assert crash_reports is not None
+        return crash_reports
+
     def request(self, path: str) -> InboundRequest:
         """Return a caller's request."""
         request_id = f"request-{next(self._ids)}"
--- a/ibisfront/tests/test_crashing_copies.py
+++ b/ibisfront/tests/test_crashing_copies.py
@@ -111,8 +111,8 @@
         async with zones.running():
             reply = await copies.send("z0")
             await trio.sleep(0.5)
-            for gateway in zones.gateways.values():
-                reports = gateway._gateway_context._crash_reports
+            for zone in zones.gateways:
+                reports = zones.crash_reports(zone)
                 self.assertTrue(reports.is_suspected(zones.request(SEARCH)))
         self.assertEqual(reply.reason, "all_silent")
 
@@ -149,6 +149,19 @@
             await self.send_alone(copies, 120, zones=("z1",))
         self.assertLessEqual(len(copies.late), TOLERATED_COPIES)
 
+    @trio_test
+    async def test_instance_that_missed_a_report_never_gets_it(self):
+        """Guards against the same already for its first copy."""
+        zones = TwoZones(gather_route(6))
+        copies = Copies(zones)
+        async with zones.running():
+            zones.frozen = True
+            await self.send_alone(copies, 4, zones=("z0",))
+            zones.frozen = False
+            await trio.sleep(Bounds().contact_ms / 1000.0)
+            reports = zones.crash_reports("z1")
+            self.assertTrue(reports.is_suspected(zones.request(SEARCH)))
+
     @trio_test
     async def test_restart_of_all_instances_forgets_crashing_requests(self):
         """Guards against three more copies after each restart of all instances."""
--- a/ibisfront/tests/test_gateway_suspect_records.py
+++ b/ibisfront/tests/test_gateway_suspect_records.py
@@ -132,7 +132,7 @@
         self.zones = TwoZones(gather_route(6))
 
     def reports(self, zone):
-        return self.zones.gateways[zone]._gateway_context._crash_reports
+        return self.zones.crash_reports(zone)
 
     async def lose(self, run, *, servers=6):
         """Record a run that lost servers, and let all instances know."""
@@ -228,8 +228,7 @@
         async with zones.running():
             request = zones.request("/fetch/a")
             request.request_id = "r1"
-            reports = zones.gateways["z0"]._gateway_context._crash_reports
-            reports.record_run(
+            zones.crash_reports("z0").record_run(
                 request, may_have_arrived=True, is_survived=False, servers_lost=3
             )
             await zones.gateways["z0"].answer(zones.request("/fetch/a"))
