Crashing requests: a started instance asks until one replies

Cause: it asked three instances once. If these were starting or away too, and the store did not answer, it knew nothing until the next failed run.

Change: it asks three others every 0.5 s until one has replied or the store has been read. test_started_instance_asks_one_that_does_not_reply fails without the repeat (is_suspected False after 4 s).

Tried as well, and dropped: retries of copies under way after the contact bound.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -69,10 +69,6 @@
 """Time until the others count a new instance: they read the list every 6 s at most, and
 it may be some seconds old."""
 
-_PEERS_ASKED_AT_START = 3
-"""Instances that a restarted one asks which requests crash servers; any of them may be
-starting itself."""
-
 _MAINTENANCE_INTERVAL_MS = 100.0
 """Interval at which stale entries are removed and unreachable servers probed."""
 
@@ -357,10 +353,7 @@
         self.quotas.set_instances(instances)
         after = (self.instance_count, self.coordinators.is_coordinator)
         if is_first and not self.settings.is_first_start:
-            peers = self.crash_reports.peers
-            self.crash_reports.request_known(
-                random.sample(peers, min(len(peers), _PEERS_ASKED_AT_START))
-            )
+            self.crash_reports.request_known()
         if is_first or after != before:
             self.connections.update_limits(self.registry)
             self.connections.warm_up(self.registry)
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
+import random
 import secrets
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -46,6 +47,9 @@
 """Interval at which an unconfirmed report is repeated; some repeats fit into the
 contact bound of some seconds."""
 
+_PEERS_ASKED = 3
+"""Instances that a started one asks at a time; any of them may be starting itself."""
+
 _MAX_SUSPECTS_IN_REPLY = 8
 
 _RETRY_AFTER_MS = 250.0
@@ -114,10 +118,12 @@
     """
 
     __slots__ = (
+        "_asked_at_ms",
         "_claim_tokens",
         "_claiming",
         "_clock",
         "_counters",
+        "_is_informed",
         "_lost_by_run",
         "_peers",
         "_records",
@@ -143,6 +149,9 @@
         self._records = records
         self._suspects = CrashSuspects()
         self._claiming: set[str] = set()
+        # Whether the store or another instance has told what was known at the start.
+        self._is_informed = True
+        self._asked_at_ms = clock.now_ms()
         # Of the latest runs that no server has survived, by request id.
         self._lost_by_run: OrderedDict[str, int] = OrderedDict()
         self._unconfirmed: dict[str, _Unconfirmed] = {}
@@ -323,20 +332,22 @@
             self._send_to_all(CrashReport(failed=[known]))
             self._records.give_back(known)
 
-    @property
-    def peers(self) -> list[Server]:
-        """The other instances."""
-        return list(self._peers.servers())
-
     async def load_records(self) -> None:
         """Learn from the store which requests are suspected, after a start."""
         await self._records.load(
             lambda record: self._suspects.merge(record, self._clock.now_ms())
         )
+        self._is_informed = True
+
+    def request_known(self) -> None:
+        """Ask some instances what they know, after a start, until one replies."""
+        self._is_informed = False
+        self._ask()
 
-    def request_known(self, peers: Sequence[Server]) -> None:
-        """Ask instances what they know, after a start."""
-        for peer in peers:
+    def _ask(self) -> None:
+        self._asked_at_ms = self._clock.now_ms()
+        peers = list(self._peers.servers())
+        for peer in random.sample(peers, min(len(peers), _PEERS_ASKED)):
             self._send(peer, CrashReport())
 
     def answer(self, request: InboundRequest) -> CallerReply | None:
@@ -373,10 +384,12 @@
             self._suspects.record_answer(fingerprint, now_ms)
 
     def repeat_unconfirmed(self) -> None:
-        """Send reports again to the instances that have not confirmed them."""
+        """Send again what other instances have not replied to."""
+        now_ms = self._clock.now_ms()
+        if not self._is_informed and now_ms >= self._asked_at_ms + _REPEAT_MS:
+            self._ask()
         if not self._unconfirmed:
             return
-        now_ms = self._clock.now_ms()
         peers = {peer.entry.server_id: peer for peer in self._peers.servers()}
         for name, unconfirmed in list(self._unconfirmed.items()):
             peer = peers.get(name)
@@ -426,6 +439,7 @@
 
     def _record_confirmed(self, peer: Server, report: CrashReport) -> None:
         """Record that an instance has replied to a report."""
+        self._is_informed = self._is_informed or not (report.failed or report.answered)
         name = peer.entry.server_id
         unconfirmed = self._unconfirmed.get(name)
         if unconfirmed is None:
--- a/ibisfront/tests/test_crashing_copies.py
+++ b/ibisfront/tests/test_crashing_copies.py
@@ -162,6 +162,22 @@
             reports = zones.crash_reports("z1")
             self.assertTrue(reports.is_suspected(zones.request(SEARCH)))
 
+    @trio_test
+    async def test_started_instance_asks_one_that_does_not_reply(self):
+        """Guards against a start without the store or a reply of those asked."""
+        zones = TwoZones(gather_route(6))
+        copies = Copies(zones)
+        async with zones.running():
+            zones.records.is_available = False
+            await self.send_alone(copies, 4, zones=("z1",))
+            zones.frozen = True
+            restarted = zones.restart("z0")
+            restarted.request_known()
+            await trio.sleep(1.0)
+            zones.frozen = False
+            await trio.sleep(Bounds().contact_ms / 1000.0)
+            self.assertTrue(restarted.is_suspected(zones.request(SEARCH)))
+
     @trio_test
     async def test_restart_of_all_instances_forgets_crashing_requests(self):
         """Guards against three more copies after each restart of all instances."""
--- a/ibisfront/tests/test_retries_over_budget.py
+++ b/ibisfront/tests/test_retries_over_budget.py
@@ -296,7 +296,7 @@
             for _ in range(3):
                 await zones.gateways["z0"].answer(zones.request(self.PATH))
             restarted = zones.restart("z1")
-            restarted.request_known(restarted.peers)
+            restarted.request_known()
             await trio.sleep(0.1)
             received = len(zones.received)
             reply = await zones.gateways["z1"].answer(zones.request(self.PATH))
