Crashing requests: a copy that waits for a trial is told to return soon

A copy refused while a trial runs elsewhere was told to return in up to two seconds, the time after which the trial counts as lost. Its outcome is known a server's reply later; a sound request beside it need not wait longer. Now at most 250 ms; quarantines and exhausted requests state their own time.

--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -53,8 +53,7 @@
 _MAX_SUSPECTS_IN_REPLY = 8
 
 _RETRY_AFTER_MS = 250.0
-"""Retry-after time while a trial is claimed or runs: its outcome is known soon after
-the first server has replied."""
+"""Retry-after time while a trial is claimed."""
 
 _UNAVAILABLE_WAIT_MS = 250.0
 """Pause between claims while the store does not answer."""
@@ -160,7 +159,7 @@
         self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, now_ms)
 
     def quarantine_left_ms(self, request: InboundRequest) -> float:
-        """Return how long a request is refused; 0 if it may be sent to servers."""
+        """Return after how long a refused request may be tried again; 0 to go on."""
         return self._suspects.quarantine_left_ms(request, self._clock.now_ms())
 
     def is_suspected(self, request: InboundRequest) -> bool:
@@ -190,7 +189,7 @@
         fingerprint = fingerprint_of(request)
         left_ms = self._suspects.quarantine_left_ms(request, self._clock.now_ms())
         if left_ms:
-            return min(left_ms, _RETRY_AFTER_MS)
+            return left_ms
         if fingerprint in self._claiming:
             return _RETRY_AFTER_MS
         known = self._suspects.known(fingerprint)
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -45,6 +45,9 @@
 """How long copies wait for the outcome of a trial; longer than most deadlines. After
 that the instance that holds the trial counts as lost."""
 
+_TRIAL_RETRY_MS = 250.0
+"""Retry-after time meanwhile: the outcome is known soon after one server's reply."""
+
 _MAX_EXTENSION = 1.0
 """Largest share by which a quarantine is extended. The extension depends on the
 request: one that only ran beside another is not tried again at the same moment."""
@@ -100,6 +103,7 @@
         "quarantined_until_ms",
         "quarantines",
         "servers_lost",
+        "trial_until_ms",
         "trials",
         "unused_trials",
         "waits_until_ms",
@@ -111,7 +115,8 @@
         self.quarantined_until_ms = -math.inf
         self.trials = 0
         self.unused_trials = 0
-        # While a trial runs, or none can be granted.
+        self.trial_until_ms = -math.inf
+        # While no trial can be granted.
         self.waits_until_ms = -math.inf
         self.last_seen_ms = -math.inf
 
@@ -135,10 +140,12 @@
         """Whether enough servers were lost by enough runs."""
         return len(self.servers_lost) >= _MIN_RUNS and self.is_suspected
 
-    def refused_ms(self, now_ms: float) -> float:
-        """Return how long copies are refused; 0 if they are not."""
-        until_ms = max(self.quarantined_until_ms, self.waits_until_ms)
-        return max(until_ms - now_ms, 0.0)
+    def retry_after_ms(self, now_ms: float) -> float:
+        """Return after how long a copy may be let through; 0 if at once."""
+        left_ms = max(self.quarantined_until_ms, self.waits_until_ms) - now_ms
+        if left_ms > 0.0:
+            return left_ms
+        return min(max(self.trial_until_ms - now_ms, 0.0), _TRIAL_RETRY_MS)
 
 
 def fingerprint_of(request: InboundRequest) -> str:
@@ -167,14 +174,14 @@
         self._answered_at_ms: OrderedDict[str, float] = OrderedDict()
 
     def quarantine_left_ms(self, request: InboundRequest, now_ms: float) -> float:
-        """Return how long a request is refused; 0 if it may be sent to servers."""
+        """Return after how long a refused request may be tried again; 0 to go on."""
         if not self._suspects:
             return 0.0
         suspect = self._suspects.get(fingerprint_of(request))
         if suspect is None:
             return 0.0
         suspect.last_seen_ms = now_ms
-        return suspect.refused_ms(now_ms)
+        return suspect.retry_after_ms(now_ms)
 
     def is_suspected(self, request: InboundRequest) -> bool:
         """Return whether a request may reach servers in trials only."""
@@ -193,7 +200,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is not None:
             suspect.trials = max(suspect.trials, trials)
-            suspect.waits_until_ms = now_ms + _TRIAL_MS
+            suspect.trial_until_ms = now_ms + _TRIAL_MS
 
     def wait(self, fingerprint: str, wait_ms: float, now_ms: float) -> None:
         """Refuse copies for some time, as no trial can be granted."""
@@ -207,7 +214,7 @@
         if suspect is None:
             return None
         suspect.unused_trials += 1
-        suspect.waits_until_ms = -math.inf
+        suspect.trial_until_ms = -math.inf
         return self.known(fingerprint)
 
     def record_answer(self, fingerprint: str, now_ms: float) -> bool:
@@ -236,7 +243,7 @@
             self.record_trial(report.fingerprint, report.trials, now_ms)
         if report.unused_trials > suspect.unused_trials:
             suspect.unused_trials = report.unused_trials
-            suspect.waits_until_ms = -math.inf
+            suspect.trial_until_ms = -math.inf
         is_behind = report.quarantines > suspect.quarantines
         is_free = now_ms >= suspect.quarantined_until_ms
         if suspect.is_evident and (is_behind or (is_free and has_new_run)):
