Soak: copies of a crashing request come three at a time, and are counted as the rule counts

The soak could not show the fault: one sender, one copy at a time, and a check that looks only at what runs after all faults are over. Three copies go to three fronts at the same moment; the new check counts those that reach servers later than the contact bound after the third crash, sent to fronts in touch, during faults too. The check that was there stays.

--- a/ibisfront/testing/soak/callers.py
+++ b/ibisfront/testing/soak/callers.py
@@ -74,6 +74,11 @@
     error: str = ""
     key: str = ""
 
+    @property
+    def front_name(self) -> str:
+        """Name of the front process, whatever its incarnation."""
+        return self.front.partition("#")[0]
+
 
 class SoakCaller:
     """Sends one request at a time over a kept-alive connection.
--- a/ibisfront/testing/soak/checks.py
+++ b/ibisfront/testing/soak/checks.py
@@ -12,10 +12,10 @@
 from ibisfront.testing.soak.servers import part_records, signature
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
 
     from ibisfront.testing.soak.callers import Outcome
-    from ibisfront.testing.soak.servers import Execution
+    from ibisfront.testing.soak.servers import Execution, ServerRecords
 
 __all__ = [
     "ExtraWindow",
@@ -25,6 +25,7 @@
     "check_budget",
     "check_crashes",
     "check_drained",
+    "check_late_copies",
     "check_orders",
     "check_responses",
     "check_stops",
@@ -357,6 +358,52 @@
     return [Failure("crashes", min(late), f"{len(late)} copies crashed servers")]
 
 
+def check_late_copies(
+    records: ServerRecords,
+    outcomes: Iterable[Outcome],
+    *,
+    contact_ms: float,
+    in_touch: Callable[[str, float], bool],
+) -> list[Failure]:
+    """Check how often a crashing request reaches servers after the third crash.
+
+    Parameters
+    ----------
+    records : ServerRecords
+        What servers have seen.
+    outcomes : iterable of Outcome
+        All requests.
+    contact_ms : float
+        How long after the third crash copies are not counted yet.
+    in_touch : callable
+        Returns whether a front, given by name, was in touch at a time; copies that
+        others sent are not counted.
+    """
+    copies = {
+        item.request_id: item for item in outcomes if item.path is RequestPath.CRASH
+    }
+    crashed_ms = sorted(
+        item.at_ms for item in records.executions if item.request_id in copies
+    )
+    if len(crashed_ms) < _TOLERATED_CRASHES:
+        return []
+    late_from_ms = crashed_ms[_TOLERATED_CRASHES - 1] + contact_ms
+    late = {
+        item.request_id
+        for item in records.arrivals
+        if item.request_id in copies and item.at_ms > late_from_ms
+    }
+    counted = {
+        request_id
+        for request_id in late
+        if in_touch(copies[request_id].front_name, copies[request_id].sent_at_ms)
+    }
+    if len(counted) <= _TOLERATED_COPIES:
+        return []
+    detail = f"{len(counted)} copies reached servers late"
+    return [Failure("late copies", min(counted), detail)]
+
+
 def check_stops(
     outcomes: Iterable[Outcome],
     executions: Iterable[Execution],
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -20,6 +20,7 @@
     check_budget,
     check_crashes,
     check_drained,
+    check_late_copies,
     check_orders,
     check_responses,
     check_stops,
@@ -58,6 +59,7 @@
 _COPIES = 2
 _CALLER_PAUSE_S = 0.02
 _CRASH_PAUSE_S = 0.25
+_CRASH_CALLERS = 3
 _STALL_POLL_S = 0.05
 _EXIT_CODES = (0, -signal.SIGKILL, -signal.SIGTERM, -signal.SIGHUP)
 """Exit codes after the signals that are sent; the last two before the interpreter runs
@@ -253,17 +255,27 @@
             await trio.sleep(_CALLER_PAUSE_S)
 
     async def _send_crashing_requests(self) -> None:
-        """Send copies of a request that crashes servers, to all fronts in turn."""
-        caller = self._caller(f"crash{self._seed}")
-        for front in itertools.cycle(self.fronts):
-            if not self._has_crashing_requests:
-                return
-            outcome = await caller.send_request(
-                RequestPath.CRASH, front.label, front.callers_proxy
-            )
-            self._crash_outcomes.append(outcome)
+        """Send copies of a request that crashes servers, three at the same moment.
+
+        Each goes to another front, all fronts in turn.
+        """
+        callers = [
+            self._caller(f"crash{self._seed}-{number}")
+            for number in range(_CRASH_CALLERS)
+        ]
+        fronts = itertools.cycle(self.fronts)
+        while self._has_crashing_requests:
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(self._send_copy, caller, next(fronts))
             await trio.sleep(_CRASH_PAUSE_S)
 
+    async def _send_copy(self, caller: SoakCaller, front: SoakFront) -> None:
+        outcome = await caller.send_request(
+            RequestPath.CRASH, front.label, front.callers_proxy
+        )
+        self._crash_outcomes.append(outcome)
+
     async def _wait_until_served(self, phase: str) -> list[Outcome]:
         """Wait until each front serves a search; return the requests sent."""
         outcomes: list[Outcome] = []
@@ -340,6 +352,12 @@
                 outcomes,
                 quiet_from_ms=self._faults_ended_ms + CONTACT_MS,
             ),
+            *check_late_copies(
+                records,
+                outcomes,
+                contact_ms=CONTACT_MS,
+                in_touch=self._troubles.in_touch,
+            ),
         ]
         failures += [Failure("exit", "", detail) for detail in self._bad_exits]
         if self._fault_counts.pop("unserved", 0):
--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -18,6 +18,7 @@
     check_budget,
     check_crashes,
     check_drained,
+    check_late_copies,
     check_orders,
     check_responses,
     check_stops,
@@ -33,7 +34,12 @@
     check_quotas,
     quota_windows,
 )
-from ibisfront.testing.soak.servers import Execution, part_records, signature
+from ibisfront.testing.soak.servers import (
+    Execution,
+    ServerRecords,
+    part_records,
+    signature,
+)
 from ibisfront.testing.soak.workspace_checks import (
     check_keys,
     check_logs,
@@ -199,6 +205,25 @@
         self.assertTrue(failures(4.0))
         self.assertFalse(failures(5.0))
 
+    def test_late_copies_of_a_crashing_request_are_detected(self):
+        copies = [
+            Outcome(f"c{number}", RequestPath.CRASH, "f#2", float(number))
+            for number in range(10)
+        ]
+        runs = [
+            execution("a", item.request_id, at_ms=item.sent_at_ms) for item in copies
+        ]
+
+        def failures(contact_ms, in_touch=lambda front, at_ms: front == "f"):
+            records = ServerRecords(arrivals=runs, executions=runs[:3])
+            return check_late_copies(
+                records, copies, contact_ms=contact_ms, in_touch=in_touch
+            )
+
+        self.assertTrue(failures(3.0))
+        self.assertFalse(failures(4.0))
+        self.assertFalse(failures(3.0, lambda front, at_ms: at_ms > 6.0))
+
     def test_requests_of_other_routes_add_nothing_to_a_budget(self):
         """Guards against a bound that grows with requests for other services."""
         requested_ms = SHAPE.requested_ms([order(200), search("abcd")])
