--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -324,9 +324,9 @@
         )
         await self._run_until_cancelled(run, pending)
         # Servers cancel a request when its connection closes. Under load that frees
-        # slots for other requests; otherwise it only costs a connection. If none has
-        # replied, it may have crashed them, which only an open connection shows.
-        run.end(at_once=context.baseline.is_loaded and run.is_survived)
+        # slots for other requests; otherwise it only costs a connection. If all are
+        # silent, it may have crashed them, which only an open connection shows.
+        run.end(at_once=context.baseline.is_loaded and not run.ended_unresponsive)
         return run
 
     def _left_out(self, pending: PendingQuery) -> list[str]:
