Crash reports: what is decided and how it is delivered are modules of their own

Delivery (who has confirmed what, when it is sent again, whom a started instance asks) has its own module and class; what is known and who may try a request stay.

--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -1,56 +1,38 @@
-"""Reports between instances about requests that crash backend servers."""
+"""What all instances know about requests that crash servers, and who may try one."""
 
 from __future__ import annotations
 
-import math
-import random
-import secrets
 from collections import OrderedDict
-from collections.abc import Iterable
-from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
-from ibisfront.gateway.instances.suspect_records import ClaimOutcome
-from ibisfront.gateway.load.crash_suspects import (
-    CrashSuspects,
-    FailedRuns,
-    fingerprint_of,
+from ibisfront.gateway.instances.crash_report_delivery import (
+    MAX_SUSPECTS_IN_REPORT,
+    REPORT_TARGET,
+    CrashReport,
+    CrashReportDelivery,
+    decode_report,
 )
+from ibisfront.gateway.instances.suspect_records import ClaimOutcome
+from ibisfront.gateway.load.crash_suspects import CrashSuspects, fingerprint_of
 from ibisfront.gateway.load.token_bucket import TokenBucket
 from ibisfront.gateway.messages import CallerReply, InboundRequest
-from ibisfront.gateway.servers.exchange import Exchange
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.gateway.instances.suspect_records import Claim, SuspectRecords
-    from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.servers.server_registry import ServerRegistry
     from ibisfront.gateway.wire import WireCodec
 
-__all__ = ["CrashReport", "CrashReports"]
+__all__ = ["CrashReports"]
 
-_LOG = part_logger(LogPart.PEERS)
-_QUERY_LOG = part_logger(LogPart.QUERY)
+_LOG = part_logger(LogPart.QUERY)
 
-_TARGET = b"/ibisfront/crashes"
 _OK = 200
-_TIMEOUT_MS = 1_000.0
-_MAX_REPORTS_PER_S = 5.0
-"""Reports sent to all other instances; more come from failing servers, not requests."""
-
-_REPEAT_MS = 500.0
-"""Interval at which an unconfirmed report is repeated; some repeats fit into the
-contact bound of some seconds."""
-
-_PEERS_ASKED = 3
-"""Instances that a started one asks at a time; any of them may be starting itself."""
-
-_MAX_SUSPECTS_IN_REPLY = 8
 
 _RETRY_AFTER_MS = 250.0
 """Retry-after time while a trial is claimed."""
@@ -69,38 +51,11 @@
 """Claims of this instance; more suspects than that come from failing servers."""
 
 
-class CrashReport(msgspec.Struct, frozen=True):
-    """What one instance tells another.
-
-    Attributes
-    ----------
-    failed : list of FailedRuns
-        Requests that lost servers.
-    answered : list of str
-        Fingerprints of requests that a server has run to their end.
-    """
-
-    failed: list[FailedRuns] = []
-    answered: list[str] = []
-
-
-class _Unconfirmed:
-    """What one instance has not confirmed yet: fingerprints, and the last try."""
-
-    __slots__ = ("exchange", "names", "sent_at_ms")
-
-    def __init__(self) -> None:
-        self.names: set[str] = set()
-        self.sent_at_ms = -math.inf
-        self.exchange: Exchange | None = None
-
-
 class CrashReports:
-    """Shares the suspects of all instances.
+    """Shares the suspects of all instances, and lets one instance at a time try one.
 
     A report goes from the instance that saw a failed run to all others, and the reply
-    to it holds what the other knows. It is repeated to those that have not replied,
-    also once they can be reached again.
+    to it holds what the other knows.
 
     Parameters
     ----------
@@ -117,18 +72,14 @@
     """
 
     __slots__ = (
-        "_asked_at_ms",
         "_claim_tokens",
         "_claiming",
         "_clock",
         "_counters",
-        "_is_informed",
+        "_delivery",
         "_lost_by_run",
-        "_peers",
         "_records",
-        "_report_tokens",
         "_suspects",
-        "_unconfirmed",
         "_wire",
     )
 
@@ -141,22 +92,23 @@
         counters: Counters,
         records: SuspectRecords,
     ) -> None:
-        self._peers = peers
         self._wire = wire
         self._clock = clock
         self._counters = counters
         self._records = records
         self._suspects = CrashSuspects()
         self._claiming: set[str] = set()
-        # Whether the store or another instance has told what was known at the start.
-        self._is_informed = True
-        self._asked_at_ms = clock.now_ms()
         # Of the latest runs that no server has survived, by request id.
         self._lost_by_run: OrderedDict[str, int] = OrderedDict()
-        self._unconfirmed: dict[str, _Unconfirmed] = {}
-        now_ms = clock.now_ms()
-        self._report_tokens = TokenBucket(_MAX_REPORTS_PER_S, now_ms)
-        self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, now_ms)
+        self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, clock.now_ms())
+        self._delivery = CrashReportDelivery(
+            peers=peers,
+            wire=wire,
+            clock=clock,
+            counters=counters,
+            find_known=self._suspects.known,
+            on_reply=self._merge,
+        )
 
     def quarantine_left_ms(self, request: InboundRequest) -> float:
         """Return after how long a refused request may be tried again; 0 to go on."""
@@ -214,7 +166,7 @@
             return None
         if claim.outcome is ClaimOutcome.EXHAUSTED:
             self._suspects.wait(fingerprint, _EXHAUSTED_WAIT_MS, now_ms)
-            _QUERY_LOG.error(
+            _LOG.error(
                 "A request failed all of its trials; refused until its record is gone.",
                 extra={"fingerprint": fingerprint},
             )
@@ -237,8 +189,8 @@
             "fingerprint": fingerprint,
             "trials": claim.record.trials,
         }
-        _QUERY_LOG.warning("A suspected request is tried on one server.", extra=fields)
-        self._send_to_all(self._known_report(fingerprint))
+        _LOG.warning("A suspected request is tried on one server.", extra=fields)
+        self._delivery.send_to_all(self._known_report(fingerprint))
         return None
 
     def _release_without_claim(self, fingerprint: str) -> float | None:
@@ -306,7 +258,7 @@
     def _record_answer(self, fingerprint: str) -> None:
         if self._suspects.record_answer(fingerprint, self._clock.now_ms()):
             self._counters.add(CounterKind.QUARANTINES, "cleared")
-            self._send_to_all(CrashReport(answered=[fingerprint]))
+            self._delivery.send_to_all(CrashReport(answered=[fingerprint]))
             self._records.forget(fingerprint)
 
     def _record_failed_run(
@@ -324,7 +276,7 @@
         if is_known_run and is_suspected is was_suspected:
             return
         self._counters.add(CounterKind.QUARANTINES, "suspected")
-        self._send_limited(CrashReport(failed=[known]))
+        self._delivery.send_limited(CrashReport(failed=[known]))
         if is_suspected and not was_suspected:
             self._records.save(known)
 
@@ -332,7 +284,7 @@
         known = self._suspects.record_unused_trial(fingerprint)
         if known is not None:
             self._counters.add(CounterKind.QUARANTINES, "trial_unused")
-            self._send_to_all(CrashReport(failed=[known]))
+            self._delivery.send_to_all(CrashReport(failed=[known]))
             self._records.give_back(known)
 
     async def load_records(self) -> None:
@@ -340,24 +292,21 @@
         await self._records.load(
             lambda record: self._suspects.merge(record, self._clock.now_ms())
         )
-        self._is_informed = True
+        self._delivery.stop_asking()
 
     def request_known(self) -> None:
         """Ask some instances what they know, after a start, until one replies."""
-        self._is_informed = False
-        self._ask()
+        self._delivery.ask()
 
-    def _ask(self) -> None:
-        self._asked_at_ms = self._clock.now_ms()
-        peers = list(self._peers.servers())
-        for peer in random.sample(peers, min(len(peers), _PEERS_ASKED)):
-            self._send(peer, CrashReport())
+    def repeat_unconfirmed(self) -> None:
+        """Send again what other instances have not replied to."""
+        self._delivery.repeat_unconfirmed()
 
     def answer(self, request: InboundRequest) -> CallerReply | None:
         """Return the reply to another instance's report; None if it is no report."""
-        if request.target != _TARGET:
+        if request.target != REPORT_TARGET:
             return None
-        report = _decode(request.body)
+        report = decode_report(request.body)
         reply = CrashReport()
         if report is not None:
             self._merge(report)
@@ -370,7 +319,7 @@
         """Return what is known here about the requests of a report, or about all."""
         suspects = self._suspects
         if not report.failed and not report.answered:
-            return CrashReport(list(suspects.all_known())[:_MAX_SUSPECTS_IN_REPLY])
+            return CrashReport(list(suspects.all_known())[:MAX_SUSPECTS_IN_REPORT])
         now_ms = self._clock.now_ms()
         names = [item.fingerprint for item in report.failed]
         known = (suspects.known(name) for name in names)
@@ -385,124 +334,3 @@
             self._suspects.merge(item, now_ms)
         for fingerprint in report.answered:
             self._suspects.record_answer(fingerprint, now_ms)
-
-    def repeat_unconfirmed(self) -> None:
-        """Send again what other instances have not replied to."""
-        now_ms = self._clock.now_ms()
-        if not self._is_informed and now_ms >= self._asked_at_ms + _REPEAT_MS:
-            self._ask()
-        if not self._unconfirmed:
-            return
-        peers = {peer.entry.server_id: peer for peer in self._peers.servers()}
-        for name, unconfirmed in list(self._unconfirmed.items()):
-            peer = peers.get(name)
-            known = [self._suspects.known(item) for item in unconfirmed.names]
-            failed = [item for item in known if item is not None]
-            if peer is None or not failed:
-                del self._unconfirmed[name]
-            elif now_ms >= unconfirmed.sent_at_ms + _REPEAT_MS and peer.is_reachable(
-                now_ms
-            ):
-                self._counters.add(CounterKind.QUARANTINES, "reported_again")
-                if unconfirmed.exchange is not None:
-                    # Its connection may have gone silent for good.
-                    unconfirmed.exchange.abandon(at_once=True)
-                self._send_failed(peer, failed[:_MAX_SUSPECTS_IN_REPLY], now_ms)
-
-    def _send_limited(self, report: CrashReport) -> None:
-        """Send a report to all at once, or later if there were too many."""
-        if self._report_tokens.try_spend(self._clock.now_ms()):
-            self._send_to_all(report)
-            return
-        self._counters.add(CounterKind.QUARANTINES, "not_reported")
-        for peer in self._peers.servers():
-            self._unconfirmed_by(peer).names.update(_names(report.failed))
-
-    def _send_to_all(self, report: CrashReport) -> None:
-        now_ms = self._clock.now_ms()
-        for peer in self._peers.servers():
-            if report.failed:
-                self._unconfirmed_by(peer).names.update(_names(report.failed))
-            if not peer.is_reachable(now_ms):
-                continue
-            if report.failed:
-                self._send_failed(peer, report.failed, now_ms)
-            else:
-                self._send(peer, report)
-
-    def _send_failed(
-        self, peer: Server, failed: list[FailedRuns], now_ms: float
-    ) -> None:
-        unconfirmed = self._unconfirmed_by(peer)
-        unconfirmed.sent_at_ms = now_ms
-        unconfirmed.exchange = self._send(peer, CrashReport(failed=failed))
-
-    def _unconfirmed_by(self, peer: Server) -> _Unconfirmed:
-        return self._unconfirmed.setdefault(peer.entry.server_id, _Unconfirmed())
-
-    def _record_confirmed(self, peer: Server, report: CrashReport) -> None:
-        """Record that an instance has replied to a report."""
-        self._is_informed = self._is_informed or not (report.failed or report.answered)
-        name = peer.entry.server_id
-        unconfirmed = self._unconfirmed.get(name)
-        if unconfirmed is None:
-            return
-        unconfirmed.names -= _names(report.failed)
-        if not unconfirmed.names:
-            del self._unconfirmed[name]
-
-    def _send(self, peer: Server, report: CrashReport) -> Exchange | None:
-        if peer.pool is None:
-            return None
-        request_id = secrets.token_hex(8)
-        address = peer.entry.address.encode()
-        now_ms = self._clock.now_ms()
-        request = InboundRequest(
-            method=b"POST",
-            target=_TARGET,
-            host=peer.entry.address,
-            request_id=request_id,
-            deadline_ms=None,
-            headers=[(b"Host", address), self._wire.request_id(request_id)],
-            body=msgspec.msgpack.encode(report),
-            arrived_at_ms=now_ms,
-        )
-        encode_for = self._wire.encode_request(request)
-        exchange = Exchange(
-            peer,
-            request_id=request_id.encode(),
-            payload=lambda at_ms: encode_for(peer.entry.server_id, _TIMEOUT_MS),
-            on_end=partial(self._on_exchange_end, report),
-            rank=0,
-            created_at_ms=now_ms,
-            expected_ms=_TIMEOUT_MS,
-        )
-        peer.pool.submit(exchange)
-        return exchange
-
-    def _on_exchange_end(self, sent: CrashReport, exchange: Exchange) -> None:
-        if exchange.server.pool is not None:
-            exchange.server.pool.record_ended(exchange)
-        if exchange.reply is None:
-            return
-        exchange.server.record_alive(self._clock.now_ms())
-        self._record_confirmed(exchange.server, sent)
-        if exchange.reply.status != _OK:
-            # An instance of an earlier version does not know reports.
-            self._counters.add(CounterKind.QUARANTINES, "not_understood")
-            return
-        report = _decode(exchange.reply.body)
-        if report is not None:
-            self._merge(report)
-
-
-def _names(failed: Iterable[FailedRuns]) -> set[str]:
-    return {item.fingerprint for item in failed}
-
-
-def _decode(body: bytes) -> CrashReport | None:
-    try:
-        return msgspec.msgpack.decode(body, type=CrashReport)
-    except msgspec.DecodeError as error:
-        _LOG.warning("A crash report cannot be read: %s.", error)
-        return None
