Crashing requests: trials that show nothing do not count, and are repeated more slowly

A rejected trial had reached servers and counted as failed; after two the request is refused for good.

Change: a trial counts only if a server was lost, or if its caller left so that nobody saw what became of the server. One that all servers rejected is taken back at once, one without a reply or with a failure after 2 s unless its server is lost meanwhile. The next one waits 1, 2, 4, then 8 s.

Ruled out: the store away (it was, for two seconds, and refused copies 250 ms at a time until it answered). Weighed: a health check before each trial, which would show rejecting servers without sending them the request; more plumbing for a case that the longer waits bound.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -470,7 +470,7 @@
             self._event_log.flush()
             self.registry.probe_unreachable()
             self.peers.probe_unreachable()
-            self.crash_reports.repeat_unconfirmed()
+            self.crash_reports.run_due()
 
     def replace_servers(
         self,
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -280,9 +280,11 @@
             hedge_at_ms=gateway_context.clock.now_ms() + context.baseline.late_ms,
             give_up_at_ms=give_up_at_ms(request, route),
         )
+        is_cancelled = False
         try:
             await run.run()
         except trio.Cancelled:
+            is_cancelled = True
             run.end(at_once=True)
             gateway_context.record_cancelled(request, route, context)
             raise
@@ -290,8 +292,10 @@
             gateway_context.record_run(
                 request,
                 may_have_arrived=run.call.may_have_arrived,
+                may_have_run=run.call.may_have_run,
                 is_survived=run.call.is_survived,
                 servers_lost=run.call.servers_lost,
+                is_cancelled=is_cancelled,
             )
         run.end(at_once=not route.is_idempotent)
         reply = self._forwarding_reply(run)
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -388,17 +388,20 @@
         request: InboundRequest,
         *,
         may_have_arrived: bool,
+        may_have_run: bool,
         is_survived: bool,
         servers_lost: int,
+        is_cancelled: bool,
     ) -> None:
         """Record whether a request reached servers, and what became of these."""
         request.reached_servers = request.reached_servers or may_have_arrived
         if self._crash_reports is not None:
             self._crash_reports.record_run(
                 request,
-                may_have_arrived=may_have_arrived,
+                may_have_run=may_have_run,
                 is_survived=is_survived,
                 servers_lost=servers_lost,
+                is_cancelled=is_cancelled,
             )
 
     def answer_crash_report(self, request: InboundRequest) -> CallerReply | None:
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -17,7 +17,11 @@
     decode_report,
 )
 from ibisfront.gateway.instances.suspect_records import ClaimOutcome
-from ibisfront.gateway.load.crash_suspects import CrashSuspects, fingerprint_of
+from ibisfront.gateway.load.crash_suspects import (
+    TRIAL_MS,
+    CrashSuspects,
+    fingerprint_of,
+)
 from ibisfront.gateway.load.token_bucket import TokenBucket
 from ibisfront.gateway.messages import CallerReply, InboundRequest
 
@@ -79,6 +83,7 @@
         "_delivery",
         "_lost_by_run",
         "_records",
+        "_silent_trials",
         "_suspects",
         "_wire",
     )
@@ -100,6 +105,8 @@
         self._claiming: set[str] = set()
         # Of the latest runs that no server has survived, by request id.
         self._lost_by_run: OrderedDict[str, int] = OrderedDict()
+        # Trials without a reply or a loss so far, by request id.
+        self._silent_trials: dict[str, tuple[float, str]] = {}
         self._claim_tokens = TokenBucket(_MAX_CLAIMS_PER_S, clock.now_ms())
         self._delivery = CrashReportDelivery(
             peers=peers,
@@ -213,9 +220,10 @@
         self,
         request: InboundRequest,
         *,
-        may_have_arrived: bool,
+        may_have_run: bool,
         is_survived: bool,
         servers_lost: int,
+        is_cancelled: bool = False,
     ) -> None:
         """Record the end of a run of a request; report it if servers were lost.
 
@@ -223,26 +231,32 @@
         ----------
         request : InboundRequest
             The request.
-        may_have_arrived : bool
-            Whether any server may have received it.
+        may_have_run : bool
+            Whether any server may have run it.
         is_survived : bool
             Whether any server has run it to its end.
         servers_lost : int
             Servers that closed the connection while they ran it.
+        is_cancelled : bool
+            Whether it ended because its caller left; what its servers did then was
+            not seen.
         """
         fingerprint = fingerprint_of(request)
-        if may_have_arrived and not is_survived:
+        if may_have_run and not is_survived:
             self._lost_by_run[request.request_id] = servers_lost
             if len(self._lost_by_run) > _MAX_RUNS:
                 self._lost_by_run.popitem(last=False)
         if is_survived:
             self._record_answer(fingerprint)
-        elif servers_lost or (request.is_trial and may_have_arrived):
+        elif servers_lost or (request.is_trial and may_have_run and is_cancelled):
             self._record_failed_run(request, fingerprint, servers_lost)
-        elif request.is_trial:
+        elif request.is_trial and not may_have_run:
             self._record_unused_trial(fingerprint)
-        elif may_have_arrived:
+        elif may_have_run:
             self._counters.add(CounterKind.QUARANTINES, "no_loss_seen")
+            if request.is_trial:
+                due_ms = self._clock.now_ms() + TRIAL_MS
+                self._silent_trials[request.request_id] = (due_ms, fingerprint)
 
     def record_late_loss(self, request: InboundRequest) -> None:
         """Record that a server was lost by a run that has ended.
@@ -281,7 +295,8 @@
             self._records.save(known)
 
     def _record_unused_trial(self, fingerprint: str) -> None:
-        known = self._suspects.record_unused_trial(fingerprint)
+        now_ms = self._clock.now_ms()
+        known = self._suspects.record_unused_trial(fingerprint, now_ms)
         if known is not None:
             self._counters.add(CounterKind.QUARANTINES, "trial_unused")
             self._delivery.send_to_all(CrashReport(failed=[known]))
@@ -298,9 +313,19 @@
         """Ask some instances what they know, after a start, until one replies."""
         self._delivery.ask()
 
-    def repeat_unconfirmed(self) -> None:
-        """Send again what other instances have not replied to."""
+    def run_due(self) -> None:
+        """Send again what is not confirmed, and take back trials that showed nothing.
+
+        A server that hangs or fails shows nothing about the request, unless it is lost
+        after all.
+        """
         self._delivery.repeat_unconfirmed()
+        now_ms = self._clock.now_ms()
+        for request_id, (due_ms, fingerprint) in list(self._silent_trials.items()):
+            if now_ms >= due_ms:
+                del self._silent_trials[request_id]
+                if not self._lost_by_run.get(request_id):
+                    self._record_unused_trial(fingerprint)
 
     def answer(self, request: InboundRequest) -> CallerReply | None:
         """Return the reply to another instance's report; None if it is no report."""
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -20,7 +20,13 @@
 
     from ibisfront.gateway.messages import InboundRequest
 
-__all__ = ["MAX_TRIALS", "CrashSuspects", "FailedRuns", "fingerprint_of"]
+__all__ = [
+    "MAX_TRIALS",
+    "TRIAL_MS",
+    "CrashSuspects",
+    "FailedRuns",
+    "fingerprint_of",
+]
 
 _LOG = part_logger(LogPart.QUERY)
 
@@ -42,13 +48,18 @@
 """Durations of a request's quarantines, each followed by a trial. The first is short,
 since requests that ran beside the one that crashes servers lose them too."""
 
-_TRIAL_MS = 2_000.0
+TRIAL_MS = 2_000.0
 """How long copies wait for the outcome of a trial; longer than most deadlines. After
 that the instance that holds the trial counts as lost."""
 
 _TRIAL_RETRY_MS = 250.0
 """Retry-after time meanwhile: the outcome is known soon after one server's reply."""
 
+_UNUSED_WAIT_MS = 1_000.0
+_MAX_UNUSED_WAIT_MS = 8_000.0
+"""Waits after trials that no server has run, doubled each time. They end soon after
+servers that reject or hang are well again, and come rarely while these are not."""
+
 _MAX_EXTENSION = 1.0
 """Largest share by which a quarantine is extended. The extension depends on the
 request: one that only ran beside another is not tried again at the same moment."""
@@ -81,7 +92,7 @@
     trials : int
         How many trials of it have been granted.
     unused_trials : int
-        How many of these ended before they reached a server.
+        How many of these showed nothing, and do not count.
     """
 
     fingerprint: str
@@ -144,6 +155,13 @@
         """Whether enough servers were lost by enough runs."""
         return len(self.servers_lost) >= _MIN_RUNS and self.is_suspected
 
+    def record_unused(self, unused_trials: int, now_ms: float) -> None:
+        """Take back trials; the next one waits longer the more there were."""
+        self.unused_trials = unused_trials
+        wait_ms = min(_UNUSED_WAIT_MS * 2 ** (unused_trials - 1), _MAX_UNUSED_WAIT_MS)
+        self.trial_until_ms = -math.inf
+        self.waits_until_ms = now_ms + wait_ms
+
     def retry_after_ms(self, now_ms: float) -> float:
         """Return after how long a copy may be let through; 0 if at once."""
         left_ms = max(self.quarantined_until_ms, self.waits_until_ms) - now_ms
@@ -204,7 +222,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is not None:
             suspect.trials = max(suspect.trials, trials)
-            suspect.trial_until_ms = now_ms + _TRIAL_MS
+            suspect.trial_until_ms = now_ms + TRIAL_MS
 
     def wait(self, fingerprint: str, wait_ms: float, now_ms: float) -> None:
         """Refuse copies for some time, as no trial can be granted."""
@@ -212,13 +230,12 @@
         if suspect is not None:
             suspect.waits_until_ms = now_ms + wait_ms
 
-    def record_unused_trial(self, fingerprint: str) -> FailedRuns | None:
-        """Take back a trial that reached no server; return what is known."""
+    def record_unused_trial(self, fingerprint: str, now_ms: float) -> FailedRuns | None:
+        """Take back a trial that showed nothing; return what is known."""
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return None
-        suspect.unused_trials += 1
-        suspect.trial_until_ms = -math.inf
+        suspect.record_unused(suspect.unused_trials + 1, now_ms)
         return self.known(fingerprint)
 
     def record_answer(self, fingerprint: str, now_ms: float) -> bool:
@@ -246,8 +263,7 @@
         if report.trials > suspect.trials:
             self.record_trial(report.fingerprint, report.trials, now_ms)
         if report.unused_trials > suspect.unused_trials:
-            suspect.unused_trials = report.unused_trials
-            suspect.trial_until_ms = -math.inf
+            suspect.record_unused(report.unused_trials, now_ms)
         is_behind = report.quarantines > suspect.quarantines
         is_free = now_ms >= suspect.quarantined_until_ms
         if suspect.is_evident and (is_behind or (is_free and has_new_run)):
--- a/ibisfront/gateway/queries/gather_run.py
+++ b/ibisfront/gateway/queries/gather_run.py
@@ -289,6 +289,7 @@
                 call.may_have_run and call.failure is None
             ):
                 break
+        self.ended_unresponsive = any(call.is_open for call in self.calls)
         return False
 
     def _by_last_reply(self) -> list[ServiceCall]:
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -381,9 +381,11 @@
         self, run: GatherRun | CoordinatedQuery, pending: PendingQuery
     ) -> None:
         """Run a query; cancel its work if the caller disconnects."""
+        is_cancelled = False
         try:
             await run.run()
         except trio.Cancelled:
+            is_cancelled = True
             run.end(at_once=True)
             self._gateway_context.record_cancelled(
                 pending.request, pending.route, pending.context
@@ -393,8 +395,10 @@
             self._gateway_context.record_run(
                 pending.request,
                 may_have_arrived=run.may_have_arrived,
+                may_have_run=run.may_have_run,
                 is_survived=run.is_survived,
                 servers_lost=run.servers_lost,
+                is_cancelled=is_cancelled,
             )
 
     def _remote_starter(self, pending: PendingQuery) -> StartRemoteCall:
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -59,6 +59,7 @@
 _FEW_CONNECTIONS = 4
 """Connection limit of a server that makes the instances use coordinators."""
 
+_OK = 200
 _INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 _MAINTENANCE_INTERVAL_S = 0.1
@@ -162,16 +163,16 @@
             self._nursery = nursery
             self.gateways = {zone: self._gateway(zone) for zone in self._zones}
             self.apply_configuration(1, self._route)
-            nursery.start_soon(self._repeat_reports)
+            nursery.start_soon(self._run_maintenance)
             yield
             nursery.cancel_scope.cancel()
 
-    async def _repeat_reports(self) -> None:
-        """Repeat unconfirmed crash reports, as the maintenance of an instance does."""
+    async def _run_maintenance(self) -> None:
+        """Run what the maintenance of an instance does for crash reports."""
         while True:
             await trio.sleep(_MAINTENANCE_INTERVAL_S)
             for zone in self.gateways:
-                self.crash_reports(zone).repeat_unconfirmed()
+                self.crash_reports(zone).run_due()
 
     def apply_configuration(
         self, version: int, route: Route, *, only: str | None = None
@@ -284,6 +285,12 @@
             server.status = _UNAVAILABLE
             server.not_run = True
 
+    def accept_everywhere(self) -> None:
+        """Make all servers run requests again."""
+        for server in self._servers.values():
+            server.status = _OK
+            server.not_run = False
+
     def crash_on(self, path: str, *, after_ms: float | None = None) -> None:
         """Make all servers crash when they run a request for a path."""
         for server in self._servers.values():
--- a/ibisfront/tests/test_gateway_suspect_records.py
+++ b/ibisfront/tests/test_gateway_suspect_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import trio
@@ -140,7 +141,7 @@
         request = self.zones.request("/search/a")
         request.request_id = run
         self.reports("z0").record_run(
-            request, may_have_arrived=True, is_survived=False, servers_lost=servers
+            request, may_have_run=True, is_survived=False, servers_lost=servers
         )
         await trio.sleep(0.1)
 
@@ -199,6 +200,35 @@
             await self.zones.send_request("z1")
             self.assertFalse(self.reports("z1").is_suspected(self.request()))
 
+    @trio_test
+    async def test_request_is_served_again_after_servers_that_rejected_its_trials(self):
+        """Guards against trials used up by servers that reject all requests."""
+        zones = self.zones
+        async with zones.running():
+            await self.lose("r1")
+            await self.lose("r2")
+            zones.reject_everywhere()
+            for number in range(60):
+                await zones.send_request(f"z{number % 2}")
+                await trio.sleep(0.25)
+            zones.accept_everywhere()
+            self.assertLess(await self.answered_after_ms(), 10_000.0)
+
+    @trio_test
+    async def test_request_is_served_again_after_servers_that_hung_in_its_trials(self):
+        """Guards against trials used up by servers that hang."""
+        zones = self.zones
+        async with zones.running():
+            await self.lose("r1")
+            for zone in ("z0", "z1"):
+                zones.set_latency(zone, math.inf)
+            for _ in range(20):
+                await zones.send_request("z1")
+                await trio.sleep(0.25)
+            for zone in ("z0", "z1"):
+                zones.set_latency(zone, 10.0)
+            self.assertLess(await self.answered_after_ms("z0"), 12_000.0)
+
     def request(self):
         return self.zones.request("/search/a")
 
@@ -230,7 +260,7 @@
             request = zones.request("/fetch/a")
             request.request_id = "r1"
             zones.crash_reports("z0").record_run(
-                request, may_have_arrived=True, is_survived=False, servers_lost=3
+                request, may_have_run=True, is_survived=False, servers_lost=3
             )
             await zones.gateways["z0"].answer(zones.request("/fetch/a"))
             self.assertEqual(len(zones.received), 1)
