Crashing requests: that a request was answered is told until it is confirmed

Cause: an instance that had seen the search answered said so in its reply to the report of another's trial. That one cleared it while its trial still ran; when the trial was answered, it had nothing left to clear, told nobody and left the record in the store, with its two trials. The third instance read the record, exhausted. Answers were also told only once, to those in reach.

Change: what a reply clears is told to all others and removes the record; answers are repeated until they are confirmed, like failed runs; an instance that finds a record exhausted reports it to all others, whose replies say whether one has seen an answer.

Before: test_answer_that_another_instance_saw_clears_the_record and test_instance_that_missed_an_answer_goes_on_refusing fail on; both pass now.

--- a/ibisfront/gateway/instances/crash_report_delivery.py
+++ b/ibisfront/gateway/instances/crash_report_delivery.py
@@ -70,10 +70,11 @@
 class _Unconfirmed:
     """What one instance has not confirmed yet: fingerprints, and the last try."""
 
-    __slots__ = ("exchange", "names", "sent_at_ms")
+    __slots__ = ("answered", "exchange", "failed", "sent_at_ms")
 
     def __init__(self) -> None:
-        self.names: set[str] = set()
+        self.failed: set[str] = set()
+        self.answered: set[str] = set()
         self.sent_at_ms = -math.inf
         self.exchange: Exchange | None = None
 
@@ -154,9 +155,8 @@
         peers = {peer.entry.server_id: peer for peer in self._peers.servers()}
         for name, unconfirmed in list(self._unconfirmed.items()):
             peer = peers.get(name)
-            known = [self._find_known(item) for item in unconfirmed.names]
-            failed = [item for item in known if item is not None]
-            if peer is None or not failed:
+            report = self._report_of(unconfirmed)
+            if peer is None or not (report.failed or report.answered):
                 del self._unconfirmed[name]
             elif now_ms >= unconfirmed.sent_at_ms + _REPEAT_MS and peer.is_reachable(
                 now_ms
@@ -165,7 +165,16 @@
                 if unconfirmed.exchange is not None:
                     # Its connection may have gone silent for good.
                     unconfirmed.exchange.abandon(at_once=True)
-                self._send_failed(peer, failed[:MAX_SUSPECTS_IN_REPORT], now_ms)
+                self._send_tracked(peer, report, now_ms)
+
+    def _report_of(self, unconfirmed: _Unconfirmed) -> CrashReport:
+        """Return what to repeat; requests that are no longer suspected are left out."""
+        known = (self._find_known(name) for name in unconfirmed.failed)
+        failed = [item for item in known if item is not None]
+        return CrashReport(
+            failed=failed[:MAX_SUSPECTS_IN_REPORT],
+            answered=list(unconfirmed.answered)[:MAX_SUSPECTS_IN_REPORT],
+        )
 
     def send_limited(self, report: CrashReport) -> None:
         """Send a report to all at once, or later if there were too many."""
@@ -174,27 +183,28 @@
             return
         self._counters.add(CounterKind.QUARANTINES, "not_reported")
         for peer in self._peers.servers():
-            self._unconfirmed_by(peer).names.update(_names(report.failed))
+            self._track(peer, report)
 
     def send_to_all(self, report: CrashReport) -> None:
-        """Send a report to all; failed runs are repeated until they are confirmed."""
+        """Send a report to all, repeated until it is confirmed."""
         now_ms = self._clock.now_ms()
         for peer in self._peers.servers():
-            if report.failed:
-                self._unconfirmed_by(peer).names.update(_names(report.failed))
-            if not peer.is_reachable(now_ms):
-                continue
-            if report.failed:
-                self._send_failed(peer, report.failed, now_ms)
-            else:
-                self._send(peer, report)
-
-    def _send_failed(
-        self, peer: Server, failed: list[FailedRuns], now_ms: float
-    ) -> None:
+            self._track(peer, report)
+            if peer.is_reachable(now_ms):
+                self._send_tracked(peer, report, now_ms)
+
+    def _send_tracked(self, peer: Server, report: CrashReport, now_ms: float) -> None:
         unconfirmed = self._unconfirmed_by(peer)
         unconfirmed.sent_at_ms = now_ms
-        unconfirmed.exchange = self._send(peer, CrashReport(failed=failed))
+        unconfirmed.exchange = self._send(peer, report)
+
+    def _track(self, peer: Server, report: CrashReport) -> None:
+        """Record that an instance has to confirm a report."""
+        unconfirmed = self._unconfirmed_by(peer)
+        unconfirmed.failed.update(_names(report.failed))
+        unconfirmed.answered.difference_update(_names(report.failed))
+        unconfirmed.answered.update(report.answered)
+        unconfirmed.failed.difference_update(report.answered)
 
     def _unconfirmed_by(self, peer: Server) -> _Unconfirmed:
         return self._unconfirmed.setdefault(peer.entry.server_id, _Unconfirmed())
@@ -207,8 +217,9 @@
         unconfirmed = self._unconfirmed.get(name)
         if unconfirmed is None:
             return
-        unconfirmed.names -= _names(report.failed)
-        if not unconfirmed.names:
+        unconfirmed.failed -= _names(report.failed)
+        unconfirmed.answered.difference_update(report.answered)
+        if not unconfirmed.failed and not unconfirmed.answered:
             del self._unconfirmed[name]
 
     def _send(self, peer: Server, report: CrashReport) -> Exchange | None:
--- a/ibisfront/gateway/instances/crash_reports.py
+++ b/ibisfront/gateway/instances/crash_reports.py
@@ -114,7 +114,7 @@
             clock=clock,
             counters=counters,
             find_known=self._suspects.known,
-            on_reply=self._merge,
+            on_reply=self._apply_reply,
         )
 
     def quarantine_left_ms(self, request: InboundRequest) -> float:
@@ -177,6 +177,8 @@
                 "A request failed all of its trials; refused until its record is gone.",
                 extra={"fingerprint": fingerprint},
             )
+            # One of the others may have seen it answered.
+            self._delivery.send_to_all(self._known_report(fingerprint))
             return _EXHAUSTED_WAIT_MS
         known = self._suspects.known(fingerprint)
         if claim.outcome is ClaimOutcome.TAKEN or claim.record is None:
@@ -353,6 +355,15 @@
             answered=[name for name in names if suspects.is_answered(name, now_ms)],
         )
 
+    def _apply_reply(self, reply: CrashReport) -> None:
+        """Apply the reply to a report of this instance.
+
+        Of what it has reported, it tells all others also that it was answered.
+        """
+        for fingerprint in reply.answered:
+            self._record_answer(fingerprint)
+        self._merge(reply)
+
     def _merge(self, report: CrashReport) -> None:
         now_ms = self._clock.now_ms()
         for item in report.failed:
--- a/ibisfront/tests/test_gateway_suspect_records.py
+++ b/ibisfront/tests/test_gateway_suspect_records.py
@@ -200,6 +200,31 @@
             await self.zones.send_request("z1")
             self.assertFalse(self.reports("z1").is_suspected(self.request()))
 
+    @trio_test
+    async def test_instance_that_missed_an_answer_goes_on_refusing(self):
+        """Guards against answers that another instance saw and told only once."""
+        async with self.zones.running():
+            await self.lose("r1")
+            self.zones.frozen = True
+            self.assertLess(await self.answered_after_ms("z0"), 100.0)
+            await trio.sleep(1.0)
+            self.zones.frozen = False
+            await trio.sleep(2.0)
+            self.assertFalse(self.reports("z1").is_suspected(self.request()))
+
+    @trio_test
+    async def test_answer_that_another_instance_saw_clears_the_record(self):
+        """Guards against a record that stays after a trial was answered."""
+        zones = self.zones
+        async with zones.running():
+            self.reports("z1").record_run(
+                self.request(), may_have_run=True, is_survived=True, servers_lost=0
+            )
+            await self.lose("r1")
+            await trio.sleep(1.0)
+            self.assertFalse(self.reports("z0").is_suspected(self.request()))
+            self.assertEqual(zones.records.names, [])
+
     @trio_test
     async def test_request_is_served_again_after_servers_that_rejected_its_trials(self):
         """Guards against trials used up by servers that reject all requests."""
