--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,18 +26,23 @@
     send_request,
 )
 
-FRACTION, LENGTH_S, PAUSE_S = 0.04, 5.0, 0.5
-"""The disruption: the share of a server's answers that it sends once more, for how
-long, and the time in between."""
+SHARE, FRACTION, LENGTH_S, PAUSE_S = 0.5, 0.04, 5.0, 2.0
+"""The disruption: the share of the servers of all copies of the service, the share of
+their answers that they send once more, for how long, and the time in between."""
+
+DAY_S = 98.0
+COPIES = ("orders", "orders-2")
+"""The copies of the service, with one server each."""
 
-DAY_S = 66.0
 CALLERS = 14
+"""Callers of each copy."""
+
 WORK_MS = 30.0
 DEADLINE_MS = 2000
 
 
 class RepeatedRejections(Case):
-    """A server that is full at times sends some of its answers a second time."""
+    """Servers that are full at times send some of their answers a second time."""
 
     zones = ("z0", "z1", "z2")
     fronts_per_zone = 3
@@ -45,29 +50,37 @@
     def __init__(self, record: Record, folder: Path, *, is_disrupted: bool) -> None:
         super().__init__(record, folder, is_disrupted=is_disrupted)
         self.random = random.Random(58)
-        self.server = Server(
-            "orders", "z0", record, slots=2, queue=8, work_ms=self.draw_work_ms
-        )
-        self.servers = [self.server]
+        self.servers = [
+            Server(name, zone, record, slots=2, queue=8, work_ms=self.draw_work_ms)
+            for name, zone in zip(COPIES, self.zones, strict=False)
+        ]
         self.answers: dict[str, Answer] = {}
 
     def draw_work_ms(self) -> float:
-        """Return how long the server works on a request."""
+        """Return how long a server works on a request."""
         return self.random.uniform(0.5, 1.5) * WORK_MS
 
     def configuration(self) -> dict[str, Any]:
         """Return the operator's configuration."""
-        return configuration(3, [route("orders", "orders", "non_idempotent")])
+        return configuration(
+            3, [route(name, name, "non_idempotent") for name in COPIES]
+        )
 
     async def play(self) -> None:
-        """Let callers send orders, and the server repeat some of its answers."""
-        callers = [asyncio.create_task(self.call(n)) for n in range(CALLERS)]
+        """Let callers send orders, and some servers repeat some of their answers."""
+        callers = [
+            asyncio.create_task(self.call(number, name))
+            for name in COPIES
+            for number in range(CALLERS)
+        ]
         for _ in range(int(DAY_S / (LENGTH_S + PAUSE_S))):
             await asyncio.sleep(PAUSE_S)
-            if self.is_disrupted:
-                self.server.second_answer = self.draw_second_answer
+            chosen = self.random.sample(self.servers, int(SHARE * len(self.servers)))
+            for server in chosen if self.is_disrupted else []:
+                server.second_answer = self.draw_second_answer
             await asyncio.sleep(LENGTH_S)
-            self.server.second_answer = lambda _: False
+            for server in chosen:
+                server.second_answer = lambda _: False
         self.is_over = True
         await asyncio.gather(*callers)
         await asyncio.sleep(1.0)
@@ -76,7 +89,7 @@
         """Return whether an answer is sent once more."""
         return self.random.random() < FRACTION
 
-    async def call(self, number: int) -> None:
+    async def call(self, number: int, name: str) -> None:
         """Send one order after the other, each with an id of its own."""
         await asyncio.sleep(number / CALLERS)
         while not self.is_over:
@@ -91,7 +104,7 @@
             answer = await send_request(
                 front.address,
                 "POST",
-                f"/orders/{number}",
+                f"/{name}/{number}",
                 headers,
                 b"one envelope",
                 timeout_s=DEADLINE_MS / 1000.0,
@@ -102,7 +115,10 @@
 
     def judge(self) -> int:
         """Count the orders that ran twice, and those that were refused and ran."""
-        runs = self.server.runs
+        runs: Counter[str] = Counter()
+        for server in self.servers:
+            runs.update(server.runs)
+        rejected = sum(server.rejected for server in self.servers)
         twice = [request_id for request_id, count in runs.items() if count > 1]
         refused = [
             request_id
@@ -110,7 +126,7 @@
             if answer.status in (408, 421, 429, 503) and runs[request_id]
         ]
         hows = Counter(answer.how for answer in self.answers.values())
-        self.record.add(f"answers: {dict(hows)}; rejected: {self.server.rejected}")
+        self.record.add(f"answers: {dict(hows)}; rejected: {rejected}")
         self.record.add(f"front processes that ended: {self.exits}")
         self.record.add(f"TWICE: {len(twice)}: {twice}")
         self.record.add(f"REFUSED, but run: {len(refused)}: {refused}")
