--- a/review/trials/reset_before_continue.py
+++ b/review/trials/reset_before_continue.py
@@ -43,6 +43,7 @@
         """Send the heads, one after the other."""
         host, _, port = self.fronts[0].address.rpartition(":")
         for _ in range(10):
+            await self.fronts[0].wait_until_ready()
             lines = [
                 "POST /archive/1 HTTP/1.1",
                 "Host: tier.example",
