Server entries: an address that no socket accepts ends no process

Cause: the pattern of an entry's address allowed ports up to 99999 and octets up to 999. connect() raises OverflowError for such a port, and the pool of a server expects OSError only; 999.0.0.1 was looked up as a name, which blocks the process. The same holds for a line feed behind the port, and for integers beyond 64 bits in born, which cannot be relayed to other instances.

Change: the pattern accepts the addresses of sockets only, integers are limited to 64 bits, and open_socket raises OSError for any text that is no address (peers and the store's address come from elsewhere).

Ruled out: catching OverflowError in the pool only, as the entry would still be counted as a server of its service.

--- a/ibisfront/gateway/servers/entry_fields.py
+++ b/ibisfront/gateway/servers/entry_fields.py
@@ -24,13 +24,22 @@
 _MAX_WARM_UP_MS = 600_000.0
 """Remaining warm-up above which an entry is invalid; a real one takes seconds."""
 
+_MAX_COUNT = 2**63 - 1
+"""MessagePack, in which entries are relayed, has no integers of more than 64 bits."""
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_PORT = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
+    r"|[1-9][0-9]{0,3})"
+)
+
 ReadableText = Annotated[
     str, msgspec.Meta(pattern=f"^[^{REPLACEMENT_CHARACTER}]*$", max_length=256)
 ]
 NonEmptyText = Annotated[ReadableText, msgspec.Meta(min_length=1)]
-Count = Annotated[int, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
 RemainingMs = Annotated[float, msgspec.Meta(ge=0.0, le=_MAX_WARM_UP_MS)]
 SocketAddress = Annotated[
-    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[1-9][0-9]{0,4}$")
+    str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z")
 ]
--- a/ibisfront/http1/backend_connection.py
+++ b/ibisfront/http1/backend_connection.py
@@ -261,7 +261,8 @@
     Raises
     ------
     OSError
-        If the connection is refused or not accepted in time.
+        If the connection is refused or not accepted in time, or if the text is no
+        address: the socket module raises other errors for that.
     """
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -273,6 +274,9 @@
                 sock.connect((host, int(port)))
             except BlockingIOError:
                 await trio.lowlevel.wait_writable(sock)
+            except (OverflowError, TypeError, ValueError) as error:
+                detail = f"{address!r} is not an address"
+                raise OSError(errno.EINVAL, detail) from error
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
                 raise OSError(code, os.strerror(code))
--- a/ibisfront/tests/test_http1_client.py
+++ b/ibisfront/tests/test_http1_client.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from ibisfront.http1.backend_connection import open_socket
 from ibisfront.http1.client import HttpClient
 
 MAX_REPLY_S = 8.0
@@ -97,6 +98,15 @@
             await client.call("GET", "/", timeout_ms=1_000.0)
         self.assertAlmostEqual(trio.current_time(), MAX_REPLY_S, delta=0.5)
 
+    @with_server
+    async def test_text_that_is_no_address_is_an_unreachable_server(
+        self, client, server, nursery
+    ):
+        """Guards against an entry's address that ends the tasks of an instance."""
+        for address in ("", "a", ":80", "127.0.0.1:", "127.0.0.1:80443", "h:x", "\0:1"):
+            with self.subTest(address), self.assertRaises(OSError):
+                await open_socket(address, timeout_ms=100.0)
+
 
 async def send_slowly(server, pieces):
     """Send the head and some pieces, one of them every 0.4 s."""
--- a/ibisfront/tests/test_platform_documents.py
+++ b/ibisfront/tests/test_platform_documents.py
@@ -66,6 +66,32 @@
                 ):
                     entry_of(**{field: value})
 
+    def test_address_that_no_socket_accepts_is_rejected(self):
+        """Guards against the port 80443 in an entry, which ends every front process."""
+        for address in (
+            "10.0.0.1:80443",
+            "10.0.0.1:65536",
+            "999.0.0.1:80",
+            "10.0.0.256:80",
+            "10.0.0.1:80\n",
+            "010.0.0.1:80",
+        ):
+            with self.subTest(address), self.assertRaises(msgspec.DecodeError):
+                entry_of(addr=address)
+        for address in ("0.0.0.0:1", "255.249.199.99:65535", "10.0.0.1:9999"):
+            self.assertEqual(entry_of(addr=address).address, address)
+
+    def test_number_that_cannot_be_relayed_is_rejected(self):
+        """Guards against an entry that no instance can relay to the others."""
+        for field in ("born", "seq"):
+            for value in (2**63, 2**64, 10**400):
+                with self.subTest(field), self.assertRaises(msgspec.DecodeError):
+                    entry_of(**{field: value})
+        entry = entry_of(born=2**63 - 1)
+        self.assertEqual(
+            msgspec.msgpack.decode(msgspec.msgpack.encode(entry))[7], 2**63 - 1
+        )
+
     def test_malformed_entry_is_rejected(self):
         for spec in (b"", b"null", b"[]", b"7", b'"x"', b"{", b"\xff\xfe", b"{}"):
             with self.subTest(spec), self.assertRaises(msgspec.DecodeError):
