Callers: a reset before 100 Continue ends only its connection

Cause: CallerConnection._read_some sent 100 Continue without expecting OSError; the error left the task of the connection and with it the nursery.

Change: a failed 100 Continue ends that connection, with a debug line.

--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -212,12 +212,22 @@
         self._queue_requests()
         if self._reader.wants_continue and self._reader.is_mid_message:
             self._reader.wants_continue = False
-            await self._send_bytes(_CONTINUE)
+            if not await self._send_continue():
+                return False
         # Further requests are read only once queued ones are answered.
         while len(self._queue) > _MAX_QUEUED_REQUESTS:
             await self._host.clock.sleep_ms(_QUEUE_POLL_MS)
         return True
 
+    async def _send_continue(self) -> bool:
+        """Tell the caller to send the body; return False if it has gone."""
+        try:
+            await self._send_bytes(_CONTINUE)
+        except OSError as error:
+            _LOG.debug("A caller left before its body was read: %s.", error)
+            return False
+        return True
+
     def _queue_requests(self) -> None:
         host = self._host
         messages = self._reader.messages
--- a/ibisfront/tests/test_http1_caller_listener.py
+++ b/ibisfront/tests/test_http1_caller_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import unittest
 from contextlib import asynccontextmanager
 
@@ -69,6 +70,13 @@
         nursery.cancel_scope.cancel()
 
 
+def reset_after(address, data):
+    """Send bytes on a new connection and reset it, before the listener reads them."""
+    with socket.create_connection(address) as sock:
+        sock.sendall(data)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 async def read_reply(stream):
     """Return the bytes read up to the end of a reply with a length."""
     data = b""
@@ -128,6 +136,20 @@
         self.assertTrue(data.endswith(b"abc"))
         self.assertEqual(server.requests[0].body, b"abc")
 
+    @trio_test_real_clock
+    async def test_caller_that_resets_before_continue_ends_only_its_connection(self):
+        """Guards against a reset before 100 Continue that ends the front process."""
+        head = b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+        async with served() as fixture:
+            for _ in range(10):
+                reset_after(fixture.address, head)
+                with trio.fail_after(5.0):
+                    await wait_until(lambda: not fixture.listener.connections)
+            stream = await trio.open_tcp_stream(*fixture.address)
+            async with stream:
+                await stream.send_all(REQUEST)
+                self.assertIn(b" 200 ", await read_reply(stream))
+
     @trio_test_real_clock
     async def test_two_body_lengths_are_rejected(self):
         """Guards against request smuggling.
