Settings: a file cut inside a character does not end the process

Cause: read_platform_settings expected TOMLDecodeError, but a file that is read while it is written may end inside a character (UnicodeDecodeError), and deeply nested content raises RecursionError. Both left _watch_settings, and with it the main nursery: the front process ended.

Change: both are bad settings, which a reload logs and ignores.

--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -98,7 +98,7 @@
     """
     try:
         file = msgspec.convert(tomllib.loads(path.read_text()), _SettingsFile)
-    except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise IbisfrontError(
             ErrorKind.BAD_SETTINGS, f"{path}: {error}: correct the settings file"
         ) from error
