Instances: an entry of another writer does not hide the other instances

Cause: the list of instances was decoded as a whole; one object of the kind that is no entry made it unreadable, and the instances that read it kept an old list or none. An address that is none would have reached connect().

Change: invalid entries are left out and logged once per change, with name and reason, as for servers; what is reported once is shared by both.

--- a/ibisfront/front/targets.py
+++ b/ibisfront/front/targets.py
@@ -8,6 +8,7 @@
 
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.gateway.state.invalid_objects import InvalidObjects
 from ibisfront.gateway.state.kind_watch import WatchTarget
 from ibisfront.gateway.state.route_cache import RouteCache
 from ibisfront.platform.documents import (
@@ -28,10 +29,6 @@
 _TABLE_LOG = part_logger(LogPart.TABLE)
 _BACKEND_LOG = part_logger(LogPart.BACKEND)
 
-_MAX_REPORTED_ENTRIES = 1_000
-"""Invalid entries whose last report is kept, so that each is logged once per
-change; a thousand names take 0.1 MB."""
-
 
 def configuration_target(process: FrontProcess) -> WatchTarget:
     """Return the target that applies the configuration."""
@@ -55,7 +52,7 @@
 
 def servers_target(process: FrontProcess) -> WatchTarget:
     """Return the target that applies the backend servers' entries."""
-    reported: dict[str, int] = {}
+    invalid = InvalidObjects()
 
     def decode_entry(item: StoredObject) -> ServerEntry | None:
         """Return a server's entry; None if it is invalid.
@@ -67,8 +64,7 @@
             return server_entry_from(item.name, item.spec)
         except (msgspec.DecodeError, ValueError) as error:
             process.observer.counters.add(CounterKind.SERVER_ENTRIES, "unreadable")
-            if reported.get(item.name) != item.revision:
-                _record_reported(reported, item)
+            if invalid.add(item):
                 _BACKEND_LOG.error(
                     "Ignoring the invalid server entry %.80s: %s.", item.name, error
                 )
@@ -124,14 +120,6 @@
     return _target(process, "evacuations", replace, apply_changes)
 
 
-def _record_reported(reported: dict[str, int], item: StoredObject) -> None:
-    """Record that an entry was reported; the oldest records are dropped."""
-    reported.pop(item.name, None)
-    reported[item.name] = item.revision
-    if len(reported) > _MAX_REPORTED_ENTRIES:
-        del reported[next(iter(reported))]
-
-
 def _target(
     process: FrontProcess,
     name: str,
--- a/ibisfront/gateway/instances/directory.py
+++ b/ibisfront/gateway/instances/directory.py
@@ -10,7 +10,9 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.types import Address
+from ibisfront.gateway.servers.entry_fields import SocketAddress
 from ibisfront.gateway.servers.server_entry import ServerEntry
+from ibisfront.gateway.state.invalid_objects import InvalidObjects
 from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 from ibisfront.gateway.state.store_answers import decode
 
@@ -18,7 +20,7 @@
     from collections.abc import Sequence
 
     from ibisfront.core.clock import Clock
-    from ibisfront.gateway.state.store import ObjectStore
+    from ibisfront.gateway.state.store import ObjectStore, StoredObject
 
 __all__ = [
     "ASSUMED_INSTANCES",
@@ -102,10 +104,11 @@
         The objects.
     """
 
-    __slots__ = ("_objects",)
+    __slots__ = ("_invalid", "_objects")
 
     def __init__(self, objects: ObjectStore) -> None:
         self._objects = objects
+        self._invalid = InvalidObjects()
 
     async def register(self, entry: InstanceEntry) -> None:
         """Write an instance's entry, replacing one from before a restart."""
@@ -118,9 +121,24 @@
             raise StoreError(StoreErrorKind.REFUSED, detail)
 
     async def instances(self) -> Sequence[InstanceEntry]:
-        """Return all entries; they may be a few seconds old."""
+        """Return all valid entries; they may be a few seconds old."""
         listing = await self._objects.list_all(may_be_stale=True)
-        return [decode(item.spec, InstanceEntry) for item in listing.objects]
+        entries = [self._decode(item) for item in listing.objects]
+        return [entry for entry in entries if entry is not None]
+
+    def _decode(self, item: StoredObject) -> InstanceEntry | None:
+        """Return an instance's entry; None if another writer has put an invalid one."""
+        try:
+            entry = decode(item.spec, InstanceEntry)
+            if entry.address:
+                msgspec.convert(entry.address, SocketAddress)
+        except (StoreError, msgspec.ValidationError) as error:
+            if self._invalid.add(item):
+                _LOG.error(
+                    "Ignoring the invalid instance entry %.80s: %s.", item.name, error
+                )
+            return None
+        return entry
 
     def close(self) -> None:
         """Close the connection."""
--- a/ibisfront/tests/test_platform_store.py
+++ b/ibisfront/tests/test_platform_store.py
@@ -284,6 +284,23 @@
             await directory.register(entry)
             self.assertEqual(store.names("ibisfront-instances"), ["i1"])
 
+    @trio_test_real_clock
+    async def test_invalid_entry_does_not_hide_the_other_instances(self):
+        """Guards against one foreign entry that leaves an instance without others."""
+        store = FakeObjectStore()
+        directory = directory_of(store)
+        valid = InstanceEntry("a", "z", "10.0.0.1:80")
+        async with store.running():
+            await directory.register(valid)
+            store.put_as_written(INSTANCES_KIND, "b", b"[" * 2000 + b"]" * 2000)
+            store.put(INSTANCES_KIND, "c", {"name": "c"})
+            store.put(INSTANCES_KIND, "d", {"name": "d", "zone": "z", "address": ":x"})
+            with self.assertLogs("ibisfront.members", "ERROR") as logged:
+                for _ in range(2):
+                    self.assertEqual(await directory.instances(), [valid])
+            self.assertEqual(len(logged.output), 3)
+        directory.close()
+
 
 class ObjectsTest(unittest.TestCase):
     """Reads and conditional writes of one kind of object."""
