Tasks: an unexpected error ends one task, not the process

Cause: every watch, connection and background task shared the fate of the main nursery.

Change: TaskGuard runs the tasks. An unexpected error is logged with its traceback and counted (task_failures); a connection's task ends that connection only, a long-lived one is started again after 0.1 to 5 s. A watch that fails marks its kind unavailable first, so that other instances do not rely on it. The callers' listeners stay unguarded: a process that accepts nobody should end.

A guard must not hide faults: every test run under trio_test fails if a task failed, and so does the soak (check "errors", from the fronts' logs).

--- a/ibisfront/core/counters.py
+++ b/ibisfront/core/counters.py
@@ -39,6 +39,7 @@
     CLAIMS = "claims"
     SHARES = "shares"
     QUOTAS = "quotas"
+    TASK_FAILURES = "task_failures"
 
 
 COUNTER_HELP: dict[CounterKind, str] = {
@@ -68,6 +69,7 @@
     CounterKind.CLAIMS: "Claims of non-idempotent requests, by outcome.",
     CounterKind.SHARES: "Shares of limits, by event.",
     CounterKind.QUOTAS: "Requests counted against workspaces' limits, by event.",
+    CounterKind.TASK_FAILURES: "Tasks ended by an unexpected error, by task.",
 }
 """Description of each kind, for operators."""
 
--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -12,9 +12,8 @@
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
-    import trio
-
     from ibisfront.core.clock import Clock
+    from ibisfront.core.task_guard import TaskNursery
     from ibisfront.gateway.instances.coordinators import Coordinators
     from ibisfront.gateway.servers.server import Server
     from ibisfront.gateway.servers.server_event_log import ServerEventLog
@@ -46,7 +45,7 @@
         Returns the active configuration; None if none is loaded.
     find_bounds : callable
         Returns the bounds of the deployment.
-    nursery : trio.Nursery
+    nursery : TaskNursery
         Runs the connections.
     clock : Clock
         The clock.
@@ -73,7 +72,7 @@
         count_instances: Callable[[], int],
         find_table: Callable[[], RouteTable | None],
         find_bounds: Callable[[], Bounds],
-        nursery: trio.Nursery,
+        nursery: TaskNursery,
         clock: Clock,
         event_log: ServerEventLog,
     ) -> None:
--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -76,7 +76,7 @@
         )
         nursery = await stack.enter_async_context(trio.open_nursery())
         process = FrontProcess(settings, clock=clock, nursery=nursery)
-        listen = partial(_listen, nursery, clock)
+        listen = partial(_listen, nursery, process, clock)
         limits = process.limits
         listen(settings.ready_address, process.answer_ready, limits)
         callers = listen(
@@ -89,19 +89,14 @@
             listen(settings.metrics_address, process.answer_metrics, limits)
         if settings.peers_address is not None:
             listen(settings.peers_address, process.answer_peer, process.peer_limits)
-            _join_instances(settings, process, nursery, stack, clock)
+            _join_instances(settings, process, stack, clock)
         else:
             process.state_sync.record_first_poll()
-        nursery.start_soon(process.state_sync.run)
         stack.callback(process.suspect_records.close)
-        nursery.start_soon(process.suspect_records.run)
-        if not settings.is_first_start:
-            nursery.start_soon(process.crash_reports.load_records)
-        nursery.start_soon(process.run_maintenance)
-        nursery.start_soon(process.zone_path_monitor.run)
-        nursery.start_soon(handler.run)
-        nursery.start_soon(collect_garbage, clock)
-        nursery.start_soon(_watch_settings, process, path, start.modified_ns, clock)
+        _start_tasks(process, handler, clock)
+        process.tasks.keep_running(
+            _watch_settings, process, path, start.modified_ns, clock
+        )
         fields = {"zone": settings.zone, "early": start.callers_socket is not None}
         _LOG.info("%s starts.", settings.instance, extra=fields)
         await _handle_signals(signals, process, path)
@@ -111,8 +106,24 @@
         nursery.cancel_scope.cancel()
 
 
+def _start_tasks(
+    process: FrontProcess, handler: BoundedLogHandler, clock: Clock
+) -> None:
+    """Start the tasks that run as long as the process."""
+    tasks = process.tasks
+    tasks.keep_running(process.state_sync.run)
+    tasks.keep_running(process.suspect_records.run)
+    if not process.settings.is_first_start:
+        tasks.keep_running(process.crash_reports.load_records)
+    tasks.keep_running(process.run_maintenance)
+    tasks.keep_running(process.zone_path_monitor.run)
+    tasks.keep_running(handler.run)
+    tasks.keep_running(collect_garbage, clock)
+
+
 def _listen(
     nursery: trio.Nursery,
+    process: FrontProcess,
     clock: Clock,
     address: Address,
     answer: AnswerRequest,
@@ -126,6 +137,7 @@
         wire=WIRE,
         limits=limits,
         clock=clock,
+        counters=process.observer.counters,
     )
     nursery.start_soon(listener.run)
     return listener
@@ -134,7 +146,6 @@
 def _join_instances(
     settings: GatewaySettings,
     process: FrontProcess,
-    nursery: trio.Nursery,
     stack: AsyncExitStack,
     clock: Clock,
 ) -> None:
@@ -142,7 +153,7 @@
     objects = PlatformObjects(settings.store_address, INSTANCES_KIND)
     directory = StoredDirectory(objects)
     stack.callback(directory.close)
-    nursery.start_soon(
+    process.tasks.keep_running(
         partial(
             sync_instances,
             directory,
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -12,6 +12,7 @@
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.metrics_text import CONTENT_TYPE, Gauge, metrics_text
+from ibisfront.core.task_guard import TaskGuard
 from ibisfront.front.connections import Connections
 from ibisfront.front.store_watches import watch_store
 from ibisfront.gateway.gateway import Gateway
@@ -115,6 +116,8 @@
         Keeps the store's state up to date.
     zone_path_monitor : ZonePathMonitor
         Detects which other zones are partitioned.
+    tasks : TaskGuard
+        Runs the tasks of the process.
     is_stopping : bool
         Whether a planned stop has begun.
     """
@@ -140,6 +143,7 @@
         "source",
         "state_sync",
         "suspect_records",
+        "tasks",
         "topology",
         "zone_path_monitor",
     )
@@ -151,6 +155,7 @@
         self._clock = clock
         zone = settings.zone
         self.observer = Observer()
+        self.tasks = TaskGuard(nursery, clock=clock, counters=self.observer.counters)
         self.budgets = RetryBudgets(
             settings.bounds,
             started_ms=clock.now_ms(),
@@ -173,7 +178,7 @@
             count_instances=lambda: self.instance_count,
             find_table=lambda: self.gateway.table,
             find_bounds=lambda: self.settings.bounds,
-            nursery=nursery,
+            nursery=self.tasks,
             clock=clock,
             event_log=self._event_log,
         )
--- a/ibisfront/front/store_watches.py
+++ b/ibisfront/front/store_watches.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from ibisfront.core.task_guard import TaskGuard
 from ibisfront.front.targets import (
     configuration_target,
     evacuations_target,
@@ -52,12 +53,13 @@
         target = evacuations_target(process)
         watched.append((EVACUATIONS_KIND, target, bounds.watch_wait_ms))
     outage = StoreOutage(options.resume_delay_ms)
+    tasks = TaskGuard(nursery, clock=clock, counters=process.observer.counters)
     for kind, target, wait_ms in watched:
         client = PlatformKindClient(
             process.settings.store_address, kind, watch_wait_ms=wait_ms
         )
         run = partial(watch_kind, clock=clock, options=options, outage=outage)
-        nursery.start_soon(_watch_kind, client, target, run)
+        tasks.keep_running(_watch_kind, client, target, run)
 
 
 async def _watch_kind(
@@ -65,6 +67,13 @@
     target: WatchTarget,
     run: Callable[[KindClient, WatchTarget], Awaitable[None]],
 ) -> None:
-    """Watch a kind until cancelled, then close the connection."""
+    """Watch a kind until cancelled, then close the connection.
+
+    After an error other instances must not rely on what this one has of the kind.
+    """
     with closing(client):
-        await run(client, target)
+        try:
+            await run(client, target)
+        except Exception:
+            target.on_unavailable()
+            raise
--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -7,8 +7,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import trio
-
 from ibisfront.gateway.messages import ExchangeErrorKind
 from ibisfront.gateway.servers.server_connection import (
     ConnectionUsage,
@@ -20,6 +18,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.task_guard import TaskNursery
     from ibisfront.gateway.servers.exchange import Exchange
     from ibisfront.gateway.servers.server import Server
 
@@ -52,7 +51,7 @@
         The server.
     open_connection : callable
         Connects to the server.
-    nursery : trio.Nursery
+    nursery : TaskNursery
         Runs the connections.
     clock : Clock
         The clock.
@@ -89,7 +88,7 @@
         server: Server,
         *,
         open_connection: OpenServerConnection,
-        nursery: trio.Nursery,
+        nursery: TaskNursery,
         clock: Clock,
         maximum: int,
         event_log: ServerEventLog | None = None,
@@ -285,9 +284,11 @@
         started_ms = self._clock.now_ms()
         try:
             connection = await self._open(timeout_ms)
-        except OSError as error:
+        except Exception as error:
             self._opening -= 1
             self._record_unreachable(error)
+            if not isinstance(error, OSError):
+                raise
             return
         self._opening -= 1
         now_ms = self._clock.now_ms()
@@ -341,9 +342,9 @@
         if not self.size:
             self._fail_waiting(ExchangeErrorKind.CONNECT_FAILED)
 
-    def _record_unreachable(self, error: OSError) -> None:
+    def _record_unreachable(self, error: Exception) -> None:
         entry = self._server.entry
-        reason = error.strerror or type(error).__name__
+        reason = getattr(error, "strerror", None) or type(error).__name__
         event = f"Unreachable, {reason}"
         self._event_log.record(event, entry.server_id, entry.service, is_fault=True)
         self._server.record_unreachable(self._clock.now_ms())
--- a/ibisfront/gateway/state/state_sync.py
+++ b/ibisfront/gateway/state/state_sync.py
@@ -281,6 +281,7 @@
             await self._maintain()
 
     async def _maintain(self) -> None:
+        self._mode = _Mode.SEEKING
         source = await self._find_source_at_start()
         while True:
             if source is None:
--- a/ibisfront/http1/backend_connection.py
+++ b/ibisfront/http1/backend_connection.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.task_guard import TaskNursery
     from ibisfront.core.types import Address
     from ibisfront.gateway.messages import BackendReply
     from ibisfront.gateway.servers.exchange import Exchange
@@ -69,7 +70,7 @@
         Decodes a message into a typed reply.
     clock : Clock
         The tier's clock.
-    nursery : trio.Nursery
+    nursery : TaskNursery
         Runs the remainder of a partial send.
     """
 
@@ -94,7 +95,7 @@
         *,
         decode_reply: DecodeReply,
         clock: Clock,
-        nursery: trio.Nursery,
+        nursery: TaskNursery,
     ) -> None:
         self._sock = sock
         self._decode_reply = decode_reply
@@ -298,7 +299,7 @@
 
 
 def backend_connection_opener(
-    *, decode_reply: DecodeReply, clock: Clock, nursery: trio.Nursery
+    *, decode_reply: DecodeReply, clock: Clock, nursery: TaskNursery
 ) -> OpenServerConnection:
     """Return a function that opens connections to backend servers."""
 
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.task_guard import TaskNursery
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.state.configuration import CallerLimits
     from ibisfront.gateway.wire import WireCodec
@@ -84,7 +85,7 @@
         The accepted socket; this object takes ownership.
     host : ConnectionHost
         The listener that answers its requests.
-    nursery : trio.Nursery
+    nursery : TaskNursery
         Runs the task that answers.
     """
 
@@ -106,7 +107,7 @@
     )
 
     def __init__(
-        self, sock: socket.socket, host: ConnectionHost, nursery: trio.Nursery
+        self, sock: socket.socket, host: ConnectionHost, nursery: TaskNursery
     ) -> None:
         limits = host.limits()
         self._sock = sock
@@ -250,6 +251,10 @@
                     request = self._queue.popleft()
                     reply = await self._host.answer(request)
                     await self._send(reply, closes=request.closes or reply.closes)
+        except Exception:
+            # The caller must not wait on this connection for an answer.
+            self.close()
+            raise
         finally:
             self._answer_scope = None
             self._answered.set()
--- a/ibisfront/http1/caller_listener.py
+++ b/ibisfront/http1/caller_listener.py
@@ -9,11 +9,14 @@
 import trio
 
 from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.core.task_guard import TaskGuard
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.http1.caller_connection import CallerConnection
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
+    from ibisfront.core.counters import Counters
+    from ibisfront.core.task_guard import TaskNursery
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.state.configuration import CallerLimits
     from ibisfront.gateway.wire import WireCodec
@@ -46,6 +49,8 @@
         Returns the limits of callers' requests.
     clock : Clock
         The tier's clock.
+    counters : Counters, optional
+        Counts connections that end by an unexpected error.
 
     Attributes
     ----------
@@ -57,6 +62,7 @@
         "_answer",
         "_clock",
         "_connections",
+        "_counters",
         "_limits",
         "_scope",
         "_sock",
@@ -72,12 +78,14 @@
         wire: WireCodec,
         limits: Callable[[], CallerLimits],
         clock: Clock,
+        counters: Counters | None = None,
     ) -> None:
         self._sock = sock
         self._answer = answer
         self._wire = wire
         self._limits = limits
         self._clock = clock
+        self._counters = counters
         self._connections: set[CallerConnection] = set()
         self._scope = trio.CancelScope()
         self.is_stopping = False
@@ -95,11 +103,12 @@
     async def run(self) -> None:
         """Serve until :meth:`stop_accepting` and the end of the last connection."""
         async with trio.open_nursery() as nursery:
+            tasks = TaskGuard(nursery, clock=self._clock, counters=self._counters)
             with self._scope:
-                await self._accept_all(nursery)
+                await self._accept_all(tasks)
             # Connections in the kernel's backlog would be reset, although their
             # callers may already have sent a request.
-            while self._accept_one(nursery):
+            while self._accept_one(tasks):
                 pass
             trio.lowlevel.notify_closing(self._sock)
             self._sock.close()
@@ -113,13 +122,13 @@
         """Stop accepting connections."""
         self._scope.cancel()
 
-    async def _accept_all(self, nursery: trio.Nursery) -> None:
+    async def _accept_all(self, tasks: TaskNursery) -> None:
         while True:
             await trio.lowlevel.wait_readable(self._sock)
-            if not self._accept_one(nursery):
+            if not self._accept_one(tasks):
                 await self._clock.sleep_ms(_ACCEPT_PAUSE_MS)
 
-    def _accept_one(self, nursery: trio.Nursery) -> bool:
+    def _accept_one(self, tasks: TaskNursery) -> bool:
         """Accept a pending connection; return whether there was one."""
         try:
             sock, _ = self._sock.accept()
@@ -130,9 +139,9 @@
             return False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = CallerConnection(sock, self, nursery)
+        connection = CallerConnection(sock, self, tasks)
         self._connections.add(connection)
-        nursery.start_soon(connection.run)
+        tasks.start_soon(connection.run)
         return True
 
     async def answer(self, request: InboundRequest) -> CallerReply:
--- a/ibisfront/testing/soak/checks.py
+++ b/ibisfront/testing/soak/checks.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ibisfront.core.task_guard import UNEXPECTED_ERROR
 from ibisfront.testing.soak.callers import RequestPath
 from ibisfront.testing.soak.servers import part_records, signature
 
@@ -25,6 +26,7 @@
     "check_budget",
     "check_crashes",
     "check_drained",
+    "check_errors",
     "check_late_copies",
     "check_orders",
     "check_responses",
@@ -38,6 +40,7 @@
 _TOLERATED_COPIES = 3
 """Copies of a crashing request that may reach servers after the third crash."""
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+_MAX_LINE_CHARACTERS = 600
 _STAMPS_HEADER = b"x-shard-stamps"
 _MISSING_HEADER = b"x-shards-missing"
 _STAMP_HEADER = b"x-backend-stamp"
@@ -404,6 +407,16 @@
     return [Failure("late copies", min(counted), detail)]
 
 
+def check_errors(logs: Mapping[str, str]) -> list[Failure]:
+    """Check that no task of a front failed, given the log of each front by name."""
+    return [
+        Failure("errors", name, line[:_MAX_LINE_CHARACTERS])
+        for name, log in logs.items()
+        for line in log.splitlines()
+        if UNEXPECTED_ERROR in line
+    ]
+
+
 def check_stops(
     outcomes: Iterable[Outcome],
     executions: Iterable[Execution],
--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -135,13 +135,22 @@
     def _settings_path(self) -> Path:
         return self._folder / f"{self.name}.toml"
 
+    @property
+    def _log_path(self) -> Path:
+        return self._folder / f"{self.name}.log"
+
+    @property
+    def log(self) -> str:
+        """What its incarnations have logged."""
+        return self._log_path.read_text(errors="replace")
+
     async def start(self) -> None:
         """Start the process."""
         self.incarnation += 1
         self._process = RunningProcess(
             ["-m", "ibisfront.front"],
             log_path=str(self._folder / f"{self.name}.err"),
-            output_path=str(self._folder / f"{self.name}.log"),
+            output_path=str(self._log_path),
             environment={SETTINGS_PATH_VARIABLE: str(self._settings_path)},
         )
         await self._stack.enter_async_context(self._process)
--- a/ibisfront/testing/soak/world.py
+++ b/ibisfront/testing/soak/world.py
@@ -20,6 +20,7 @@
     check_budget,
     check_crashes,
     check_drained,
+    check_errors,
     check_late_copies,
     check_orders,
     check_responses,
@@ -359,6 +360,7 @@
                 in_touch=self._troubles.in_touch,
             ),
         ]
+        failures += check_errors({front.name: front.log for front in self.fronts})
         failures += [Failure("exit", "", detail) for detail in self._bad_exits]
         if self._fault_counts.pop("unserved", 0):
             failures.append(Failure("recovery", "", "a front did not recover"))
--- a/ibisfront/tests/__init__.py
+++ b/ibisfront/tests/__init__.py
@@ -4,12 +4,23 @@
 
 import functools
 import inspect
+import logging
 import os
+from contextlib import contextmanager
 
 import trio
 import trio.testing
 
-__all__ = ["TEST_SEED", "fix_task_order", "trio_test", "trio_test_real_clock"]
+from ibisfront.core.logs import LOGGER_NAME
+from ibisfront.core.task_guard import UNEXPECTED_ERROR
+
+__all__ = [
+    "TEST_SEED",
+    "fix_task_order",
+    "task_failures",
+    "trio_test",
+    "trio_test_real_clock",
+]
 
 TEST_SEED = int(os.environ.get("IBISFRONT_TEST_SEED", "0"))
 
@@ -27,6 +38,30 @@
     scheduler._r.seed(TEST_SEED)
 
 
+class _TaskFailures(logging.Handler):
+    """Collects the log lines of failed tasks."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        if UNEXPECTED_ERROR in record.getMessage():
+            self.lines.append(record.getMessage())
+
+
+@contextmanager
+def task_failures():
+    """Collect the log lines of tasks that fail and do not end the process."""
+    handler = _TaskFailures()
+    log = logging.getLogger(LOGGER_NAME)
+    log.addHandler(handler)
+    try:
+        yield handler.lines
+    finally:
+        log.removeHandler(handler)
+
+
 def trio_test(test):
     """Run an async test under trio's mock clock with autojump.
 
@@ -40,7 +75,9 @@
     def run(self):
         clock = trio.testing.MockClock(autojump_threshold=0.0)
         fix_task_order()
-        trio.run(test, self, clock=clock)
+        with task_failures() as failures:
+            trio.run(test, self, clock=clock)
+        self.assertEqual(failures, [])
 
     assert inspect.iscoroutinefunction(test), "trio_test wraps async functions only"
     return run
@@ -51,6 +88,8 @@
 
     @functools.wraps(test)
     def run(self):
-        trio.run(test, self)
+        with task_failures() as failures:
+            trio.run(test, self)
+        self.assertEqual(failures, [])
 
     return run
