--- a/ibisfront/gateway/state/store.py
+++ b/ibisfront/gateway/state/store.py
@@ -93,8 +93,14 @@
     """
 
     def __init__(self, kind: StoreErrorKind, detail: str) -> None:
-        super().__init__(f"{kind.value}: {detail}")
+        # The arguments of an exception are those with which it is unpickled.
+        super().__init__(kind, detail)
         self.kind = kind
+        self.detail = detail
+
+    def __str__(self) -> str:
+        """Return the message."""
+        return f"{self.kind.value}: {self.detail}"
 
 
 class KindClient(Protocol):
