Server connections: a connection carries a request id only once

Cause: a server answers an order with 503 and X-Not-Executed, and sends a copy of that answer late, where the next one is due. ServiceCall sends the order to the same server again, under the caller's id, and the pool could use the same connection. The copy then has the id of the exchange that is outstanding, and was taken for its answer; the real one, of an order that ran, was dropped, and the order was sent a third time.

Change: the pool remembers the last 16 ids of each connection and sends a request only on one that has not carried its id. If no idle connection may, it opens another, at the limit in place of the idle one that was unused longest. This holds for every exchange of a pool: a repeat after a rejection, a caller's own repeat with its old id, another attempt after a withdrawn one, and what is sent to other instances.

Evidence: the new test has a server that sends each answer once more; before, the repeat got the copy in all four cases (after 503 and after 200, at limits of 1 and 4 connections).

Ruled out: waiting for a copy before the repeat (it comes with the next answer only), closing the connection after each rejection (a connection for each, and only this one path), counting answers (a copy may come or not).

What sound requests pay: a connection where a repeat goes to the same server. Requests under different ids share connections as before (test: 20 on one).

In test_server_room the exchanges of one test shared the id "r"; they are different requests and now have ids of their own. No assertion changes.

--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -35,6 +35,10 @@
 concurrent queries and a hedged request."""
 
 
+_REMEMBERED_IDS = 16
+"""Request ids that a connection remembers. A late copy of a reply comes where the next
+reply is expected, so that the last id would do for one copy at a time."""
+
 _RECENT_REPLY_MS = 1_000.0
 """A server that replied this recently is likely to get another request soon."""
 
@@ -100,7 +104,8 @@
         self._clock = clock
         self.maximum = maximum
         self.keeps_idle = True
-        self._connections: set[ServerConnection] = set()
+        # Ids of the last requests that each connection has carried.
+        self._connections: dict[ServerConnection, deque[bytes]] = {}
         self._idle: list[ServerConnection] = []
         self._opening = 0
         self._resets_until_ms = -math.inf
@@ -146,11 +151,10 @@
         if self._is_closed:
             exchange.fail(ExchangeErrorKind.SERVER_GONE)
             return
-        while self._idle and self._has_window(now_ms) and not self._waiting:
-            connection = self._idle.pop()
-            if self._send(connection, exchange, now_ms):
-                self._preopen(now_ms)
-                return
+        can_send = not self._waiting and self._has_window(now_ms)
+        if can_send and self._send_on_idle(exchange, now_ms):
+            self._preopen(now_ms)
+            return
         self._enqueue(exchange)
         if not self._has_window(now_ms):
             self._server.window.record_waiting(now_ms)
@@ -161,12 +165,46 @@
 
     def send_waiting(self) -> None:
         """Send what waits for the window, as far as it has room."""
-        while self._waiting and self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(self._idle.copy()):
+            if not self._waiting:
+                return
+            if connection not in self._idle:
+                continue
+            self._idle.remove(connection)
             self._on_idle(connection)
-            if connection.is_idle:
+            if connection.is_idle and not self._has_window(self._clock.now_ms()):
                 return
 
+    def _send_on_idle(self, exchange: Exchange, now_ms: float) -> bool:
+        """Send an exchange on the last used idle connection that may carry it."""
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
+            if self._may_carry(connection, exchange):
+                del self._idle[index]
+                if self._send(connection, exchange, now_ms):
+                    return True
+        return False
+
+    def _may_carry(self, connection: ServerConnection, exchange: Exchange) -> bool:
+        """Return whether a request's id will identify its reply on a connection.
+
+        A request is sent to the same server again after a rejection. A late copy of
+        the rejection has the same id as the reply to the second request.
+        """
+        return exchange.request_id not in self._connections.get(connection, ())
+
+    def _find_connection(self, exchange: Exchange) -> None:
+        """Open a connection for an exchange that no idle one may carry.
+
+        At the limit it takes the place of the idle connection that was unused longest.
+        """
+        if self._opening or any(self._may_carry(c, exchange) for c in self._idle):
+            return
+        if self.size < self.maximum:
+            self._start_opening()
+        elif self._idle:
+            self._idle.pop(0).close()
+
     def _preopen(self, now_ms: float) -> None:
         """Open a connection for the next request once the last idle one is in use.
 
@@ -182,7 +220,7 @@
 
     def _replace(self, connection: ServerConnection) -> None:
         """Replace a connection that was closed to stop the server's work."""
-        is_last = not self._connections - {connection} and not self._opening
+        is_last = self._connections.keys() <= {connection} and not self._opening
         if is_last and self.keeps_idle and not self._is_closed:
             self._start_opening()
 
@@ -251,24 +289,29 @@
             index -= 1
         self._waiting.insert(index, exchange)
 
-    def _next_waiting(self, now_ms: float) -> Exchange | None:
-        """Remove and return the waiting exchange to send next; None to wait.
+    def _next_waiting(
+        self, connection: ServerConnection, now_ms: float
+    ) -> Exchange | None:
+        """Return the waiting exchange to send next on a connection; None to wait.
 
         Of those with the same rank, the ones that are late anyway come last, and use no
         more than this instance's share of the server's slots.
         """
-        first = self._waiting[0]
-        if not self._server.window.is_open:
-            replied_ms = now_ms + self._server.window.reply_ms
-            for exchange in self._waiting:
-                if exchange.rank != first.rank:
-                    break
-                if not exchange.would_be_late(replied_ms):
-                    self._waiting.remove(exchange)
-                    return exchange
-            if len(self._sent) >= self._server.window.share:
-                return None
-        return self._waiting.popleft()
+        window = self._server.window
+        replied_ms = now_ms + window.reply_ms
+        first: Exchange | None = None
+        for exchange in self._waiting:
+            if not self._may_carry(connection, exchange):
+                continue
+            if first is None:
+                first = exchange
+            if window.is_open:
+                return first
+            if exchange.rank != first.rank:
+                break
+            if not exchange.would_be_late(replied_ms):
+                return exchange
+        return None if len(self._sent) >= window.share else first
 
     def _start_opening(self, timeout_ms: float = math.inf) -> None:
         self._opening += 1
@@ -293,7 +336,7 @@
         self._opening -= 1
         now_ms = self._clock.now_ms()
         self._server.record_connected(now_ms)
-        self._connections.add(connection)
+        self._connections[connection] = deque(maxlen=_REMEMBERED_IDS)
         usage = ConnectionUsage(self._on_idle)
         try:
             if self._must_check(now_ms):
@@ -304,7 +347,7 @@
                 usage.begin(connection)
             await connection.run(usage.on_idle)
         finally:
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
             if connection in self._idle:
                 self._idle.remove(connection)
         if self._is_closed:
@@ -361,9 +404,10 @@
         """Reuse an idle connection for the next exchange; keep or close it if none."""
         now_ms = self._clock.now_ms()
         while self._waiting and connection.is_idle and self._has_window(now_ms):
-            exchange = self._next_waiting(now_ms)
+            exchange = self._next_waiting(connection, now_ms)
             if exchange is None:
                 break
+            self._waiting.remove(exchange)
             if not exchange.has_ended and self._send(connection, exchange, now_ms):
                 return
         if not connection.is_idle:
@@ -372,6 +416,8 @@
             connection.close()
         else:
             self._idle.append(connection)
+            if self._waiting and self._has_window(now_ms):
+                self._find_connection(self._waiting[0])
 
     def _send(
         self, connection: ServerConnection, exchange: Exchange, now_ms: float
@@ -383,6 +429,7 @@
             return False
         self._server.record_sent(now_ms)
         self._sent.add(exchange)
+        self._connections[connection].append(exchange.request_id)
 
         def on_abandon(at_once: bool) -> None:
             if at_once:
--- a/ibisfront/tests/test_gateway_pool.py
+++ b/ibisfront/tests/test_gateway_pool.py
@@ -7,13 +7,110 @@
 import msgspec
 import trio
 
+from ibisfront.core.clock import Clock
+from ibisfront.gateway.servers.exchange import Exchange
+from ibisfront.gateway.servers.pool import ServerPool
+from ibisfront.gateway.servers.server import Server
+from ibisfront.gateway.servers.server_entry import ServerEntry
 from ibisfront.gateway.state.configuration import RequestKind
+from ibisfront.http1.backend_connection import backend_connection_opener
+from ibisfront.platform.headers import WIRE
 from ibisfront.testing.gateway_fixture import (
     GatewayFixture,
     forward_route,
     gather_route,
 )
-from ibisfront.tests import trio_test
+from ibisfront.tests import trio_test, trio_test_real_clock
+
+REJECTION = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nX-Backend-Stamp: s\r\n"
+
+
+class CopyingServer:
+    """Sends each answer once more where the next one is expected.
+
+    Attributes
+    ----------
+    copies : int
+        Number of answers that were sent once more.
+    connections : int
+        Number of connections that were opened.
+    """
+
+    def __init__(self, first, *, copies_answers=True):
+        self.first = first
+        self.copies_answers = copies_answers
+        self.copies = 0
+        self.connections = 0
+        self._requests = 0
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        self.connections += 1
+        copy = b""
+        while received := await stream.receive_some(65536):
+            if copy:
+                self.copies += 1
+                await stream.send_all(copy)
+                await trio.sleep(0.02)
+            reply = self._reply(received)
+            await stream.send_all(reply)
+            copy = reply if self.copies_answers else b""
+
+    def _reply(self, received):
+        self._requests += 1
+        head, body = self.first, b"first"
+        if self._requests > 1:
+            head, body = ANSWER, b"second"
+        head += b"X-Request-Id: %b\r\nContent-Length: %d\r\n\r\n"
+        return head % (received.split()[1], len(body)) + body
+
+
+async def _exchanges_with(fake_server, request_ids, *, maximum):
+    """Send requests in sequence over a pool; return the exchanges."""
+    clock = Clock()
+    async with trio.open_nursery() as nursery:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, fake_server.serve, [listener])
+        host, port = listener.socket.getsockname()
+        entry = ServerEntry("i-1", "s", f"{host}:{port}", "z")
+        server = Server(entry, now_ms=clock.now_ms(), is_near=True)
+        server.pool = ServerPool(
+            server,
+            open_connection=backend_connection_opener(
+                decode_reply=WIRE.decode_reply, clock=clock, nursery=nursery
+            ),
+            nursery=nursery,
+            clock=clock,
+            maximum=maximum,
+        )
+        ended = [await _exchange(server, clock, item) for item in request_ids]
+        nursery.cancel_scope.cancel()
+    return ended
+
+
+async def _exchange(server, clock, request_id):
+    """Send a request to a server and wait until the exchange ends."""
+    done = trio.Event()
+
+    def on_end(exchange):
+        server.pool.record_ended(exchange)
+        done.set()
+
+    exchange = Exchange(
+        server,
+        request_id=request_id,
+        payload=lambda at_ms: b"GET " + request_id + b" HTTP/1.1\r\n\r\n",
+        on_end=on_end,
+        rank=0,
+        created_at_ms=clock.now_ms(),
+        expected_ms=100.0,
+    )
+    server.pool.submit(exchange)
+    with trio.fail_after(5.0):
+        await done.wait()
+    await trio.sleep(0.01)
+    return exchange
 
 
 class ReadyConnectionTest(unittest.TestCase):
@@ -84,6 +181,30 @@
         self.assertEqual(statuses[1:], [503] * 4)
 
 
+class RepeatedIdTest(unittest.TestCase):
+    """Requests that are sent to one server again, under the same id."""
+
+    @trio_test_real_clock
+    async def test_late_copy_of_a_rejection_is_not_the_answer_to_the_repeat(self):
+        """Guards against an order that runs twice after its rejection came twice."""
+        for first in (REJECTION, ANSWER):
+            for maximum in (1, 4):
+                server = CopyingServer(first)
+                with self.subTest(first[:12], maximum=maximum):
+                    ended = await _exchanges_with(server, [b"r1"] * 2, maximum=maximum)
+                    bodies = [item.reply.body for item in ended]
+                    self.assertEqual(bodies, [b"first", b"second"])
+                    self.assertEqual(server.copies, 0)
+
+    @trio_test_real_clock
+    async def test_next_request_uses_the_connection_of_another_id(self):
+        """Guards against a new connection for each request."""
+        server = CopyingServer(ANSWER, copies_answers=False)
+        request_ids = [b"r%d" % number for number in range(20)]
+        await _exchanges_with(server, request_ids, maximum=1)
+        self.assertEqual(server.connections, 1)
+
+
 class LargeReplyTest(unittest.TestCase):
     """Abandoned replies in transit from another zone."""
 
--- a/ibisfront/tests/test_server_room.py
+++ b/ibisfront/tests/test_server_room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from collections import Counter, deque
 
@@ -147,6 +148,9 @@
 class WaitingRequestTest(unittest.TestCase):
     """Requests over the window."""
 
+    def setUp(self):
+        self._numbers = itertools.count()
+
     def _exchange(self, server, ended, *, rank=1, end_at_ms=1_000.0):
         def on_end(exchange):
             server.pool.record_ended(exchange)
@@ -154,7 +158,7 @@
 
         return Exchange(
             server,
-            request_id=b"r",
+            request_id=b"r%d" % next(self._numbers),
             payload=lambda at_ms: b"GET / HTTP/1.1\r\nX-Deadline-Ms: 9\r\n\r\n",
             on_end=on_end,
             rank=rank,
