Server connections: what waits is kept when its connection is lost

Cause: ServerPool._on_idle took an exchange out of the queue, and forgot it if the connection then turned out to be lost or expired.

Change: it goes back to its place and waits for the connection that is opened in place of the lost one.

Evidence: the new test lets a request wait at a limit of one connection, whose idle time has passed when it becomes free; before, the second request had no answer after 0.5 s, ten times its server's latency, and now both get 200.

--- a/ibisfront/gateway/servers/pool.py
+++ b/ibisfront/gateway/servers/pool.py
@@ -407,9 +407,15 @@
             exchange = self._next_waiting(connection, now_ms)
             if exchange is None:
                 break
-            self._waiting.remove(exchange)
-            if not exchange.has_ended and self._send(connection, exchange, now_ms):
+            index = self._waiting.index(exchange)
+            del self._waiting[index]
+            if exchange.has_ended:
+                continue
+            if self._send(connection, exchange, now_ms):
                 return
+            # It waits for another connection; this one is lost.
+            self._waiting.insert(index, exchange)
+            break
         if not connection.is_idle:
             return
         if self._is_closed or not self.keeps_idle:
--- a/ibisfront/tests/test_gateway_pool.py
+++ b/ibisfront/tests/test_gateway_pool.py
@@ -205,6 +205,33 @@
         self.assertEqual(server.connections, 1)
 
 
+class LostIdleConnectionTest(unittest.TestCase):
+    """A connection that turns out to be lost when a waiting request is sent."""
+
+    @trio_test
+    async def test_waiting_request_is_sent_on_another_connection(self):
+        """Guards against a waiting request that is forgotten until its deadline."""
+        route = forward_route(kind=RequestKind.NON_IDEMPOTENT)
+        fixture = GatewayFixture(route, servers=1, latency_ms=50.0)
+        async with fixture.running(), trio.open_nursery() as nursery:
+            (listed,) = fixture.registry.servers()
+            listed.pool.maximum = 1
+            await fixture.send_request("/fetch/a")
+            replies = []
+
+            async def send():
+                replies.append(await fixture.send_request("/fetch/a"))
+
+            nursery.start_soon(send)
+            await trio.sleep(0.01)
+            nursery.start_soon(send)
+            await trio.sleep(0.01)
+            (connection,) = listed.pool._connections
+            connection.expires_at_ms = 0.0
+            await trio.sleep(0.5)
+            self.assertEqual([item.status for item in replies], [200, 200])
+
+
 class LargeReplyTest(unittest.TestCase):
     """Abandoned replies in transit from another zone."""
 
