Draining servers: what waits for one goes elsewhere

Cause: Server.update_entry marks the server as draining, so that nothing new is submitted to it, but left what waited for its window or for a connection in the pool, which sent it as soon as there was room. Evacuations release the same queue.

Change: it is released when the server begins to drain. None of it was sent, so that it goes to another server, or is rejected as not run if there is none.

Evidence: the new test has 16 requests at a server with 4 connections; when it drains, the 12 that wait are answered 503 at once and none reaches it. Before, none of them had an answer 0.1 s later.

--- a/ibisfront/gateway/servers/server.py
+++ b/ibisfront/gateway/servers/server.py
@@ -232,13 +232,18 @@
     def update_entry(self, entry: ServerEntry, now_ms: float) -> None:
         """Apply a newer entry of this incarnation.
 
+        What waits for a server that begins to drain goes to another one.
+
         A server may become cold while it runs. An entry that is read again with the
         same warm-up time is not a new cold start.
         """
         if entry.warm_up_left_ms != self.entry.warm_up_left_ms:
             self.warm_at_ms = now_ms + entry.warm_up_left_ms
         self.window.slots = entry.slots
+        begins_draining = entry.is_draining and not self.entry.is_draining
         self.entry = entry
+        if begins_draining and self.pool is not None:
+            self.pool.release_waiting()
 
     def evacuate(self) -> None:
         """Stop sending it requests; fail those that wait for a connection."""
--- a/ibisfront/tests/test_gateway_pool.py
+++ b/ibisfront/tests/test_gateway_pool.py
@@ -232,6 +232,37 @@
             self.assertEqual([item.status for item in replies], [200, 200])
 
 
+class DrainingServerTest(unittest.TestCase):
+    """Requests that wait for a server when it begins to drain."""
+
+    @trio_test
+    async def test_waiting_request_does_not_reach_a_draining_server(self):
+        """Guards against requests that reach a server long after it began to drain."""
+        route = forward_route(timeout_ms=9_000.0, objective_ms=4_000.0)
+        fixture = GatewayFixture(route, servers=1, latency_ms=1_000.0)
+        async with fixture.running(), trio.open_nursery() as nursery:
+            replies = []
+
+            async def send():
+                reply = await fixture.send_request("/fetch/a", deadline_ms=9_000.0)
+                replies.append(reply.status)
+
+            (listed,) = fixture.registry.servers()
+            listed.pool.maximum = 4
+            for _ in range(16):
+                nursery.start_soon(send)
+            await trio.sleep(0.5)
+            (server,) = fixture.all_servers()
+            sent = len(server.received)
+            entry = msgspec.structs.replace(server.entry, is_draining=True)
+            fixture.registry.put(entry)
+            await trio.sleep(0.1)
+            self.assertEqual(replies, [503] * (16 - sent))
+            await trio.sleep(8.0)
+            self.assertEqual(len(server.received), sent)
+            self.assertEqual(replies.count(200), sent)
+
+
 class LargeReplyTest(unittest.TestCase):
     """Abandoned replies in transit from another zone."""
 
