Planned stops: a stopping instance takes only what it can finish

Cause: stop_gracefully went on admitting requests until its own deadline, as the balancer sends callers to all instances of a zone when fewer than half are in rotation, and run_front then cancelled the nursery in the middle of them.

Change, in two layers. A request is admitted during a stop only if it can be answered before the end: its caller's deadline comes first, or four late latencies of its route do (a late latency is 1.4 to 2.5 medians). Otherwise it is refused as not run, at once, with a Retry-After of 20 ms, as a retry reaches another instance. What is admitted gets the end of the stop as its deadline, so that retries, waiting for windows and quotas, gathered answers and the deadlines sent to servers follow it. Parts that another instance delegates are decided the same way. What is in flight at the end all the same is answered 504, which promises nothing, before the process ends; a cut is left to no one.

Ruled out: to stop accepting earlier (callers would be refused connections while instances have seconds left to serve them); to refuse everything from a fixed moment (short requests can be served to the end).

Related paths: a second SIGTERM and a SIGHUP were ignored during a stop already, and the grace period of the moment of the SIGTERM stays in force when the settings change.

--- a/ibisfront/front/stopping.py
+++ b/ibisfront/front/stopping.py
@@ -21,26 +21,48 @@
 when it detects the stop."""
 
 _GRACE_MARGIN_MS = 500.0
-"""How long before the end of the grace period the process exits by itself."""
+"""How long before the end of the grace period all requests must be answered."""
+
+_FLUSH_MS = 250.0
+"""How long the last answers may take to reach their callers; the rest of the margin is
+for the exit of the process."""
 
 _POLL_MS = 50.0
 """Interval at which a stop checks whether the last connection has ended."""
 
 
 async def stop_gracefully(
-    process: FrontProcess, callers: CallerListener, *, clock: Clock
+    process: FrontProcess,
+    callers: CallerListener,
+    peers: CallerListener | None = None,
+    *,
+    clock: Clock,
 ) -> None:
     """Stop serving without interrupting a request.
 
     The process reports not ready at once, and each reply requests its caller to
     close the connection. Once the balancer must have detected it, idle connections
     are closed. The process exits with the last connection, or shortly before
-    the platform kills it.
+    the platform kills it. Until then it serves what it can answer in time; other
+    requests are refused as not run, and what is in flight at the end is answered as
+    unfinished.
+
+    Parameters
+    ----------
+    process : FrontProcess
+        The process.
+    callers : CallerListener
+        The listener for callers.
+    peers : CallerListener, optional
+        The listener for other instances.
+    clock : Clock
+        The clock.
     """
     process.is_stopping = True
     callers.is_stopping = True
     started_ms = clock.now_ms()
     deadline_ms = started_ms + process.settings.bounds.stop_grace_ms - _GRACE_MARGIN_MS
+    process.gateway.end_at(deadline_ms)
     _LOG.info("Graceful shutdown started with %d connections.", callers.connections)
     while clock.now_ms() < deadline_ms:
         await clock.sleep_ms(_POLL_MS)
@@ -54,8 +76,21 @@
             if not callers.connections:
                 break
     callers.stop_accepting()
+    unfinished = callers.busy
+    if unfinished:
+        callers.end_work()
+        if peers is not None:
+            peers.end_work()
+        await _wait_for_last_answers(callers, clock)
     _LOG.info(
-        "Graceful shutdown ended after %.0f ms with %d requests in flight.",
+        "Graceful shutdown ended after %.0f ms with %d requests unfinished.",
         clock.now_ms() - started_ms,
-        callers.busy,
+        unfinished,
     )
+
+
+async def _wait_for_last_answers(callers: CallerListener, clock: Clock) -> None:
+    """Wait until the callers have closed their connections, but not for long."""
+    with clock.timeout_ms(_FLUSH_MS):
+        while callers.connections:
+            await clock.sleep_ms(_POLL_MS)
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -150,6 +150,10 @@
         else:
             self._scatter_gather.record_reachable()
 
+    def end_at(self, at_ms: float) -> None:
+        """Refuse what can't be answered by a time, at which this instance ends."""
+        self._gateway_context.stop_bound.at_ms = at_ms
+
     def waiting_by_rank(self) -> dict[int, int]:
         """Return the number of requests that wait for room, by rank."""
         return self._gateway_context.admission.waiting_by_rank()
@@ -172,6 +176,9 @@
         if not self._reachability.can_serve(route):
             self.report_readiness()
             return gateway_context.refuse(request, gateway_context.unreachable_reply())
+        unfinishable = gateway_context.refuse_unfinishable(request, route)
+        if unfinishable is not None:
+            return unfinishable
         quarantined = gateway_context.refuse_quarantined(request)
         if quarantined is not None:
             return quarantined
--- a/ibisfront/gateway/gateway_context.py
+++ b/ibisfront/gateway/gateway_context.py
@@ -9,6 +9,7 @@
 from ibisfront.gateway.instances.rotation import Rotation
 from ibisfront.gateway.load.crash_suspects import fingerprint_of
 from ibisfront.gateway.load.service_room import service_room
+from ibisfront.gateway.load.stop_bound import StopBound
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.gateway.observability import RequestTrace, refusal_fields
 from ibisfront.gateway.queries.delegated_query import no_room_header
@@ -56,6 +57,9 @@
 """Retry-after time if no server may be used: long enough for a failed server to be
 tried again, short compared with a deadline."""
 
+_OTHER_INSTANCE_MS = 20.0
+"""Retry-after time if another instance can serve the request."""
+
 
 class GatewayContext:
     """Components that forwarded requests and scatter-gather queries share.
@@ -88,6 +92,8 @@
         The configuration in force; None until the first is loaded.
     rotation : Rotation
         How soon the balancer sends callers to other instances.
+    stop_bound : StopBound
+        Which requests are still admitted while this instance stops.
     """
 
     __slots__ = (
@@ -100,6 +106,7 @@
         "registry",
         "rotation",
         "states",
+        "stop_bound",
         "table",
         "wire",
     )
@@ -124,6 +131,7 @@
         self.clock = clock
         self.states = RouteStates()
         self.rotation = Rotation()
+        self.stop_bound = StopBound()
         self.table: RouteTable | None = None
         self.admission = AdmissionGate(
             clock=clock,
@@ -215,6 +223,19 @@
             return self.not_run_reply("workspace_changed")
         return None
 
+    def refuse_unfinishable(
+        self, request: InboundRequest, route: Route
+    ) -> CallerReply | None:
+        """Return the refusal of a request that this instance ends too soon for.
+
+        A retry on a new connection reaches another instance.
+        """
+        baseline = self.states.for_route(route).baseline
+        if self.stop_bound.admits(request, route, baseline, self.clock.now_ms()):
+            return None
+        reply = self.not_run_reply("stopping", _OTHER_INSTANCE_MS)
+        return self.refuse(request, reply)
+
     def authorize_delegated(
         self, request: InboundRequest, route: Route
     ) -> CallerReply | None:
--- a/ibisfront/gateway/messages.py
+++ b/ibisfront/gateway/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
 import msgspec
@@ -59,6 +60,8 @@
         Whether any server may have received it so far, even if it rejected it.
     is_trial : bool
         Whether it is suspected of crashing servers and may reach one first.
+    ends_at_ms : float
+        When it must be answered because the instance ends; infinite if it does not.
     """
 
     method: bytes
@@ -76,6 +79,7 @@
     key_digests: tuple[str, ...] = ()
     reached_servers: bool = False
     is_trial: bool = False
+    ends_at_ms: float = math.inf
 
     @property
     def path(self) -> str:
--- a/ibisfront/gateway/queries/scatter_gather.py
+++ b/ibisfront/gateway/queries/scatter_gather.py
@@ -148,6 +148,9 @@
         route = self._route_of_delegated(query)
         if isinstance(route, CallerReply):
             return route
+        unfinishable = gateway_context.refuse_unfinishable(request, route)
+        if unfinishable is not None:
+            return unfinishable
         assert route.gathering is not None
         gathering = delegated_gathering(query, route.gathering)
         end_at_ms = request.arrived_at_ms + query.objective_remaining_ms
--- a/ibisfront/gateway/route_state.py
+++ b/ibisfront/gateway/route_state.py
@@ -111,11 +111,15 @@
 
 
 def caller_deadline_at_ms(request: InboundRequest, route: Route) -> float:
-    """Return when the caller's deadline or the route's timeout expires."""
+    """Return when the caller's deadline or the route's timeout expires.
+
+    If this instance stops, it is not later than its end.
+    """
     deadline_ms = request.deadline_ms
     if deadline_ms is None:
         deadline_ms = _DEFAULT_DEADLINE_MS
-    return request.arrived_at_ms + min(deadline_ms, route.timeout_ms)
+    at_ms = request.arrived_at_ms + min(deadline_ms, route.timeout_ms)
+    return min(at_ms, request.ends_at_ms)
 
 
 def give_up_at_ms(request: InboundRequest, route: Route) -> float:
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -69,6 +69,9 @@
     async def answer(self, request: InboundRequest) -> CallerReply:
         """Answer a request."""
 
+    def unfinished_reply(self, request: InboundRequest) -> CallerReply:
+        """Return the answer to a request whose work was cancelled."""
+
     def remove_connection(self, connection: CallerConnection) -> None:
         """Remove a connection that has ended."""
 
@@ -94,6 +97,7 @@
         "_answered",
         "_closes_when_idle",
         "_host",
+        "_in_work",
         "_is_closing",
         "_is_first",
         "_nursery",
@@ -122,6 +126,7 @@
         self._scope = trio.CancelScope()
         self._wait_scope: trio.CancelScope | None = None
         self._closes_when_idle = False
+        self._in_work: InboundRequest | None = None
         self._is_closing = False
         self._is_first = True
         self._rtt_ms = _round_trip_ms(sock)
@@ -152,6 +157,11 @@
             if self._wait_scope is not None:
                 self._wait_scope.cancel()
 
+    def end_work(self) -> None:
+        """Cancel the work for a request, and answer that it is unfinished."""
+        if self._in_work is not None and self._answer_scope is not None:
+            self._answer_scope.cancel()
+
     async def run(self) -> None:
         """Serve the connection until it ends."""
         try:
@@ -248,14 +258,19 @@
         try:
             with scope:
                 while self._queue and not self._is_closing:
-                    request = self._queue.popleft()
+                    self._in_work = request = self._queue.popleft()
                     reply = await self._host.answer(request)
+                    self._in_work = None
                     await self._send(reply, closes=request.closes or reply.closes)
+            if self._in_work is not None and not self._scope.cancel_called:
+                reply = self._host.unfinished_reply(self._in_work)
+                await self._send(reply, closes=True)
         except Exception:
             # The caller must not wait on this connection for an answer.
             self.close()
             raise
         finally:
+            self._in_work = None
             self._answer_scope = None
             self._answered.set()
             self._waiting_since_ms = self._host.clock.now_ms()
--- a/ibisfront/http1/caller_listener.py
+++ b/ibisfront/http1/caller_listener.py
@@ -29,6 +29,7 @@
 """Pause after a failed accept (no free descriptors), until connections end."""
 
 _INTERNAL_ERROR = 500
+_GATEWAY_TIMEOUT = 504
 
 AnswerRequest: TypeAlias = "Callable[[InboundRequest], Awaitable[CallerReply]]"
 """Answers a caller's request; cancelled if the caller disconnects."""
@@ -118,6 +119,11 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def end_work(self) -> None:
+        """Answer the requests in flight that they are unfinished."""
+        for connection in list(self._connections):
+            connection.end_work()
+
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
         self._scope.cancel()
@@ -160,6 +166,14 @@
             )
             return CallerReply(_INTERNAL_ERROR, [], b"", "internal", closes=True)
 
+    def unfinished_reply(self, request: InboundRequest) -> CallerReply:
+        """Return the answer to a request whose work was cancelled; it may have run."""
+        _LOG.warning(
+            "The work for a request ended before its answer.",
+            extra={"request_id": request.request_id},
+        )
+        return CallerReply(_GATEWAY_TIMEOUT, [], b"", "unfinished", closes=True)
+
     def limits(self) -> CallerLimits:
         """Return the limits of callers' requests."""
         return self._limits()
