Replies without end are cut off at a bound

Cause: ReplyReader bounded the body of one reply only. A head, interim replies, trailers, chunk extensions and replies to other requests had no bound, a body in small pieces took many times its size, and any number of bodies of 8 MB could arrive at the same time. RequestReader had no bound on trailers and chunk extensions of callers.

Change: what a server may send for one request is limited as a whole: 64 KB besides bodies, more only with the framing of a body, and 8 MB of bodies. The incomplete bodies of all servers share 32 MB; above that a reply beyond 256 KB is rejected, smaller ones are not. Bodies are joined as they arrive. A reply beyond a bound is a bad reply: its connection is closed, its server counts as failing, the request goes on as after any other bad reply. The same reader serves the store and peers. A request's framing has a bound as its head has.

--- a/ibisfront/http1/backend_connection.py
+++ b/ibisfront/http1/backend_connection.py
@@ -14,7 +14,7 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.messages import ExchangeErrorKind
-from ibisfront.http1.parser import MalformedMessageError, ReplyReader
+from ibisfront.http1.parser import MalformedMessageError, ReplyMemory, ReplyReader
 
 if TYPE_CHECKING:
     from ibisfront.core.clock import Clock
@@ -35,6 +35,10 @@
 _MAXIMUM_REPLY_BYTES = 8 * 1024 * 1024
 """A larger reply is rejected: several at once would not fit in memory."""
 
+_MAXIMUM_INCOMPLETE_BYTES = 32 * 1024 * 1024
+"""Memory for the incomplete replies of all servers, of the 200 MB that the smallest
+machines have. Faulty servers may send bodies without end on many connections."""
+
 _CONNECT_TIMEOUT_MS = 700.0
 """Connect timeout. A healthy server takes a few milliseconds; one without power
 never answers. It must be below the one second that callers allow."""
@@ -72,6 +76,8 @@
         The tier's clock.
     nursery : TaskNursery
         Runs the remainder of a partial send.
+    memory : ReplyMemory, optional
+        Memory of incomplete replies that it shares with other connections.
     """
 
     __slots__ = (
@@ -96,12 +102,13 @@
         decode_reply: DecodeReply,
         clock: Clock,
         nursery: TaskNursery,
+        memory: ReplyMemory | None = None,
     ) -> None:
         self._sock = sock
         self._decode_reply = decode_reply
         self._clock = clock
         self._nursery = nursery
-        self._reader = ReplyReader(_MAXIMUM_REPLY_BYTES)
+        self._reader = ReplyReader(_MAXIMUM_REPLY_BYTES, memory)
         self._exchange: Exchange | None = None
         self._is_closed = False
         self._is_dirty = False
@@ -129,7 +136,7 @@
             return False
         exchange.sent_at_ms = now_ms
         self._exchange = exchange
-        self._reader.expects_body = exchange.has_reply_body
+        self._reader.expect_reply(expects_body=exchange.has_reply_body)
         if sent < len(data):
             self._is_sending = True
             self._nursery.start_soon(self._send_rest, data[sent:])
@@ -156,6 +163,7 @@
                     socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
                 )
             self._sock.close()
+            self._reader.close()
             if self._exchange is not None:
                 exchange, self._exchange = self._exchange, None
                 exchange.fail(
@@ -302,11 +310,16 @@
     *, decode_reply: DecodeReply, clock: Clock, nursery: TaskNursery
 ) -> OpenServerConnection:
     """Return a function that opens connections to backend servers."""
+    memory = ReplyMemory(_MAXIMUM_INCOMPLETE_BYTES)
 
     async def open_connection(address: Address) -> BackendConnection:
         sock = await open_socket(address, timeout_ms=_CONNECT_TIMEOUT_MS)
         return BackendConnection(
-            sock, decode_reply=decode_reply, clock=clock, nursery=nursery
+            sock,
+            decode_reply=decode_reply,
+            clock=clock,
+            nursery=nursery,
+            memory=memory,
         )
 
     return open_connection
--- a/ibisfront/http1/client.py
+++ b/ibisfront/http1/client.py
@@ -113,8 +113,9 @@
             self._sock = await open_socket(
                 self._address, timeout_ms=_CONNECT_TIMEOUT_MS
             )
-        await _send_all(self._sock, data)
         reader = self._reader
+        reader.expect_reply()
+        await _send_all(self._sock, data)
         while not reader.messages:
             if await self._read_some(self._sock, reader):
                 next_read_deadline_s = (
--- a/ibisfront/http1/parser.py
+++ b/ibisfront/http1/parser.py
@@ -5,11 +5,27 @@
 import httptools
 import msgspec
 
-__all__ = ["MalformedMessageError", "RawMessage", "ReplyReader", "RequestReader"]
+__all__ = [
+    "MalformedMessageError",
+    "RawMessage",
+    "ReplyMemory",
+    "ReplyReader",
+    "RequestReader",
+]
 
 _FIRST_FINAL_STATUS = 200
 """Statuses below this are interim; the final reply follows."""
 
+_MAXIMUM_REPLY_HEAD_BYTES = 64 * 1024
+"""Bytes other than those of bodies that a server may send for a request: heads, also
+of interim replies, trailers and the framing of chunks."""
+
+_FRAMING_FACTOR = 8
+"""Bytes of framing allowed for each byte of a body: chunks of one byte take six."""
+
+_SMALL_BODY_BYTES = 256 * 1024
+"""A smaller reply is read even when the memory for replies is used up."""
+
 
 class MalformedMessageError(Exception):
     """The bytes are not an HTTP/1.1 message, or exceed a limit.
@@ -54,6 +70,27 @@
     keeps_open: bool
 
 
+class ReplyMemory:
+    """The memory that the incomplete replies of a process use.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        The memory above which large replies are rejected.
+    """
+
+    __slots__ = ("_limit_bytes", "used_bytes")
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the limit is exceeded."""
+        return self.used_bytes > self._limit_bytes
+
+
 class _MessageReader:
     """Common base of request and reply readers: callbacks of ``httptools``.
 
@@ -69,6 +106,7 @@
         "_body",
         "_body_bytes",
         "_headers",
+        "_joined_body",
         "_target",
         "head_complete",
         "is_mid_message",
@@ -82,7 +120,10 @@
         self.is_mid_message = False
         self.head_complete = False
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # A body of one piece is not copied; many small pieces as such would use
+        # twenty times their size.
+        self._body = b""
+        self._joined_body: bytearray | None = None
         self._body_bytes = 0
         self._target = b""
 
@@ -91,8 +132,7 @@
         self.is_mid_message = True
         self.head_complete = False
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._drop_body()
         self._target = b""
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -104,7 +144,12 @@
         self._body_bytes += len(body)
         if self._body_bytes > self.maximum_body_bytes:
             raise MalformedMessageError(413, "the body is too large")
-        self._body.append(body)
+        if self._joined_body is not None:
+            self._joined_body += body
+        elif self._body:
+            self._joined_body = bytearray(self._body + body)
+        else:
+            self._body = body
 
     @property
     def body_bytes(self) -> int:
@@ -112,7 +157,12 @@
         return self._body_bytes if self.is_mid_message else 0
 
     def _join_body(self) -> bytes:
-        return self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        return self._body if self._joined_body is None else bytes(self._joined_body)
+
+    def _drop_body(self) -> None:
+        self._body = b""
+        self._joined_body = None
+        self._body_bytes = 0
 
 
 class ReplyReader(_MessageReader):
@@ -122,6 +172,8 @@
     ----------
     maximum_body_bytes : int
         A larger reply is malformed; it would not fit in memory.
+    memory : ReplyMemory, optional
+        Memory that it shares with other readers.
 
     Attributes
     ----------
@@ -131,17 +183,43 @@
         cannot be configured for that, so it parses nothing after such a reply.
     """
 
-    __slots__ = ("_ends_with_stream", "_parser", "expects_body")
+    __slots__ = (
+        "_bodies_bytes",
+        "_ends_with_stream",
+        "_fed_bytes",
+        "_memory",
+        "_parser",
+        "expects_body",
+    )
 
-    def __init__(self, maximum_body_bytes: int) -> None:
+    def __init__(
+        self, maximum_body_bytes: int, memory: ReplyMemory | None = None
+    ) -> None:
         super().__init__(maximum_body_bytes)
+        self._memory = ReplyMemory(maximum_body_bytes) if memory is None else memory
         self._ends_with_stream = False
+        # Since the last request; the second without heads and framing.
+        self._fed_bytes = 0
+        self._bodies_bytes = 0
         self.expects_body = True
         self._parser = httptools.HttpResponseParser(self)
 
+    def expect_reply(self, *, expects_body: bool = True) -> None:
+        """Prepare for the reply to a request that is sent."""
+        self.expects_body = expects_body
+        self._fed_bytes = 0
+        self._bodies_bytes = 0
+
+    def close(self) -> None:
+        """Release the memory of an incomplete reply."""
+        self._drop_body()
+
     def feed(self, data: bytes) -> None:
         """Parse bytes; append complete replies to ``messages``.
 
+        What a server sends for one request is limited, whatever it consists of: a
+        faulty one may send a head, interim replies or a body without end.
+
         Raises
         ------
         MalformedMessageError
@@ -153,6 +231,27 @@
             raise MalformedMessageError(400, "unrequested protocol upgrade") from error
         except httptools.HttpParserError as error:
             raise _malformed_message_error(error) from error
+        self._fed_bytes += len(data)
+        framing_bytes = self._fed_bytes - self._bodies_bytes
+        allowed_bytes = _MAXIMUM_REPLY_HEAD_BYTES + min(
+            _FRAMING_FACTOR * self._bodies_bytes, self.maximum_body_bytes
+        )
+        if framing_bytes > allowed_bytes:
+            raise MalformedMessageError(431, "the head or the framing is too large")
+
+    def on_body(self, body: bytes) -> None:
+        """Append a piece of the body, if there is memory for it."""
+        super().on_body(body)
+        self._memory.used_bytes += len(body)
+        self._bodies_bytes += len(body)
+        if self._bodies_bytes > self.maximum_body_bytes:
+            raise MalformedMessageError(413, "the bodies are too large")
+        if self._memory.is_full and self._body_bytes > _SMALL_BODY_BYTES:
+            raise MalformedMessageError(413, "the memory for replies is used up")
+
+    def _drop_body(self) -> None:
+        self._memory.used_bytes -= self._body_bytes
+        super()._drop_body()
 
     def on_headers_complete(self) -> None:
         """Determine whether the reply states its length."""
@@ -204,6 +303,7 @@
                 keeps_open,
             )
         )
+        self._drop_body()
 
 
 class RequestReader(_MessageReader):
@@ -220,12 +320,19 @@
         Whether the caller waits for ``100 Continue`` to send the body.
     """
 
-    __slots__ = ("_head_bytes", "_parser", "maximum_header_bytes", "wants_continue")
+    __slots__ = (
+        "_framing_bytes",
+        "_head_bytes",
+        "_parser",
+        "maximum_header_bytes",
+        "wants_continue",
+    )
 
     def __init__(self, maximum_header_bytes: int, maximum_body_bytes: int) -> None:
         super().__init__(maximum_body_bytes)
         self.maximum_header_bytes = maximum_header_bytes
         self._head_bytes = 0
+        self._framing_bytes = 0
         self.wants_continue = False
         self._parser = httptools.HttpRequestParser(self)
 
@@ -237,6 +344,9 @@
         MalformedMessageError
             If the bytes are not a request, or exceed a limit.
         """
+        is_in_body = self.is_mid_message and self.head_complete
+        body_bytes = self._body_bytes
+        complete = len(self.messages)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -249,6 +359,9 @@
         if self.is_mid_message and not self.head_complete:
             self._head_bytes += len(data)
             self._check_head_size()
+        elif is_in_body and self.is_mid_message and len(self.messages) == complete:
+            self._framing_bytes += len(data) - (self._body_bytes - body_bytes)
+            self._check_framing()
 
     def on_url(self, url: bytes) -> None:
         """Append to the target, which may arrive in pieces."""
@@ -280,6 +393,7 @@
         self.is_mid_message = False
         self.wants_continue = False
         self._head_bytes = 0
+        self._framing_bytes = 0
         self.messages.append(
             RawMessage(
                 self._target,
@@ -291,6 +405,12 @@
             )
         )
 
+    def _check_framing(self) -> None:
+        """Reject a body whose chunk extensions or trailers have no end."""
+        allowed_bytes = self.maximum_header_bytes + _FRAMING_FACTOR * self._body_bytes
+        if self._framing_bytes > allowed_bytes:
+            raise MalformedMessageError(431, "the framing of the body is too large")
+
     def _check_head_size(self) -> None:
         if self._head_bytes > self.maximum_header_bytes:
             raise MalformedMessageError(431, "the head is too large")
