Crashing requests: the same request of another workspace is another one

Cause: fingerprint_of told requests apart by method, host, path and body. An answer to the other workspace's request cleared the suspicion, and reports were ignored for 60 s after it.

Change: the workspace is part of the fingerprint. Without one the digest stays as it was, so that records and reports of earlier versions still match.

Evidence: the new test fails before (the sound answer clears the suspect).

Not solved: where the configuration has no workspaces, nothing on the wire names the caller, and a sound request for the same path and body still clears one that crashes servers.

--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -171,9 +171,17 @@
 
 
 def fingerprint_of(request: InboundRequest) -> str:
-    """Return a digest that is equal for all copies of a request."""
+    """Return a digest that is equal for all copies of a request.
+
+    Copies come from one caller, of whom the workspace is known. The same request of
+    another workspace is another one, which servers may survive. Without a workspace the
+    digest is that of instances of earlier versions.
+    """
     digest = hashlib.blake2b(request.method, digest_size=_DIGEST_BYTES)
-    for field in (request.host.encode(), request.target, request.body):
+    fields = [request.host.encode(), request.target, request.body]
+    if request.workspace:
+        fields.append(request.workspace.encode())
+    for field in fields:
         digest.update(b"%d " % len(field))
         digest.update(field)
     return digest.hexdigest()
--- a/ibisfront/tests/test_gateway_crash_suspects.py
+++ b/ibisfront/tests/test_gateway_crash_suspects.py
@@ -17,9 +17,11 @@
 CONTACT_MS = 4_000.0
 
 
-def request(path="/search/a", body=b""):
+def request(path="/search/a", body=b"", workspace=""):
     """Return a caller's request."""
-    return InboundRequest(b"GET", path.encode(), "h", "r", 900.0, [], body, 0.0)
+    return InboundRequest(
+        b"GET", path.encode(), "h", "r", 900.0, [], body, 0.0, workspace=workspace
+    )
 
 
 SUSPECT = fingerprint_of(request())
@@ -33,6 +35,17 @@
         self.assertEqual(len({fingerprint_of(item) for item in requests}), 3)
         self.assertEqual(fingerprint_of(request()), SUSPECT)
 
+    def test_sound_request_of_another_workspace_clears_no_suspicion(self):
+        """Guards against a crashing request that another caller's answer clears."""
+        crashing, sound = request(workspace="a"), request(workspace="b")
+        suspects = CrashSuspects()
+        for run in ("r1", "r2"):
+            suspects.record_failed_run(fingerprint_of(crashing), run, 2, 0.0)
+        suspects.record_answer(fingerprint_of(sound), 0.0)
+        self.assertTrue(suspects.is_suspected(crashing))
+        self.assertFalse(suspects.is_suspected(sound))
+        self.assertEqual(suspects.quarantine_left_ms(sound, 0.0), 0.0)
+
 
 class CrashSuspectsTest(unittest.TestCase):
     """Quarantine and its end."""
