Store answers: the repair by parts knows no field of the platform

The repair now lives in core/json_parts.py and needs no names: a part that is not valid JSON is repaired, or split into its own parts down to five levels, or becomes null.

--- a/ibisfront/gateway/state/store_answers.py
+++ b/ibisfront/gateway/state/store_answers.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import TypeVar
 
 import msgspec
 
 from ibisfront.core.decoding import decode_json
+from ibisfront.core.json_parts import repair_parts
+from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 
-__all__ = ["decode"]
+__all__ = ["decode", "decode_leniently"]
+
+_LOG = part_logger(LogPart.PLATFORM)
 
 _T = TypeVar("_T")
 
@@ -20,3 +25,25 @@
         return decode_json(raw, body_type)
     except msgspec.DecodeError as error:
         raise StoreError(StoreErrorKind.BAD_ANSWER, str(error)) from error
+
+
+def decode_leniently(raw: bytes, body_type: type[_T], element: re.Pattern[bytes]) -> _T:
+    """Decode an answer with objects from other writers; raises ``StoreError``.
+
+    One object that is not valid JSON invalidates the whole answer, and with it
+    the list of all servers. Lenient decoding limits the damage to that object.
+
+    Parameters
+    ----------
+    raw : bytes
+        The answer.
+    body_type : type
+        What it is decoded into.
+    element : re.Pattern
+        The beginning of an object in it; see ``repair_parts``.
+    """
+    try:
+        return decode_json(raw, body_type)
+    except msgspec.DecodeError as error:
+        _LOG.warning("A reply from the store is not valid JSON: %s.", error)
+    return decode(repair_parts(raw, element), body_type)
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
@@ -15,10 +16,9 @@
     StoreError,
     StoreErrorKind,
 )
-from ibisfront.gateway.state.store_answers import decode
+from ibisfront.gateway.state.store_answers import decode, decode_leniently
 from ibisfront.gateway.state.store_era import WatchedEra, stated_era
 from ibisfront.http1.client import HttpClient
-from ibisfront.platform.objects import Object, decode_events, decode_page
 
 if TYPE_CHECKING:
     from ibisfront.core.types import Address
@@ -27,9 +27,11 @@
 __all__ = [
     "CONFIGURATION_KIND",
     "EVACUATIONS_KIND",
+    "OBJECT_START",
     "SERVERS_KIND",
     "PlatformKindClient",
     "PlatformObjects",
+    "StoreAnswer",
 ]
 
 CONFIGURATION_KIND = "config"
@@ -54,6 +56,9 @@
 _ERA_HEADER = b"store-era"
 """Rises by one each time that the store comes back from an older copy."""
 
+OBJECT_START = re.compile(rb'(?:\{\s*"object"\s*:\s*)?\{\s*"meta"\s*:\s*(?=\{)')
+"""The beginning of an object, or of a change of one."""
+
 _OK = 200
 _MULTIPLE_CHOICES = 300
 _NOT_FOUND = 404
@@ -61,6 +66,37 @@
 _GONE = 410
 
 
+class _Meta(msgspec.Struct, rename="camel"):
+    """An object's metadata in the store."""
+
+    name: str
+    rev: int = 0
+
+
+class _Object(msgspec.Struct):
+    """One object; ``spec`` is the writer's content."""
+
+    meta: _Meta
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Event(msgspec.Struct):
+    """A change; a ``deleted`` object is in its last state."""
+
+    object: _Object
+    deleted: bool = False
+
+
+class StoreAnswer(msgspec.Struct, rename="camel"):
+    """A page of a list, which ``more`` may follow, or the changes of a watch."""
+
+    # The revision of the whole store, not of one of the items.
+    current_rev: int
+    items: list[_Object] = []
+    events: list[_Event] = []
+    more: bool = False
+
+
 class _WrittenMeta(msgspec.Struct, omit_defaults=True):
     """What a write states of its object; a revision makes it conditional."""
 
@@ -120,7 +156,8 @@
         revision: int | None = None
         query = options
         while True:
-            page = decode_page(await self.get(f"?{query}" if query else ""))
+            raw = await self.get(f"?{query}" if query else "")
+            page = decode_leniently(raw, StoreAnswer, OBJECT_START)
             objects += [_stored_object(item) for item in page.items]
             # The watch returns changes made between two pages only if it starts
             # at the first page's revision.
@@ -173,7 +210,7 @@
             raise _rejection(self._calls.kind, message)
         if method == "DELETE":
             return None
-        return _stored_object(decode(message.body, Object))
+        return _stored_object(decode(message.body, _Object))
 
     def close(self) -> None:
         """Close the connection."""
@@ -209,7 +246,7 @@
             f"?watch={revision}&waitMs={self._watch_wait_ms}",
             timeout_ms=self._watch_wait_ms + _WATCH_SLACK_MS,
         )
-        answer = decode_events(raw)
+        answer = decode_leniently(raw, StoreAnswer, OBJECT_START)
         changes = [
             ObjectChange(_stored_object(item.object), item.deleted)
             for item in answer.events
@@ -233,5 +270,5 @@
     return msgspec.json.encode(_WrittenObject(meta, msgspec.Raw(spec)))
 
 
-def _stored_object(item: Object) -> StoredObject:
+def _stored_object(item: _Object) -> StoredObject:
     return StoredObject(item.meta.name, item.meta.rev, bytes(item.spec))
--- a/ibisfront/tests/test_platform_objects.py
+++ b/ibisfront/tests/test_platform_objects.py
@@ -11,9 +11,9 @@
 from ibisfront.core.clock import Clock
 from ibisfront.gateway.state.kind_watch import WatchTarget, watch_kind
 from ibisfront.gateway.state.store import StoreError, StoreErrorKind
+from ibisfront.gateway.state.store_answers import decode_leniently
 from ibisfront.platform.documents import server_entry_from
-from ibisfront.platform.objects import decode_events, decode_page
-from ibisfront.platform.store import PlatformKindClient
+from ibisfront.platform.store import OBJECT_START, PlatformKindClient, StoreAnswer
 from ibisfront.testing.object_store import FakeObjectStore
 from ibisfront.tests import trio_test_real_clock
 
@@ -41,6 +41,11 @@
 }
 
 
+def decode_answer(raw):
+    """Decode an answer of the store."""
+    return decode_leniently(raw, StoreAnswer, OBJECT_START)
+
+
 class WatchedNames:
     """Names of the sound servers that a watch has delivered."""
 
@@ -101,7 +106,7 @@
         """Guards against a server that is used after its entry was removed."""
         removed = json.dumps({"object": {"meta": {"name": "a"}}, "deleted": True})
         foreign = '{"object": {"meta": {"name": "b"}, "spec": {"x": "}}'
-        answer = decode_events(
+        answer = decode_answer(
             f'{{"events": [{foreign}, {removed}], "currentRev": 7}}'.encode()
         )
         read = [(item.object.meta.name, item.deleted) for item in answer.events]
@@ -111,7 +116,7 @@
     def test_reply_without_objects_is_a_bad_answer(self):
         for raw in (b"", b"[]", b"{", b'{"items": [{"meta": {}]', b"\xff" * 9):
             with self.subTest(raw), self.assertRaises(StoreError) as caught:
-                decode_page(raw)
+                decode_answer(raw)
             self.assertIs(caught.exception.kind, StoreErrorKind.BAD_ANSWER)
 
 
--- a/ibisfront/tests/test_platform_store.py
+++ b/ibisfront/tests/test_platform_store.py
@@ -106,12 +106,12 @@
             store.put("servers", "b", {"n": 2})
             answer = await client.watch(listing.revision)
         specs = {item.name: item.spec for item in listing.objects}
-        self.assertEqual(specs.pop("a"), b'{"n":1}')
+        self.assertEqual(specs.pop("a"), b'{"n": 1}')
         unreadable = '{"n": "\ufffd"}'.encode()
         self.assertEqual(set(specs.values()), {b'{"n": null}', unreadable})
         self.assertEqual(
             [change.object.spec for change in answer.changes],
-            [b'{"n": null}', b'{"n":2}'],
+            [b'{"n": null}', b'{"n": 2}'],
         )
 
     @trio_test_real_clock
@@ -310,7 +310,7 @@
         store = FakeObjectStore()
         async with store.running():
             objects = PlatformObjects(store.address, "things")
-            first = await objects.create("a/b", b'{"n":1}')
+            first = await objects.create("a/b", b'{"n": 1}')
             self.assertIsNone(await objects.create("a/b", b'{"n":2}'))
             second = await objects.replace("a/b", b'{"n":3}', first.revision)
             self.assertIsNone(await objects.replace("a/b", b'{"n":4}', first.revision))
--- a/properties/test_foreign_object_properties.py
+++ b/properties/test_foreign_object_properties.py
@@ -10,8 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ibisfront.gateway.state.store_answers import decode_leniently
 from ibisfront.platform.documents import server_entry_from
-from ibisfront.platform.objects import decode_events, decode_page
+from ibisfront.platform.store import OBJECT_START, StoreAnswer
 
 SOUND = {
     "service": "s",
@@ -50,6 +51,11 @@
 )
 
 
+def decode_answer(raw):
+    """Decode an answer of the store."""
+    return decode_leniently(raw, StoreAnswer, OBJECT_START)
+
+
 def object_of(name, content):
     """Return an object as the store sends it."""
     meta = json.dumps({"name": name, "rev": 3, "finalizers": []}).encode()
@@ -76,11 +82,11 @@
             events = b", ".join(
                 b'{"object": %b, "deleted": false}' % o for o in objects
             )
-            answer = decode_events(b'{"events": [%b], "currentRev": 9}' % events)
+            answer = decode_answer(b'{"events": [%b], "currentRev": 9}' % events)
             read = [event.object for event in answer.events]
         else:
             items = b", ".join(objects)
-            page = decode_page(
+            page = decode_answer(
                 b'{"items": [%b], "more": false, "currentRev": 9}' % items
             )
             self.assertFalse(page.more)
