Suspects: a record of another writer is merged or rejected

Change: the extension of a quarantine comes from a checksum of any text, and the counts of a record are limited to 64 bits. The new test fails before with ValueError; not seen with processes.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -12,6 +12,7 @@
 from ibisfront.core.counters import CounterKind
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.metrics_text import CONTENT_TYPE, Gauge, metrics_text
+from ibisfront.core.pause import PauseLog
 from ibisfront.core.task_guard import TaskGuard
 from ibisfront.front.connections import Connections
 from ibisfront.front.store_watches import watch_store
@@ -468,8 +469,10 @@
 
     async def run_maintenance(self) -> None:
         """Remove stale servers and probe unreachable ones, until cancelled."""
+        pauses = PauseLog(self._clock)
         while True:
             await self._clock.sleep_ms(_MAINTENANCE_INTERVAL_MS)
+            pauses.record_tick(_MAINTENANCE_INTERVAL_MS)
             if self.registry.remove_stale():
                 self.source.record_change()
             self._event_log.flush()
--- a/ibisfront/gateway/load/crash_suspects.py
+++ b/ibisfront/gateway/load/crash_suspects.py
@@ -10,10 +10,12 @@
 import math
 from collections import OrderedDict
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 import msgspec
 
 from ibisfront.core.logs import LogPart, part_logger
+from ibisfront.gateway.servers.entry_fields import Count
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -96,10 +98,10 @@
     """
 
     fingerprint: str
-    servers_lost: dict[str, int]
-    quarantines: int = 0
-    trials: int = 0
-    unused_trials: int = 0
+    servers_lost: dict[str, Count]
+    quarantines: Count = 0
+    trials: Count = 0
+    unused_trials: Count = 0
 
     @property
     def has_trials_left(self) -> bool:
@@ -346,7 +348,7 @@
             return
         suspect.quarantines = max(suspect.quarantines + 1, reported)
         index = min(suspect.quarantines, len(_QUARANTINES_MS)) - 1
-        extension = _MAX_EXTENSION * int(fingerprint[:4], 16) / 0xFFFF
+        extension = _MAX_EXTENSION * crc32(fingerprint.encode()) / 0xFFFF_FFFF
         duration_ms = _QUARANTINES_MS[index] * (1.0 + extension)
         suspect.quarantined_until_ms = now_ms + duration_ms
         fields = {
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -100,6 +100,7 @@
         "_in_work",
         "_is_closing",
         "_is_first",
+        "_is_unfinished",
         "_nursery",
         "_queue",
         "_reader",
@@ -129,6 +130,7 @@
         self._in_work: InboundRequest | None = None
         self._is_closing = False
         self._is_first = True
+        self._is_unfinished = False
         self._rtt_ms = _round_trip_ms(sock)
         self._waiting_since_ms = host.clock.now_ms()
 
@@ -160,6 +162,7 @@
     def end_work(self) -> None:
         """Cancel the work for a request, and answer that it is unfinished."""
         if self._in_work is not None and self._answer_scope is not None:
+            self._is_unfinished = True
             self._answer_scope.cancel()
 
     async def run(self) -> None:
@@ -262,7 +265,7 @@
                     reply = await self._host.answer(request)
                     self._in_work = None
                     await self._send(reply, closes=request.closes or reply.closes)
-            if self._in_work is not None and not self._scope.cancel_called:
+            if self._is_unfinished and self._in_work is not None:
                 reply = self._host.unfinished_reply(self._in_work)
                 await self._send(reply, closes=True)
         except Exception:
--- a/ibisfront/tests/test_gateway_crash_suspects.py
+++ b/ibisfront/tests/test_gateway_crash_suspects.py
@@ -4,6 +4,9 @@
 
 import unittest
 
+import msgspec
+
+from ibisfront.core.decoding import decode_json
 from ibisfront.gateway.load.crash_suspects import (
     CrashSuspects,
     FailedRuns,
@@ -79,6 +82,23 @@
         left_ms = {self.suspects.quarantine_left_ms(other, 0.0) for other in others}
         self.assertEqual(len(left_ms), len(others))
 
+    def test_record_of_another_writer_is_merged_or_rejected(self):
+        """Guards against an object of another writer that ends the load of records."""
+        for content in (
+            b'{"fingerprint": "no digits", "servers_lost": {"a": 3, "b": 3}}',
+            b'{"fingerprint": "", "servers_lost": {"a": 3, "b": 3}, "trials": 9}',
+        ):
+            self.suspects.merge(decode_json(content, FailedRuns), 0.0)
+        for known in self.suspects.all_known():
+            msgspec.msgpack.encode(known)
+        for content in (
+            b'{"fingerprint": "f", "servers_lost": {"a": -1}}',
+            b'{"fingerprint": "f", "servers_lost": {"a": 99999999999999999999}}',
+            b'{"fingerprint": "f", "servers_lost": {}, "trials": 99999999999999999999}',
+        ):
+            with self.subTest(content), self.assertRaises(msgspec.DecodeError):
+                decode_json(content, FailedRuns)
+
     def test_runs_at_other_instances_count(self):
         """Guards against one crashed server for each instance."""
         self.fail("r1")
--- a/ibisfront/tests/test_pause.py
+++ b/ibisfront/tests/test_pause.py
@@ -7,7 +7,7 @@
 import trio
 
 from ibisfront.core.clock import Clock
-from ibisfront.core.pause import watch_for_pause
+from ibisfront.core.pause import PauseLog, watch_for_pause
 from ibisfront.tests import trio_test
 
 
@@ -23,6 +23,21 @@
 class PauseTest(unittest.TestCase):
     """A paused process detects the pause by its clock."""
 
+    @trio_test
+    async def test_long_delay_is_logged_with_the_processor_time_used(self) -> None:
+        """Guards against a stall of which no log tells who used the processor."""
+        clock = _JumpingClock()
+        pauses = PauseLog(clock)
+        with self.assertNoLogs("ibisfront"):
+            await clock.sleep_ms(300.0)
+            pauses.record_tick(100.0)
+        clock.frozen_ms += 900.0
+        with self.assertLogs("ibisfront", "WARNING") as logged:
+            pauses.record_tick(100.0)
+        self.assertRegex(
+            logged.output[0], r"Nothing ran for 800 ms; processor time used: \d+ ms"
+        )
+
     @trio_test
     async def test_pause_is_reported_once_and_short_delay_is_not(self) -> None:
         clock = _JumpingClock()
