Replies without end: a rejected body is taken from the memory once

A piece that exceeded the bound of a body was counted for the reply before it was for the shared memory, so that each rejected reply lowered the count of the memory in use by a piece, and the shared bound rose.

Beside it: a connection that was reset before its options are set does not end the listener.

--- a/ibisfront/http1/caller_listener.py
+++ b/ibisfront/http1/caller_listener.py
@@ -138,13 +138,13 @@
         """Accept a pending connection; return whether there was one."""
         try:
             sock, _ = self._sock.accept()
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except BlockingIOError:
             return False
         except OSError as error:
             _LOG.warning("Cannot accept a connection: %s.", error)
             return False
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(sock, self, tasks)
         self._connections.add(connection)
         tasks.start_soon(connection.run)
--- a/ibisfront/http1/parser.py
+++ b/ibisfront/http1/parser.py
@@ -241,9 +241,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body, if there is memory for it."""
-        super().on_body(body)
         self._memory.used_bytes += len(body)
         self._bodies_bytes += len(body)
+        super().on_body(body)
         if self._bodies_bytes > self.maximum_body_bytes:
             raise MalformedMessageError(413, "the bodies are too large")
         if self._memory.is_full and self._body_bytes > _SMALL_BODY_BYTES:
--- a/ibisfront/tests/test_endless_bytes.py
+++ b/ibisfront/tests/test_endless_bytes.py
@@ -188,6 +188,18 @@
             reader.close()
         self.assertEqual(memory.used_bytes, 0)
 
+    def test_reply_beyond_its_bound_leaves_no_trace_in_the_memory(self):
+        """Guards against a bound that each rejected reply moves."""
+        memory = ReplyMemory(10**6)
+        for piece in (PIECE, 10**6):
+            for _ in range(20):
+                reader = ReplyReader(100_000, memory)
+                reader.expect_reply()
+                start, _ = ENDLESS["body of a huge length"]
+                feed_without_end(reader, start, b"x" * piece, most=10**7)
+                reader.close()
+        self.assertEqual(memory.used_bytes, 0)
+
     def test_reply_of_many_small_chunks_is_complete(self):
         """Guards against a bound on framing that rejects valid replies."""
         reader = ReplyReader(10**6)
