--- a/ibisfront/tests/test_testing_soak.py
+++ b/ibisfront/tests/test_testing_soak.py
@@ -18,6 +18,7 @@
     check_budget,
     check_crashes,
     check_drained,
+    check_errors,
     check_late_copies,
     check_orders,
     check_responses,
@@ -105,6 +106,12 @@
         self.assertEqual(self.errors(search("abcd")), [])
         self.assertEqual(self.errors(search("efg", missing=1)), [])
 
+    def test_failed_tasks_are_detected(self):
+        failed = '{"message": "instance: Task run ended by an unexpected error."}'
+        logs = {"front-0": f"{{}}\n{failed}\n", "front-1": "{}\n"}
+        (failure,) = check_errors(logs)
+        self.assertEqual((failure.check, failure.request_id), ("errors", "front-0"))
+
     def test_wrong_searches_are_detected(self):
         for outcome, detail in (
             (search("abef"), "parts of no single version"),
