Store answers: objects are found by their beginnings in every broken answer

Cause: my own fault in the repair by parts.

Change: objects are always found by their beginnings. One that ends and is valid, or can be repaired as a whole, is kept; of any other only its metadata remain. The recursion by parts is gone.

Beside it: at the end of a stop, what other instances have delegated is cut as before and not answered 504: they replace a query whose connection ends once, and would take the answer for one of the query.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -85,13 +85,10 @@
             limits,
             sock=start.callers_socket,
         )
-        peers = None
         if settings.metrics_address is not None:
             listen(settings.metrics_address, process.answer_metrics, limits)
         if settings.peers_address is not None:
-            peers = listen(
-                settings.peers_address, process.answer_peer, process.peer_limits
-            )
+            listen(settings.peers_address, process.answer_peer, process.peer_limits)
             _join_instances(settings, process, stack, clock)
         else:
             process.state_sync.record_first_poll()
@@ -105,7 +102,7 @@
         await _handle_signals(signals, process, path)
         # A signal without a handler would end the process in the middle of the stop.
         nursery.start_soon(_ignore_signals, signals)
-        await stop_gracefully(process, callers, peers, clock=clock)
+        await stop_gracefully(process, callers, clock=clock)
         nursery.cancel_scope.cancel()
 
 
--- a/ibisfront/front/stopping.py
+++ b/ibisfront/front/stopping.py
@@ -32,11 +32,7 @@
 
 
 async def stop_gracefully(
-    process: FrontProcess,
-    callers: CallerListener,
-    peers: CallerListener | None = None,
-    *,
-    clock: Clock,
+    process: FrontProcess, callers: CallerListener, *, clock: Clock
 ) -> None:
     """Stop serving without interrupting a request.
 
@@ -45,18 +41,7 @@
     are closed. The process exits with the last connection, or shortly before
     the platform kills it. Until then it serves what it can answer in time; other
     requests are refused as not run, and what is in flight at the end is answered as
-    unfinished.
-
-    Parameters
-    ----------
-    process : FrontProcess
-        The process.
-    callers : CallerListener
-        The listener for callers.
-    peers : CallerListener, optional
-        The listener for other instances.
-    clock : Clock
-        The clock.
+    unfinished. Other instances replace a query whose connection ends.
     """
     process.is_stopping = True
     callers.is_stopping = True
@@ -79,8 +64,6 @@
     unfinished = callers.busy
     if unfinished:
         callers.end_work()
-        if peers is not None:
-            peers.end_work()
         await _wait_for_last_answers(callers, clock)
     _LOG.info(
         "Graceful shutdown ended after %.0f ms with %d requests unfinished.",
--- a/ibisfront/gateway/state/store_answers.py
+++ b/ibisfront/gateway/state/store_answers.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from ibisfront.core.decoding import decode_json
-from ibisfront.core.json_parts import repair_parts
+from ibisfront.core.json_parts import repair_elements
+from ibisfront.core.lenient_json import repair_json
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.state.store import StoreError, StoreErrorKind
 
@@ -40,10 +41,14 @@
     body_type : type
         What it is decoded into.
     element : re.Pattern
-        The beginning of an object in it; see ``repair_parts``.
+        The beginning of an object in it; see ``repair_elements``.
     """
     try:
         return decode_json(raw, body_type)
     except msgspec.DecodeError as error:
         _LOG.warning("A reply from the store is not valid JSON: %s.", error)
-    return decode(repair_parts(raw, element), body_type)
+    try:
+        return decode_json(repair_json(raw), body_type)
+    except msgspec.DecodeError:
+        # Not all of it can be repaired.
+        return decode(repair_elements(raw, element), body_type)
