--- a/ibisfront/tests/test_platform_objects.py
+++ b/ibisfront/tests/test_platform_objects.py
@@ -16,17 +16,7 @@
 from ibisfront.platform.store import OBJECT_START, PlatformKindClient, StoreAnswer
 from ibisfront.testing.object_store import FakeObjectStore
 from ibisfront.tests import trio_test_real_clock
-
-ENTRY = {
-    "service": "s",
-    "addr": "10.0.0.1:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "warmupLeftMs": 0,
-    "seq": 1,
-}
+from ibisfront.tests.test_platform_documents import VALID
 
 FOREIGN_CONTENTS = {
     "deep list": b'{"slots": ' + b"[" * 1500 + b"]" * 1500 + b"}",
@@ -88,16 +78,16 @@
 
     async def _watch_beside(self, content):
         store, seen = FakeObjectStore(), WatchedNames()
-        store.put("servers", "a", ENTRY)
+        store.put("servers", "a", VALID)
         store.put_as_written("servers", "foreign-1", content)
-        store.put("servers", "z", ENTRY)
+        store.put("servers", "z", VALID)
         async with store.running(), trio.open_nursery() as nursery:
             client = PlatformKindClient(store.address, "servers", watch_wait_ms=300.0)
             run = functools.partial(watch_kind, clock=Clock())
             nursery.start_soon(run, client, seen.target())
             await seen.until("a", "z")
             store.put_as_written("servers", "foreign-2", content)
-            store.put("servers", "later", ENTRY)
+            store.put("servers", "later", VALID)
             await seen.until("later")
             self.assertEqual(seen.names, {"a", "z", "later"})
             nursery.cancel_scope.cancel()
--- a/properties/test_foreign_object_properties.py
+++ b/properties/test_foreign_object_properties.py
@@ -13,17 +13,7 @@
 from ibisfront.gateway.state.store_answers import decode_leniently
 from ibisfront.platform.documents import server_entry_from
 from ibisfront.platform.store import OBJECT_START, StoreAnswer
-
-SOUND = {
-    "service": "s",
-    "addr": "10.0.0.1:80",
-    "zone": "z",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "warmupLeftMs": 0,
-    "seq": 1,
-}
+from ibisfront.tests.test_platform_documents import VALID
 
 
 def nested(opening, closing, depth):
@@ -45,7 +35,7 @@
     VALUES,
     st.builds(
         lambda field, value: b'{"%b": %b, "%b": 1}' % (field, value, field),
-        st.sampled_from([field.encode() for field in SOUND]),
+        st.sampled_from([field.encode() for field in VALID]),
         VALUES,
     ),
 )
@@ -75,7 +65,7 @@
     @given(CONTENTS, st.booleans())
     def test_sound_entries_are_read_beside_any_content(self, content, is_watch):
         """Guards against one entry that hides all servers or ends the process."""
-        sound = json.dumps(SOUND).encode()
+        sound = json.dumps(VALID).encode()
         contents = {"a": sound, "foreign": content, "z": sound}
         objects = [object_of(name, item) for name, item in contents.items()]
         if is_watch:
