--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -504,7 +504,9 @@
 
 
 def _limit_descriptors() -> None:
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    limit = MAX_FDS if hard == resource.RLIM_INFINITY else min(MAX_FDS, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
 
 
 class Front:
@@ -729,8 +731,9 @@
     """Run a case, which returns whether the rule held, and exit with its code."""
     try:
         held = asyncio.run(_run(case))
-    except (CaseError, OSError) as error:
-        sys.stderr.write(f"the case could not run: {error}\n")
+    except Exception as error:
+        # Without this, an error of the script would exit like a broken rule.
+        sys.stderr.write(f"the case could not run: {error!r}\n")
         sys.exit(NOT_RUN)
     sys.exit(HELD if held else BROKEN)
 
