--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -497,10 +497,13 @@
             self._streams = None
 
 
-def _free_port(host: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+def _free_ports(host: str, count: int) -> list[int]:
+    """Return different free ports."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [int(sock.getsockname()[1]) for sock in socks]
 
 
 def _limit_descriptors() -> None:
@@ -529,7 +532,7 @@
         self._ip = f"127.{1 + pid // 250 % 250}.{1 + pid % 250}.{10 + number}"
         self._folder = folder
         self._store = store
-        ports = [_free_port(self._ip) for _ in range(3)]
+        ports = _free_ports(self._ip, 3)
         self.address, self.ready, self.control = (f"{self._ip}:{n}" for n in ports)
         self._process: subprocess.Popen[bytes] | None = None
 
