Tests: crowds of callers that hold on to one front process, known red

Each test starts one front process on loopback with lowered limits of its own settings (memoryMb 100, maxFds 2,000; 600 for idle connections), lets a crowd send legal requests that mostly stop just short of their end, stay, and come back twice where they are refused, and checks: the process lives, its resident memory plus the bytes that it has not read stays within memoryMb, its descriptors within maxFds, and one ordinary request on a new connection gets 200 while the crowd holds on. No times, no shares.

Crowds and bounds are fixed here, before any change of the product.

The tests run one at a time, before the others (`crowd.cfg`), so that no other test shares the machine.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 	touch $@
 
 test: $(VENV)/.ready  ## run every test; ends with the count of passed, failed and skipped
+	$(PYTHON) -m nose2 --config crowd.cfg
 	$(PYTHON) -m nose2 --config unittest.cfg
 	@$(PYTHON) -m ibisfront.testing.proofs
 
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -13,12 +13,12 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["SETTINGS_PATH_VARIABLE", "read_platform_settings"]
+__all__ = ["METRICS_PORT", "SETTINGS_PATH_VARIABLE", "read_platform_settings"]
 
 SETTINGS_PATH_VARIABLE = "IBISFRONT_BOOT"
 """The environment variable that holds the path of the settings file."""
 
-_METRICS_PORT = 9464
+METRICS_PORT = 9464
 """Port that serves metrics; the deploy file names the same one."""
 
 _MILLISECONDS_PER_SECOND = 1000.0
@@ -109,7 +109,7 @@
         callers_address=file.listen.front,
         ready_address=file.listen.ready,
         peers_address=file.listen.control or None,
-        metrics_address=f"{file.ip}:{_METRICS_PORT}",
+        metrics_address=f"{file.ip}:{METRICS_PORT}",
         capacity=file.limits.cpu_share * file.limits.cpus,
         seeds=file.seeds,
         is_first_start=file.bootstrap,
--- a/ibisfront/testing/proofs.py
+++ b/ibisfront/testing/proofs.py
@@ -1,6 +1,6 @@
 """Checks that every test named in ``docs/PROOFS.md`` exists and ran.
 
-``python -m ibisfront.testing.proofs`` reads the page and the list of tests
+``python -m ibisfront.testing.proofs`` reads the page and the lists of tests
 written by the last run of ``make test``, and fails on any mismatch.
 """
 
@@ -19,7 +19,10 @@
 __all__ = ["Proof", "find_problems", "main", "read_proofs"]
 
 PROOFS_PATH = Path("docs/PROOFS.md")
-RAN_PATH = Path("bench-results/tests-ran.txt")
+RAN_PATHS = (
+    Path("bench-results/tests-ran.txt"),
+    Path("bench-results/crowds-ran.txt"),
+)
 STATES = ("proved", "partly", "not proved")
 
 _COLUMNS = 6
@@ -87,7 +90,8 @@
 def main() -> int:
     """Check the page; return 1 if it has problems."""
     proofs = read_proofs(PROOFS_PATH.read_text())
-    problems = find_problems(proofs, RAN_PATH.read_text().split())
+    ran = [name for path in RAN_PATHS for name in path.read_text().split()]
+    problems = find_problems(proofs, ran)
     if not proofs:
         problems.append(f"{PROOFS_PATH} has no rows")
     for problem in problems:
--- a/ibisfront/testing/soak/fronts.py
+++ b/ibisfront/testing/soak/fronts.py
@@ -10,11 +10,13 @@
 
 import tomli_w
 
-from ibisfront.platform.settings import SETTINGS_PATH_VARIABLE
+from ibisfront.platform.settings import METRICS_PORT, SETTINGS_PATH_VARIABLE
 from ibisfront.testing.processes import RunningProcess, address_of, reserve_address
 from ibisfront.testing.soak.proxy import FaultyProxy
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from ibisfront.core.types import Address
 
 __all__ = [
@@ -60,6 +62,8 @@
         Index of the front.
     folder : Path
         Directory for its settings and logs.
+    limits : mapping of str to int, optional
+        Limits of the process as the platform states them.
 
     Attributes
     ----------
@@ -71,11 +75,14 @@
         Whether it is ended for good.
     """
 
-    def __init__(self, number: int, folder: Path) -> None:
+    def __init__(
+        self, number: int, folder: Path, *, limits: Mapping[str, int] | None = None
+    ) -> None:
         self.name = f"front-{number}"
         self.zone = f"z{number % _ZONES}"
         self._ip = _loopback_ip(number)
         self._folder = folder
+        self._limits = {"cpuShare": 1.0, "cpus": 1, **(limits or {})}
         self._stack = AsyncExitStack()
         self._reserved = {role: reserve_address(self._ip) for role in _ROLES}
         self._process: RunningProcess | None = None
@@ -95,6 +102,30 @@
         """Address at which other fronts reach it."""
         return address_of(self._reserved["control"])
 
+    @property
+    def callers_address(self) -> Address:
+        """Address for callers, without a proxy."""
+        return self.address_of_role("front")
+
+    def address_of_role(self, role: str) -> Address:
+        """Return a listening address; roles are those of the settings and metrics."""
+        if role == "metrics":
+            return f"{self._ip}:{METRICS_PORT}"
+        return address_of(self._reserved[role])
+
+    @property
+    def ports(self) -> frozenset[int]:
+        """Ports that it listens on."""
+        roles = (*_ROLES, "metrics")
+        addresses = [self.address_of_role(role) for role in roles]
+        return frozenset(int(address.rpartition(":")[2]) for address in addresses)
+
+    @property
+    def process_id(self) -> int:
+        """Id of the process, once started."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
@@ -111,7 +142,7 @@
             "bootstrap": self.incarnation == 0,
             "written": self._write_count,
             "listen": {role: address_of(self._reserved[role]) for role in _ROLES},
-            "limits": {"cpuShare": 1.0, "cpus": 1},
+            "limits": self._limits,
             "bounds": {
                 "graceS": 6,
                 "contactMs": int(CONTACT_MS),
