Requests: a head of short lines within the limit is not refused

Callers saw: 431 for a head of up to 16,384 bytes on the wire that consists of short lines without a space after the colon; a 431 tells them never to come back. Cause: the size of a complete head was counted with four bytes a line besides name and value; "a:" and its line end take three. 4,091 lines of four bytes were counted as 20 KB. Ruled out: counting the bytes as fed; a read may hold two heads, and the parser does not say where one ends.

--- a/ibisfront/http1/parser.py
+++ b/ibisfront/http1/parser.py
@@ -23,6 +23,10 @@
 _FRAMING_FACTOR = 8
 """Bytes of framing allowed for each byte of a body: chunks of one byte take six."""
 
+_LINE_FRAMING_BYTES = 3
+"""The least that a header takes besides its name and value: the colon and the end of
+the line."""
+
 _SMALL_BODY_BYTES = 256 * 1024
 """A smaller reply is read even when the memory for replies is used up."""
 
@@ -378,7 +382,7 @@
         size = len(self._target)
         lengths = 0
         for name, value in self._headers:
-            size += len(name) + len(value) + 4
+            size += len(name) + len(value) + _LINE_FRAMING_BYTES
             if name.lower() in (b"content-length", b"transfer-encoding"):
                 lengths += 1
             elif name.lower() == b"expect" and value.lower() == b"100-continue":
--- a/ibisfront/tests/test_endless_bytes.py
+++ b/ibisfront/tests/test_endless_bytes.py
@@ -229,3 +229,17 @@
         for index in range(0, len(data), 3_000):
             reader.feed(data[index : index + 3_000])
         self.assertEqual(len(reader.messages), 40)
+
+    def test_head_of_shortest_lines_within_the_limit_is_accepted(self):
+        """Guards against a size that counts more bytes than a caller has sent."""
+        start = b"GET /a HTTP/1.1\r\n"
+        head = start + b"a:\r\n" * ((16_384 - len(start)) // 4 - 1) + b"\r\n"
+        reader = RequestReader(16_384, 100_000)
+        try:
+            reader.feed(head)
+        except MalformedMessageError as error:
+            self.fail(f"{error.status} {error}")
+        self.assertEqual(len(reader.messages), 1)
+        reader = RequestReader(12_000, 100_000)
+        with self.assertRaises(MalformedMessageError):
+            reader.feed(head)
