Callers: what they hold over all connections is limited by the process's memory

Callers saw: a front process that ran out of memory and ended, with the requests of everyone on it. Cause: a caller's request was bounded by the bytes on the wire of that one request. A head of 16 KB in short lines holds ten times that (a tuple and two strings a line), a connection kept its last request until the next, a queue of requests sent ahead was checked after a read of 64 KB was parsed, and nothing bounded the sum over connections, at any listening address.

Change: CallerMemory counts what each connection holds: its unfinished request, those that wait, and the one in work with one copy that is being forwarded. 8 KB a connection are its own; what is beyond draws on a pool of 0.2 of the memory that the settings state, shared by all listeners. When the pool is used up, the connections whose bytes times time held are largest drop what was not forwarded and get 503 with Retry-After; an answer that is awaited is still sent before. Requests in work are never cut: a new large one is refused then, a small one is not. The pool grows to half of the memory where one request needs that. A reader releases a request as soon as it is complete.

Ruled out: pausing reads (bytes then rest in the kernel, which counts too, and whoever came first keeps the pool); refusing the newest (the crowd would shut others out); 413 or 431 (tell a client never to come back). The limits of the wire are unchanged.

--- a/ibisfront/front/daemon.py
+++ b/ibisfront/front/daemon.py
@@ -138,6 +138,7 @@
         limits=limits,
         clock=clock,
         counters=process.observer.counters,
+        memory=process.caller_memory,
     )
     nursery.start_soon(listener.run)
     return listener
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -42,6 +42,7 @@
 from ibisfront.gateway.state.relay_topology import RelayTopology
 from ibisfront.gateway.state.state_relay import LocalState, RelayedState, StateSource
 from ibisfront.gateway.state.state_sync import StateSync
+from ibisfront.http1.caller_memory import CallerMemory
 from ibisfront.http1.state_client import HttpStateClient, parse_state_request
 from ibisfront.platform.headers import WIRE
 from ibisfront.platform.store import PlatformObjects
@@ -115,6 +116,8 @@
         Which instances watch the store for the others.
     state_sync : StateSync
         Keeps the store's state up to date.
+    caller_memory : CallerMemory
+        Limits what callers use, over all listeners.
     zone_path_monitor : ZonePathMonitor
         Detects which other zones are partitioned.
     tasks : TaskGuard
@@ -130,6 +133,7 @@
         "_recent_instances",
         "_reported_ready",
         "budgets",
+        "caller_memory",
         "connections",
         "coordinators",
         "crash_reports",
@@ -157,6 +161,11 @@
         zone = settings.zone
         self.observer = Observer()
         self.tasks = TaskGuard(nursery, clock=clock, counters=self.observer.counters)
+        self.caller_memory = CallerMemory(
+            memory_bytes=settings.memory_bytes,
+            clock=clock,
+            counters=self.observer.counters,
+        )
         self.budgets = RetryBudgets(
             settings.bounds,
             started_ms=clock.now_ms(),
@@ -341,6 +350,9 @@
         self.settings = settings
         self.budgets.set_bounds(settings.bounds, self._clock.now_ms())
         self.quotas.set_bounds(settings.bounds)
+        self.caller_memory.set_limits(
+            memory_bytes=settings.memory_bytes,
+        )
 
     def apply_instances(self, listed: Sequence[InstanceEntry]) -> None:
         """Apply a new list of instances."""
--- a/ibisfront/gateway/settings.py
+++ b/ibisfront/gateway/settings.py
@@ -8,6 +8,8 @@
 
 __all__ = ["Bounds", "GatewaySettings"]
 
+_BYTES_PER_MEGABYTE = 1_000_000
+
 
 _RECONNECT_RESERVE_MS = 1_000.0
 """Reserve for detecting a silent connection, reconnecting and listing again."""
@@ -122,6 +124,8 @@
         Number of CPU cores of the process.
     is_first_start : bool
         Whether the whole deployment starts for the first time.
+    memory_mb : float
+        Memory above which the process is killed, in millions of bytes.
     """
 
     instance: str
@@ -136,3 +140,9 @@
     zones: frozenset[str] = frozenset()
     capacity: float = 1.0
     is_first_start: bool = False
+    memory_mb: float = 200.0
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory above which the process is killed."""
+        return int(self.memory_mb * _BYTES_PER_MEGABYTE)
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -20,6 +20,7 @@
     from ibisfront.gateway.messages import InboundRequest
     from ibisfront.gateway.state.configuration import CallerLimits
     from ibisfront.gateway.wire import WireCodec
+    from ibisfront.http1.caller_memory import CallerMemory
 
 __all__ = ["CallerConnection", "ConnectionHost"]
 
@@ -34,6 +35,11 @@
 _QUEUE_POLL_MS = 1.0
 """Interval at which a full queue is polled."""
 
+_UNAVAILABLE = 503
+_RETRY_AFTER_MS = 250.0
+"""Pause requested of a caller that was refused; its next connection may reach another
+instance."""
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 _LINGER_MS = 500.0
@@ -54,6 +60,7 @@
     """Interface of the listener that a connection uses."""
 
     is_stopping: bool
+    memory: CallerMemory
 
     @property
     def wire(self) -> WireCodec:
@@ -90,25 +97,34 @@
         The listener that answers its requests.
     nursery : TaskNursery
         Runs the task that answers.
+
+    Attributes
+    ----------
+    drawn_bytes : int
+        See ``MeteredConnection``.
     """
 
     __slots__ = (
         "_answer_scope",
         "_answered",
         "_closes_when_idle",
+        "_has_given_up",
         "_host",
         "_in_work",
+        "_in_work_bytes",
         "_is_closing",
         "_is_first",
         "_is_unfinished",
         "_nursery",
         "_queue",
+        "_queued_bytes",
         "_reader",
         "_rtt_ms",
         "_scope",
         "_sock",
         "_wait_scope",
         "_waiting_since_ms",
+        "drawn_bytes",
     )
 
     def __init__(
@@ -121,18 +137,33 @@
         self._reader = RequestReader(
             limits.maximum_header_bytes, limits.maximum_body_bytes
         )
-        self._queue: deque[InboundRequest] = deque()
+        # Each with the memory that it uses.
+        self._queue: deque[tuple[InboundRequest, int]] = deque()
+        self._queued_bytes = 0
         self._answer_scope: trio.CancelScope | None = None
         self._answered = trio.Event()
         self._scope = trio.CancelScope()
         self._wait_scope: trio.CancelScope | None = None
         self._closes_when_idle = False
         self._in_work: InboundRequest | None = None
+        self._in_work_bytes = 0
+        self._has_given_up = False
         self._is_closing = False
         self._is_first = True
         self._is_unfinished = False
         self._rtt_ms = _round_trip_ms(sock)
         self._waiting_since_ms = host.clock.now_ms()
+        self.drawn_bytes = 0
+
+    @property
+    def releasable_bytes(self) -> int:
+        """Memory that :meth:`give_up` frees."""
+        return self._reader.held_bytes + self._queued_bytes
+
+    @property
+    def stalled_since_ms(self) -> float:
+        """When it began to wait for its caller."""
+        return self._waiting_since_ms
 
     @property
     def is_busy(self) -> bool:
@@ -159,6 +190,18 @@
             if self._wait_scope is not None:
                 self._wait_scope.cancel()
 
+    def give_up(self) -> None:
+        """Drop the requests that were not forwarded, and refuse the next of them.
+
+        An answer that is awaited is still sent first. No further request is read.
+        """
+        self._has_given_up = True
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._reader.close()
+        self._record_memory()
+        self._start_answering()
+
     def end_work(self) -> None:
         """Cancel the work for a request, and answer that it is unfinished."""
         if self._in_work is not None and self._answer_scope is not None:
@@ -171,6 +214,10 @@
             with self._scope:
                 await self._read_all()
         finally:
+            self._queue.clear()
+            self._queued_bytes = self._in_work_bytes = 0
+            self._reader.close()
+            self._record_memory()
             self._host.remove_connection(self)
             if self._answer_scope is not None:
                 self._answer_scope.cancel()
@@ -213,6 +260,8 @@
             return False
         if not data:
             return False
+        if self._has_given_up:
+            return True
         was_mid_message = self._reader.is_mid_message
         try:
             self._reader.feed(data)
@@ -224,6 +273,7 @@
         if self._reader.is_mid_message and not was_mid_message:
             self._waiting_since_ms = self._host.clock.now_ms()
         self._queue_requests()
+        self._record_memory()
         if self._reader.wants_continue and self._reader.is_mid_message:
             self._reader.wants_continue = False
             if not await self._send_continue():
@@ -247,24 +297,43 @@
         messages = self._reader.messages
         while messages:
             raw = messages.pop(0)
+            held_bytes = raw.held_bytes
             network_ms = self._rtt_ms * (2.0 if self._is_first else 1.0)
             self._is_first = False
             request = host.wire.decode_request(raw, host.clock.now_ms(), network_ms)
             request.closes = not raw.keeps_open
-            self._queue.append(request)
-        if self._queue and self._answer_scope is None:
+            self._queue.append((request, held_bytes))
+            self._queued_bytes += held_bytes
+        if self._queue:
+            self._start_answering()
+
+    def _start_answering(self) -> None:
+        if self._answer_scope is None:
             self._answer_scope = trio.CancelScope()
             self._answered = trio.Event()
             self._nursery.start_soon(self._answer_all, self._answer_scope)
 
+    def _record_memory(self) -> None:
+        """Record what this connection uses; it may have to give up."""
+        held_bytes = self.releasable_bytes + self._in_work_bytes
+        self._host.memory.record(self, held_bytes, self._host.limits())
+
     async def _answer_all(self, scope: trio.CancelScope) -> None:
         try:
             with scope:
                 while self._queue and not self._is_closing:
-                    self._in_work = request = self._queue.popleft()
+                    request, self._in_work_bytes = self._queue.popleft()
+                    self._queued_bytes -= self._in_work_bytes
+                    self._in_work = request
                     reply = await self._host.answer(request)
+                    closes = request.closes or reply.closes
                     self._in_work = None
-                    await self._send(reply, closes=request.closes or reply.closes)
+                    del request
+                    self._in_work_bytes = 0
+                    self._record_memory()
+                    await self._send(reply, closes=closes)
+                if self._has_given_up and not self._is_closing:
+                    await self._send(self._refusal(), closes=True)
             if self._is_unfinished and self._in_work is not None:
                 reply = self._host.unfinished_reply(self._in_work)
                 await self._send(reply, closes=True)
@@ -274,10 +343,16 @@
             raise
         finally:
             self._in_work = None
+            self._in_work_bytes = 0
             self._answer_scope = None
             self._answered.set()
             self._waiting_since_ms = self._host.clock.now_ms()
 
+    def _refusal(self) -> CallerReply:
+        """Return the answer to a request that was dropped before it was forwarded."""
+        retry_after = self._host.wire.retry_after(_RETRY_AFTER_MS)
+        return CallerReply(_UNAVAILABLE, [retry_after], b"", "callers_memory")
+
     async def _send(self, reply: CallerReply, *, closes: bool) -> None:
         keeps_open = not (closes or self._host.is_stopping)
         try:
@@ -335,6 +410,8 @@
     async def _reject(self, status: int, detail: str) -> None:
         """Answer an invalid request after those before it, then close."""
         _LOG.warning("Cannot read a request: %s; answered %d.", detail, status)
+        self._reader.close()
+        self._record_memory()
         while self._answer_scope is not None:
             await self._answered.wait()
         if not self._is_closing:
--- a/ibisfront/http1/caller_listener.py
+++ b/ibisfront/http1/caller_listener.py
@@ -12,8 +12,11 @@
 from ibisfront.core.task_guard import TaskGuard
 from ibisfront.gateway.messages import CallerReply
 from ibisfront.http1.caller_connection import CallerConnection
+from ibisfront.http1.caller_memory import CallerMemory
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ibisfront.core.clock import Clock
     from ibisfront.core.counters import Counters
     from ibisfront.core.task_guard import TaskNursery
@@ -52,6 +55,9 @@
         The tier's clock.
     counters : Counters, optional
         Counts connections that end by an unexpected error.
+    memory : CallerMemory, optional
+        Limits what callers use, over all listeners that share it; by default it is
+        this listener's own, of a process with the default limits.
 
     Attributes
     ----------
@@ -69,6 +75,7 @@
         "_sock",
         "_wire",
         "is_stopping",
+        "memory",
     )
 
     def __init__(
@@ -80,6 +87,7 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         counters: Counters | None = None,
+        memory: CallerMemory | None = None,
     ) -> None:
         self._sock = sock
         self._answer = answer
@@ -90,12 +98,20 @@
         self._connections: set[CallerConnection] = set()
         self._scope = trio.CancelScope()
         self.is_stopping = False
+        if memory is None:
+            memory = CallerMemory(clock=clock, counters=counters)
+        self.memory = memory
 
     @property
     def connections(self) -> int:
         """Number of open connections."""
         return len(self._connections)
 
+    @property
+    def metered(self) -> Collection[CallerConnection]:
+        """The open connections."""
+        return self._connections
+
     @property
     def busy(self) -> int:
         """Number of connections with a request in flight."""
@@ -103,6 +119,13 @@
 
     async def run(self) -> None:
         """Serve until :meth:`stop_accepting` and the end of the last connection."""
+        self.memory.add_listener(self)
+        try:
+            await self._run()
+        finally:
+            self.memory.remove_listener(self)
+
+    async def _run(self) -> None:
         async with trio.open_nursery() as nursery:
             tasks = TaskGuard(nursery, clock=self._clock, counters=self._counters)
             with self._scope:
--- a/ibisfront/http1/parser.py
+++ b/ibisfront/http1/parser.py
@@ -6,6 +6,7 @@
 import msgspec
 
 __all__ = [
+    "HEADER_BYTES",
     "MalformedMessageError",
     "RawMessage",
     "ReplyMemory",
@@ -23,10 +24,20 @@
 _FRAMING_FACTOR = 8
 """Bytes of framing allowed for each byte of a body: chunks of one byte take six."""
 
+HEADER_BYTES = 160
+"""Memory of a header besides its bytes: two byte strings, their tuple and its place in
+a list."""
+
+_MESSAGE_BYTES = 1_024
+"""Memory of a message besides its headers and body."""
+
 _LINE_FRAMING_BYTES = 3
 """The least that a header takes besides its name and value: the colon and the end of
 the line."""
 
+_GROWTH_FACTOR = 1.125
+"""Memory of a body that grows piece by piece, relative to its size."""
+
 _SMALL_BODY_BYTES = 256 * 1024
 """A smaller reply is read even when the memory for replies is used up."""
 
@@ -73,6 +84,14 @@
     body: bytes
     keeps_open: bool
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that it uses, with a copy that is being forwarded."""
+        size = _MESSAGE_BYTES + 2 * (len(self.target) + len(self.body))
+        for name, value in self.headers:
+            size += HEADER_BYTES + 2 * (len(name) + len(value))
+        return size
+
 
 class ReplyMemory:
     """The memory that the incomplete replies of a process use.
@@ -135,9 +154,7 @@
         """Reset the state for a new message."""
         self.is_mid_message = True
         self.head_complete = False
-        self._headers = []
-        self._drop_body()
-        self._target = b""
+        self._release()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
@@ -160,6 +177,12 @@
         """Bytes received of the body of an incomplete message."""
         return self._body_bytes if self.is_mid_message else 0
 
+    def _release(self) -> None:
+        """Release a message that is complete or no longer wanted."""
+        self._headers = []
+        self._target = b""
+        self._drop_body()
+
     def _join_body(self) -> bytes:
         return self._body if self._joined_body is None else bytes(self._joined_body)
 
@@ -307,7 +330,7 @@
                 keeps_open,
             )
         )
-        self._drop_body()
+        self._release()
 
 
 class RequestReader(_MessageReader):
@@ -340,6 +363,23 @@
         self.wants_continue = False
         self._parser = httptools.HttpRequestParser(self)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the incomplete message uses."""
+        if not self.is_mid_message:
+            return 0
+        return (
+            len(self._headers) * HEADER_BYTES
+            + self._head_bytes
+            + int(self._body_bytes * _GROWTH_FACTOR)
+        )
+
+    def close(self) -> None:
+        """Release everything that has been read and not been taken."""
+        self.messages.clear()
+        self.is_mid_message = False
+        self._release()
+
     def feed(self, data: bytes) -> None:
         """Parse bytes; append complete requests to ``messages``.
 
@@ -408,6 +448,7 @@
                 self._parser.should_keep_alive(),
             )
         )
+        self._release()
 
     def _check_framing(self) -> None:
         """Reject a body whose chunk extensions or trailers have no end."""
--- a/ibisfront/platform/documents.py
+++ b/ibisfront/platform/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ibisfront.core.clock import MILLISECONDS_PER_SECOND
 from ibisfront.core.decoding import decode_json
 from ibisfront.gateway.servers.entry_fields import (
     Count,
@@ -105,9 +106,6 @@
     tenants: list[msgspec.Raw] = []
 
 
-_MILLISECONDS_PER_SECOND = 1000.0
-
-
 class _Server(msgspec.Struct, rename="camel"):
     """A server's entry; its id is the name of the object.
 
@@ -147,7 +145,7 @@
             item.name: RoutedService(
                 item.name,
                 item.max_conns,
-                warm_up_ms=item.warmup_s * _MILLISECONDS_PER_SECOND,
+                warm_up_ms=item.warmup_s * MILLISECONDS_PER_SECOND,
                 cold_per_s=item.warmup_per_s,
             )
             for item in raw.services
--- a/ibisfront/platform/headers.py
+++ b/ibisfront/platform/headers.py
@@ -32,7 +32,7 @@
 _RETRY_AFTER = b"retry-after"
 _LOAD = b"x-backend-load"
 
-_OVERWRITTEN = frozenset((_DEADLINE, _EXPECTED_SERVER))
+_DROPPED = HOP_BY_HOP_FIELDS | {_DEADLINE, _EXPECTED_SERVER}
 _MISDIRECTED = 421
 _MILLISECONDS_PER_SECOND = 1000.0
 
@@ -40,10 +40,9 @@
 def _decode_request(
     raw: RawMessage, now_ms: float, network_ms: float
 ) -> InboundRequest:
-    host = ""
-    request_id = ""
+    host = request_id = ""
     deadline_ms: float | None = None
-    dropped = connection_options(raw.headers)
+    dropped = _DROPPED | connection_options(raw.headers)
     forwarded: list[Header] = []
     for name, value in raw.headers:
         lower = name.lower()
@@ -53,9 +52,8 @@
             request_id = value.decode("latin-1")
         elif lower == _DEADLINE:
             deadline_ms = parse_non_negative(value)
-        if lower in HOP_BY_HOP_FIELDS or lower in _OVERWRITTEN or lower in dropped:
-            continue
-        forwarded.append((name, value))
+        if lower not in dropped:
+            forwarded.append((name, value))
     return InboundRequest(
         method=raw.method,
         target=raw.target,
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -33,11 +33,12 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    """CPU limits of one process."""
+    """Limits of one process."""
 
     # Share of one core; ``cpus`` is the relative speed of that core.
     cpu_share: float = 1.0
     cpus: float = 1.0
+    memory_mb: float = 200.0
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -129,4 +130,5 @@
             quota_slack=bounds.quota_slack,
         ),
         zones=frozenset(file.zones),
+        memory_mb=file.limits.memory_mb,
     )
--- a/ibisfront/platform/store.py
+++ b/ibisfront/platform/store.py
@@ -259,9 +259,8 @@
 
 
 def _rejection(kind: str, message: RawMessage) -> StoreError:
-    error = StoreErrorKind.REFUSED
-    if message.status == _GONE:
-        error = StoreErrorKind.HISTORY_GONE
+    is_gone = message.status == _GONE
+    error = StoreErrorKind.HISTORY_GONE if is_gone else StoreErrorKind.REFUSED
     return StoreError(error, f"{kind}: status {message.status}")
 
 
