Callers: idle connections no longer use up the descriptors of a process

Callers saw: no answer, nor a connection, while 800 idle connections were open to a process with 600 descriptors; nor could it connect to servers or the store. Cause: connections were accepted until accept() failed, and an idle one was closed after idleTimeoutMs at the earliest.

Change: CallerMemory admits a connection. Callers get at most 0.75 of the sockets (maxFds less the 200 for files), and no more than 0.2 of the memory holds at 20 KB each; above that the connections that have waited for their callers for longest are closed, a tenth at a time, at the listener that has most, so that a crowd of one address costs another none. Requests in work and answers being sent are not touched; where nothing else is open, newcomers are closed above 0.9 of the sockets.

--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -163,6 +163,7 @@
         self.tasks = TaskGuard(nursery, clock=clock, counters=self.observer.counters)
         self.caller_memory = CallerMemory(
             memory_bytes=settings.memory_bytes,
+            maximum_descriptors=settings.maximum_descriptors,
             clock=clock,
             counters=self.observer.counters,
         )
@@ -352,6 +353,7 @@
         self.quotas.set_bounds(settings.bounds)
         self.caller_memory.set_limits(
             memory_bytes=settings.memory_bytes,
+            maximum_descriptors=settings.maximum_descriptors,
         )
 
     def apply_instances(self, listed: Sequence[InstanceEntry]) -> None:
--- a/ibisfront/gateway/settings.py
+++ b/ibisfront/gateway/settings.py
@@ -126,6 +126,8 @@
         Whether the whole deployment starts for the first time.
     memory_mb : float
         Memory above which the process is killed, in millions of bytes.
+    maximum_descriptors : int
+        Descriptors that it may open, for files and sockets.
     """
 
     instance: str
@@ -141,6 +143,7 @@
     capacity: float = 1.0
     is_first_start: bool = False
     memory_mb: float = 200.0
+    maximum_descriptors: int = 4_100
 
     @property
     def memory_bytes(self) -> int:
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -160,6 +160,11 @@
         """Memory that :meth:`give_up` frees."""
         return self._reader.held_bytes + self._queued_bytes
 
+    @property
+    def is_in_work(self) -> bool:
+        """Whether a request is answered, or its answer sent."""
+        return self._answer_scope is not None
+
     @property
     def stalled_since_ms(self) -> float:
         """When it began to wait for its caller."""
--- a/ibisfront/http1/caller_listener.py
+++ b/ibisfront/http1/caller_listener.py
@@ -170,7 +170,11 @@
             return False
         connection = CallerConnection(sock, self, tasks)
         self._connections.add(connection)
-        tasks.start_soon(connection.run)
+        if self.memory.admit(connection):
+            tasks.start_soon(connection.run)
+        else:
+            self._connections.discard(connection)
+            sock.close()
         return True
 
     async def answer(self, request: InboundRequest) -> CallerReply:
--- a/ibisfront/http1/caller_memory.py
+++ b/ibisfront/http1/caller_memory.py
@@ -1,4 +1,4 @@
-"""The memory that callers use in a process, and its limit.
+"""The memory and the connections that callers use in a process, and their limits.
 
 Whoever fills a limit that all callers share would shut the others out. So each
 connection may use a small allowance of its own, which holds an ordinary request, and
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING, Protocol
 
 from ibisfront.core.counters import CounterKind
@@ -23,6 +24,7 @@
 
 __all__ = [
     "ALLOWANCE_BYTES",
+    "DEFAULT_DESCRIPTORS",
     "DEFAULT_MEMORY_BYTES",
     "CallerMemory",
     "MeteredConnection",
@@ -34,14 +36,31 @@
 ALLOWANCE_BYTES = 8 * 1024
 """What a connection may use before it draws on the pool."""
 
+_CONNECTION_BYTES = 12 * 1024
+"""Memory of a connection that carries nothing, with its task."""
+
 _POOL_SHARE = 0.2
 """Share of the memory of the process that connections draw on together."""
 
+_CONNECTIONS_SHARE = 0.2
+"""Share of its memory for all connections and their allowances."""
+
 _LARGEST_POOL_SHARE = 0.5
 """Share of its memory to which the pool grows if a single request needs that."""
 
 DEFAULT_MEMORY_BYTES = 200_000_000
-"""Memory of a process of which it is not known: that of the smallest machines."""
+DEFAULT_DESCRIPTORS = 4_100
+"""Limits of a process of which none are known: those of the smallest machines."""
+
+_FILE_DESCRIPTORS = 200
+"""Descriptors that are reserved for files; the others are for sockets."""
+
+_SOCKETS_SHARE = 0.75
+"""Share of its sockets for callers; servers, the store and other instances need some
+too."""
+
+_LARGEST_SOCKETS_SHARE = 0.9
+"""The same if none of the connections can be closed."""
 
 _REFILL_SHARE = 0.9
 """Share of a limit down to which room is made, so that it is not made for each byte."""
@@ -68,6 +87,10 @@
     def releasable_bytes(self) -> int:
         """Memory that :meth:`give_up` frees."""
 
+    @property
+    def is_in_work(self) -> bool:
+        """Whether a request is answered, or its answer sent."""
+
     @property
     def stalled_since_ms(self) -> float:
         """When it began to wait for its caller."""
@@ -75,6 +98,9 @@
     def give_up(self) -> None:
         """Drop the requests that were not forwarded, and an answer that stalls."""
 
+    def close(self) -> None:
+        """Close it at once."""
+
 
 class MeteredListener(Protocol):
     """A listener whose connections are counted."""
@@ -91,6 +117,8 @@
     ----------
     memory_bytes : int
         Memory of the process.
+    maximum_descriptors : int
+        Descriptors that the process may open, for files and sockets.
     clock : Clock
         The clock.
     counters : Counters, optional
@@ -108,6 +136,7 @@
         "_is_making_room",
         "_listeners",
         "_logged_at_ms",
+        "_maximum_descriptors",
         "_memory_bytes",
         "_refused",
         "drawn_bytes",
@@ -117,10 +146,12 @@
         self,
         *,
         memory_bytes: int = DEFAULT_MEMORY_BYTES,
+        maximum_descriptors: int = DEFAULT_DESCRIPTORS,
         clock: Clock,
         counters: Counters | None = None,
     ) -> None:
         self._memory_bytes = memory_bytes
+        self._maximum_descriptors = maximum_descriptors
         self._clock = clock
         self._counters = counters
         self._listeners: list[MeteredListener] = []
@@ -129,9 +160,19 @@
         self._refused = 0
         self.drawn_bytes = 0
 
-    def set_limits(self, *, memory_bytes: int) -> None:
-        """Apply a changed limit of the process."""
+    def set_limits(self, *, memory_bytes: int, maximum_descriptors: int) -> None:
+        """Apply changed limits of the process."""
         self._memory_bytes = memory_bytes
+        self._maximum_descriptors = maximum_descriptors
+
+    @property
+    def maximum_connections(self) -> int:
+        """Connections above which some are closed."""
+        each_bytes = _CONNECTION_BYTES + ALLOWANCE_BYTES
+        by_memory = self._memory_bytes * _CONNECTIONS_SHARE / each_bytes
+        descriptors = self._maximum_descriptors
+        sockets = max(descriptors - _FILE_DESCRIPTORS, descriptors // 2)
+        return max(int(min(by_memory, sockets * _SOCKETS_SHARE)), 1)
 
     def pool_bytes(self, limits: CallerLimits) -> int:
         """Return the size of the pool, which holds two requests of the largest size."""
@@ -149,6 +190,30 @@
         """Stop counting the connections of a listener that has ended."""
         self._listeners.remove(listener)
 
+    def admit(self, connection: MeteredConnection) -> bool:
+        """Return whether to serve a connection that was just accepted.
+
+        If there are too many, those that have waited for their callers for longest
+        are closed, at the listener that has most.
+        """
+        count = sum(len(listener.metered) for listener in self._listeners)
+        maximum = self.maximum_connections
+        if count <= maximum:
+            return True
+        crowded = max(self._listeners, key=lambda listener: len(listener.metered))
+        waiting = [
+            item
+            for item in crowded.metered
+            if item is not connection and not item.is_in_work
+        ]
+        excess = count - int(maximum * _REFILL_SHARE)
+        for item in heapq.nsmallest(excess, waiting, key=_stalled_since_ms):
+            self._record("connections")
+            item.close()
+        if waiting:
+            return True
+        return count <= maximum * _LARGEST_SOCKETS_SHARE / _SOCKETS_SHARE
+
     def record(
         self, connection: MeteredConnection, held_bytes: int, limits: CallerLimits
     ) -> None:
@@ -211,3 +276,7 @@
             extra={"drawn_bytes": self.drawn_bytes},
         )
         self._logged_at_ms = now_ms
+
+
+def _stalled_since_ms(connection: MeteredConnection) -> float:
+    return connection.stalled_since_ms
--- a/ibisfront/platform/settings.py
+++ b/ibisfront/platform/settings.py
@@ -39,6 +39,7 @@
     cpu_share: float = 1.0
     cpus: float = 1.0
     memory_mb: float = 200.0
+    max_fds: int = 4_100
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
@@ -131,4 +132,5 @@
         ),
         zones=frozenset(file.zones),
         memory_mb=file.limits.memory_mb,
+        maximum_descriptors=file.limits.max_fds,
     )
--- a/ibisfront/tests/test_http1_caller_memory.py
+++ b/ibisfront/tests/test_http1_caller_memory.py
@@ -259,3 +259,58 @@
             connection.record()
         self.assertTrue(newcomer.has_given_up)
         self.assertFalse(any(connection.has_given_up for connection in working))
+
+
+class ConnectionLimitTest(unittest.TestCase):
+    """Who is closed when there are too many connections."""
+
+    @trio_test
+    async def test_connection_that_waits_for_longest_is_closed_first(self):
+        """Guards against idle callers that use up the descriptors of the process."""
+        memory = CallerMemory(maximum_descriptors=600, clock=Clock())
+        maximum = memory.maximum_connections
+        self.assertEqual(maximum, 300)
+        peers = [FakeConnection(memory, since_ms=-1e6) for _ in range(10)]
+        working = [
+            FakeConnection(memory, since_ms=-1e6, is_in_work=True) for _ in range(10)
+        ]
+        idle = [FakeConnection(memory, since_ms=float(n)) for n in range(280)]
+        FakeListener(memory, peers)
+        callers = FakeListener(memory, [*working, *idle])
+        self.assertTrue(memory.admit(idle[-1]))
+        self.assertFalse(any(connection.is_closed for connection in callers.metered))
+        newcomer = FakeConnection(memory, since_ms=300.0)
+        callers.metered.append(newcomer)
+        self.assertTrue(memory.admit(newcomer))
+        closed = [connection.is_closed for connection in idle]
+        count = closed.count(True)
+        self.assertGreater(count, 0)
+        self.assertEqual(closed, [True] * count + [False] * (280 - count))
+        for connection in (*peers, *working, newcomer):
+            self.assertFalse(connection.is_closed)
+
+    @trio_test
+    async def test_newcomer_is_closed_only_where_all_others_are_in_work(self):
+        """Guards against connections without a limit that all wait for servers."""
+        memory = CallerMemory(maximum_descriptors=600, clock=Clock())
+        listener = FakeListener(memory)
+        admitted = 0
+        for _ in range(500):
+            connection = FakeConnection(memory, since_ms=0.0, is_in_work=True)
+            listener.metered.append(connection)
+            if not memory.admit(connection):
+                listener.metered.remove(connection)
+                break
+            admitted += 1
+        self.assertEqual(admitted, 360)
+
+    def test_connections_fit_into_the_memory_whatever_the_descriptors(self):
+        """Guards against a limit of descriptors alone on a machine of little memory."""
+        memory = CallerMemory(
+            memory_bytes=40_000_000, maximum_descriptors=10_000, clock=Clock()
+        )
+        self.assertLess(memory.maximum_connections * 20_000, 10_000_000)
+        memory.set_limits(memory_bytes=400_000_000, maximum_descriptors=10_000)
+        self.assertGreater(memory.maximum_connections, 3_000)
+        memory.set_limits(memory_bytes=400_000_000, maximum_descriptors=100)
+        self.assertEqual(memory.maximum_connections, 37)
