Callers: what the kernel holds for a process to read is limited as well

Callers saw: the same end for lack of memory; on the platform bytes that were received and not read count. Cause: listening sockets kept the kernel's default buffers, which grow to megabytes a connection, while the process reads one connection after the other, and none whose queue of requests sent ahead is full.

Change: listening sockets, and so all accepted ones, hold 16 KB to read (doubled by the kernel for its own overhead). A connection that is not read because its queue is full counts with that buffer in CallerMemory.

Ruled out: counting the unread bytes of each connection by a call of the kernel (one more call a read), and buffers by memory (0.2 of 300 MB over the most connections is 20 KB: the same). A body of 256 KB takes some 16 round trips.

--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -12,6 +12,7 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.messages import CallerReply
+from ibisfront.http1.listening import RECEIVE_BUFFER_BYTES
 from ibisfront.http1.parser import MalformedMessageError, RequestReader
 
 if TYPE_CHECKING:
@@ -158,7 +159,8 @@
     @property
     def releasable_bytes(self) -> int:
         """Memory that :meth:`give_up` frees."""
-        return self._reader.held_bytes + self._queued_bytes
+        unread_bytes = 2 * RECEIVE_BUFFER_BYTES if self._is_queue_full else 0
+        return self._reader.held_bytes + self._queued_bytes + unread_bytes
 
     @property
     def is_in_work(self) -> bool:
@@ -170,6 +172,11 @@
         """When it began to wait for its caller."""
         return self._waiting_since_ms
 
+    @property
+    def _is_queue_full(self) -> bool:
+        """Whether no more is read, so that bytes wait in the kernel."""
+        return len(self._queue) > _MAX_QUEUED_REQUESTS
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is being read or answered."""
@@ -284,7 +291,7 @@
             if not await self._send_continue():
                 return False
         # Further requests are read only once queued ones are answered.
-        while len(self._queue) > _MAX_QUEUED_REQUESTS:
+        while self._is_queue_full:
             await self._host.clock.sleep_ms(_QUEUE_POLL_MS)
         return True
 
--- a/ibisfront/http1/listening.py
+++ b/ibisfront/http1/listening.py
@@ -8,12 +8,16 @@
 if TYPE_CHECKING:
     from ibisfront.core.types import Address
 
-__all__ = ["listening_socket"]
+__all__ = ["RECEIVE_BUFFER_BYTES", "listening_socket"]
 
 _BACKLOG = 1_024
 """Connections that the kernel queues until they are accepted: those of one
 second when all callers reconnect at once."""
 
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""What the kernel may hold of each connection for the process to read: on some thousand
+connections, its usual megabytes would not fit in memory."""
+
 
 def listening_socket(address: Address) -> socket.socket:
     """Return a non-blocking socket that listens on an address.
@@ -26,6 +30,8 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit it; the kernel doubles it for its own overhead.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
     sock.bind((host, int(port)))
     sock.listen(_BACKLOG)
