Callers: a connection whose queue is full waits instead of polling

Callers saw: slower answers beside callers that send requests ahead. Cause: a connection with more than eight queued requests slept 1 ms and looked again, each of them for as long as a server took: 676 such connections are 676,000 wake-ups a second for one process. Change: it waits for an event that the answering task sets when it takes a request, and that giving up sets. Evidence: the test counts the sleeps of one such connection in 0.3 s: 254 before (on the parent), 0 after; all of its 100 requests are then answered.

--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -33,9 +33,6 @@
 _MAX_QUEUED_REQUESTS = 8
 """Pipelined requests of one connection that are read ahead."""
 
-_QUEUE_POLL_MS = 1.0
-"""Interval at which a full queue is polled."""
-
 _UNAVAILABLE = 503
 _RETRY_AFTER_MS = 250.0
 """Pause requested of a caller that was refused; its next connection may reach another
@@ -118,6 +115,7 @@
         "_is_unfinished",
         "_nursery",
         "_queue",
+        "_queue_changed",
         "_queued_bytes",
         "_reader",
         "_rtt_ms",
@@ -141,6 +139,7 @@
         # Each with the memory that it uses.
         self._queue: deque[tuple[InboundRequest, int]] = deque()
         self._queued_bytes = 0
+        self._queue_changed = trio.Event()
         self._answer_scope: trio.CancelScope | None = None
         self._answered = trio.Event()
         self._scope = trio.CancelScope()
@@ -209,6 +208,7 @@
         """
         self._has_given_up = True
         self._queue.clear()
+        self._queue_changed.set()
         self._queued_bytes = 0
         self._reader.close()
         self._record_memory()
@@ -292,7 +292,8 @@
                 return False
         # Further requests are read only once queued ones are answered.
         while self._is_queue_full:
-            await self._host.clock.sleep_ms(_QUEUE_POLL_MS)
+            self._queue_changed = trio.Event()
+            await self._queue_changed.wait()
         return True
 
     async def _send_continue(self) -> bool:
@@ -335,6 +336,7 @@
             with scope:
                 while self._queue and not self._is_closing:
                     request, self._in_work_bytes = self._queue.popleft()
+                    self._queue_changed.set()
                     self._queued_bytes -= self._in_work_bytes
                     self._in_work = request
                     reply = await self._host.answer(request)
--- a/ibisfront/tests/test_http1_caller_memory.py
+++ b/ibisfront/tests/test_http1_caller_memory.py
@@ -35,14 +35,26 @@
     return request_bytes(name, length, body=body, method=b"POST")
 
 
+class CountingClock(Clock):
+    """Counts sleeps."""
+
+    sleeps = 0
+
+    async def sleep_ms(self, duration_ms):
+        """Count, then sleep."""
+        self.sleeps += 1
+        await super().sleep_ms(duration_ms)
+
+
 class MeteredFixture:
     """A listener with little memory, whose answers wait if they are told to."""
 
-    def __init__(self, nursery, memory_bytes=SMALL_MEMORY_BYTES):
+    def __init__(self, nursery, memory_bytes=SMALL_MEMORY_BYTES, *, clock=None):
+        clock = clock or Clock()
         self.seen = []
         self.release = trio.Event()
         self.release.set()
-        self.memory = CallerMemory(memory_bytes=memory_bytes, clock=Clock())
+        self.memory = CallerMemory(memory_bytes=memory_bytes, clock=clock)
         sock = listening_socket("127.0.0.1:0")
         self._address = sock.getsockname()
         self.listener = CallerListener(
@@ -50,7 +62,7 @@
             answer=self._answer,
             wire=WIRE,
             limits=lambda: LIMITS,
-            clock=Clock(),
+            clock=clock,
             memory=self.memory,
         )
         nursery.start_soon(self.listener.run)
@@ -145,6 +157,25 @@
         self.assertEqual(statuses, [b"200", b"503"])
         self.assertEqual(fixture.seen, ["r0"])
 
+    @trio_test_real_clock
+    async def test_connection_with_a_full_queue_is_not_polled(self):
+        """Guards against callers that send ahead and use up the processor."""
+        async with trio.open_nursery() as nursery:
+            clock = CountingClock()
+            fixture = MeteredFixture(nursery, 200_000_000, clock=clock)
+            fixture.release = trio.Event()
+            ahead = b"".join(request_bytes(b"r%d" % number) for number in range(100))
+            async with await fixture.connect() as stream:
+                await stream.send_all(ahead)
+                with trio.fail_after(20.0):
+                    await wait_until(lambda: fixture.seen)
+                await trio.sleep(0.3)
+                self.assertEqual(clock.sleeps, 0)
+                fixture.release.set()
+                with trio.fail_after(20.0):
+                    await wait_until(lambda: len(fixture.seen) == 100)
+            nursery.cancel_scope.cancel()
+
     @trio_test_real_clock
     async def test_largest_request_is_served_in_calm_at_any_size_of_the_memory(self):
         """Guards against a limit that a single request inside the limits meets."""
