Callers: answers that nobody reads no longer fill the memory

Callers saw: the same end for lack of memory (60 callers that ask for 6 MB and do not read: 791 MB). Cause: nothing bounded answers from their completion to their last byte, in number, size or time; each was held twice, as the server's body and as the encoded answer, and reference cycles kept the first until 2,000 new objects had been made, whatever their size.

Change: an answer that the kernel does not take at once counts in CallerMemory; under pressure the connections whose unsent bytes times time without progress are largest are closed. A caller that takes nothing for idleTimeoutMs loses its connection, also in calm. A large body is sent from the server's bytes; the reply that held them lets go. Incomplete replies of servers get 0.16 of the memory that the settings state (32 MB of 200 MB, as before, where it was fixed). The kernel holds 64 KB (doubled) of what a caller does not read.

Ruled out: refusing a ready answer by size; a time-out alone (15 s of answers do not fit).

--- a/ibisfront/front/connections.py
+++ b/ibisfront/front/connections.py
@@ -9,6 +9,7 @@
 from ibisfront.gateway.load.cold_start_limit import cold_share
 from ibisfront.gateway.servers.pool import ServerPool
 from ibisfront.http1.backend_connection import backend_connection_opener
+from ibisfront.http1.caller_memory import DEFAULT_MEMORY_BYTES
 from ibisfront.platform.headers import WIRE
 
 if TYPE_CHECKING:
@@ -51,6 +52,8 @@
         The clock.
     event_log : ServerEventLog
         Logs servers that cannot be reached.
+    memory_bytes : int
+        Memory of the process.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         nursery: TaskNursery,
         clock: Clock,
         event_log: ServerEventLog,
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
     ) -> None:
         self._event_log = event_log
         self._coordinators = coordinators
@@ -85,7 +89,10 @@
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._open_connection = backend_connection_opener(
-            decode_reply=WIRE.decode_reply, clock=clock, nursery=nursery
+            decode_reply=WIRE.decode_reply,
+            clock=clock,
+            nursery=nursery,
+            memory_bytes=memory_bytes,
         )
 
     def create_server_pool(self, server: Server) -> ServerPool:
--- a/ibisfront/front/process.py
+++ b/ibisfront/front/process.py
@@ -192,6 +192,7 @@
             nursery=self.tasks,
             clock=clock,
             event_log=self._event_log,
+            memory_bytes=settings.memory_bytes,
         )
         paths = ZonePaths(zone)
         self.registry = ServerRegistry(
--- a/ibisfront/gateway/gateway.py
+++ b/ibisfront/gateway/gateway.py
@@ -326,7 +326,11 @@
 
 
 def _pass_through(reply: BackendReply, reason: str) -> CallerReply:
-    return CallerReply(reply.status, reply.headers, reply.body, reason)
+    passed = CallerReply(reply.status, reply.headers, reply.body, reason)
+    # Its exchange is part of reference cycles, which would keep a large body until
+    # they are collected.
+    reply.body = b""
+    return passed
 
 
 def _may_pass_through(reply: BackendReply) -> bool:
--- a/ibisfront/gateway/wire.py
+++ b/ibisfront/gateway/wire.py
@@ -57,4 +57,4 @@
     gathered_headers: Callable[[Sequence[bytes], int], list[Header]]
     request_id: Callable[[str], Header]
     retry_after: Callable[[float], Header]
-    encode_reply: Callable[[CallerReply, bool], bytes]
+    encode_reply: Callable[[CallerReply, bool], tuple[bytes, ...]]
--- a/ibisfront/http1/backend_connection.py
+++ b/ibisfront/http1/backend_connection.py
@@ -14,6 +14,7 @@
 
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.gateway.messages import ExchangeErrorKind
+from ibisfront.http1.caller_memory import DEFAULT_MEMORY_BYTES
 from ibisfront.http1.parser import MalformedMessageError, ReplyMemory, ReplyReader
 
 if TYPE_CHECKING:
@@ -35,9 +36,9 @@
 _MAXIMUM_REPLY_BYTES = 8 * 1024 * 1024
 """A larger reply is rejected: several at once would not fit in memory."""
 
-_MAXIMUM_INCOMPLETE_BYTES = 32 * 1024 * 1024
-"""Memory for the incomplete replies of all servers, of the 200 MB that the smallest
-machines have. Faulty servers may send bodies without end on many connections."""
+_INCOMPLETE_SHARE = 0.16
+"""Share of the memory of the process for the incomplete replies of all servers. Faulty
+servers may send bodies without end on many connections."""
 
 _CONNECT_TIMEOUT_MS = 700.0
 """Connect timeout. A healthy server takes a few milliseconds; one without power
@@ -307,10 +308,26 @@
 
 
 def backend_connection_opener(
-    *, decode_reply: DecodeReply, clock: Clock, nursery: TaskNursery
+    *,
+    decode_reply: DecodeReply,
+    clock: Clock,
+    nursery: TaskNursery,
+    memory_bytes: int = DEFAULT_MEMORY_BYTES,
 ) -> OpenServerConnection:
-    """Return a function that opens connections to backend servers."""
-    memory = ReplyMemory(_MAXIMUM_INCOMPLETE_BYTES)
+    """Return a function that opens connections to backend servers.
+
+    Parameters
+    ----------
+    decode_reply : callable
+        Decodes a message into a typed reply.
+    clock : Clock
+        The tier's clock.
+    nursery : TaskNursery
+        Runs the remainders of partial sends.
+    memory_bytes : int
+        Memory of the process.
+    """
+    memory = ReplyMemory(int(memory_bytes * _INCOMPLETE_SHARE))
 
     async def open_connection(address: Address) -> BackendConnection:
         sock = await open_socket(address, timeout_ms=_CONNECT_TIMEOUT_MS)
--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -121,6 +121,7 @@
         "_rtt_ms",
         "_scope",
         "_sock",
+        "_unsent_bytes",
         "_wait_scope",
         "_waiting_since_ms",
         "drawn_bytes",
@@ -147,6 +148,7 @@
         self._closes_when_idle = False
         self._in_work: InboundRequest | None = None
         self._in_work_bytes = 0
+        self._unsent_bytes = 0
         self._has_given_up = False
         self._is_closing = False
         self._is_first = True
@@ -159,7 +161,12 @@
     def releasable_bytes(self) -> int:
         """Memory that :meth:`give_up` frees."""
         unread_bytes = 2 * RECEIVE_BUFFER_BYTES if self._is_queue_full else 0
-        return self._reader.held_bytes + self._queued_bytes + unread_bytes
+        return (
+            self._reader.held_bytes
+            + self._queued_bytes
+            + self._unsent_bytes
+            + unread_bytes
+        )
 
     @property
     def is_in_work(self) -> bool:
@@ -204,9 +211,13 @@
     def give_up(self) -> None:
         """Drop the requests that were not forwarded, and refuse the next of them.
 
-        An answer that is awaited is still sent first. No further request is read.
+        An answer that is awaited is still sent first. No further request is read. An
+        answer that its caller does not take is given up with the connection.
         """
         self._has_given_up = True
+        if self._unsent_bytes:
+            self._unsent_bytes = 0
+            self.close()
         self._queue.clear()
         self._queue_changed.set()
         self._queued_bytes = 0
@@ -227,7 +238,7 @@
                 await self._read_all()
         finally:
             self._queue.clear()
-            self._queued_bytes = self._in_work_bytes = 0
+            self._queued_bytes = self._in_work_bytes = self._unsent_bytes = 0
             self._reader.close()
             self._record_memory()
             self._host.remove_connection(self)
@@ -339,18 +350,20 @@
                     self._queue_changed.set()
                     self._queued_bytes -= self._in_work_bytes
                     self._in_work = request
-                    reply = await self._host.answer(request)
-                    closes = request.closes or reply.closes
-                    self._in_work = None
+                    closes = request.closes
                     del request
+                    pieces, closes = self._encode(
+                        await self._host.answer(self._in_work), closes=closes
+                    )
+                    self._in_work = None
                     self._in_work_bytes = 0
                     self._record_memory()
-                    await self._send(reply, closes=closes)
+                    await self._send(pieces, closes=closes)
+                    del pieces
                 if self._has_given_up and not self._is_closing:
-                    await self._send(self._refusal(), closes=True)
+                    await self._send_last(self._refusal())
             if self._is_unfinished and self._in_work is not None:
-                reply = self._host.unfinished_reply(self._in_work)
-                await self._send(reply, closes=True)
+                await self._send_last(self._host.unfinished_reply(self._in_work))
         except Exception:
             # The caller must not wait on this connection for an answer.
             self.close()
@@ -367,24 +380,53 @@
         retry_after = self._host.wire.retry_after(_RETRY_AFTER_MS)
         return CallerReply(_UNAVAILABLE, [retry_after], b"", "callers_memory")
 
-    async def _send(self, reply: CallerReply, *, closes: bool) -> None:
-        keeps_open = not (closes or self._host.is_stopping)
+    def _encode(
+        self, reply: CallerReply, *, closes: bool
+    ) -> tuple[tuple[bytes, ...], bool]:
+        """Return an encoded answer, and whether the connection closes after it."""
+        closes = closes or reply.closes or self._host.is_stopping
+        return self._host.wire.encode_reply(reply, not closes), closes
+
+    async def _send_last(self, reply: CallerReply) -> None:
+        """Send an answer after which the connection closes."""
+        pieces, closes = self._encode(reply, closes=True)
+        await self._send(pieces, closes=closes)
+
+    async def _send(self, pieces: tuple[bytes, ...], *, closes: bool) -> None:
         try:
-            await self._send_bytes(self._host.wire.encode_reply(reply, keeps_open))
-            if not keeps_open:
+            for piece in pieces:
+                await self._send_bytes(piece)
+            if closes:
                 self._is_closing = True
                 self._sock.shutdown(socket.SHUT_WR)
                 self._nursery.start_soon(self._close_after_linger)
-        except (OSError, trio.ClosedResourceError):
+        except (OSError, trio.ClosedResourceError) as error:
+            _LOG.debug("An answer was not delivered: %s.", error)
             self.close()
 
     async def _send_bytes(self, data: bytes) -> None:
+        """Send bytes; a caller that takes none for too long loses its connection."""
         view = memoryview(data)
-        while view:
-            try:
-                view = view[self._sock.send(view) :]
-            except BlockingIOError:
-                await trio.lowlevel.wait_writable(self._sock)
+        try:
+            while view:
+                try:
+                    view = view[self._sock.send(view) :]
+                except BlockingIOError:
+                    await self._wait_writable(len(data))
+        finally:
+            if self._unsent_bytes:
+                self._unsent_bytes = 0
+                self._record_memory()
+
+    async def _wait_writable(self, held_bytes: int) -> None:
+        clock = self._host.clock
+        self._unsent_bytes = held_bytes
+        self._waiting_since_ms = clock.now_ms()
+        self._record_memory()
+        with clock.timeout_ms(self._host.limits().idle_timeout_ms):
+            await trio.lowlevel.wait_writable(self._sock)
+            return
+        raise TimeoutError("the caller does not read its answer")
 
     async def _close_after_linger(self) -> None:
         await self._host.clock.sleep_ms(_LINGER_MS)
@@ -429,7 +471,7 @@
         while self._answer_scope is not None:
             await self._answered.wait()
         if not self._is_closing:
-            await self._send(CallerReply(status, [], b"", detail), closes=True)
+            await self._send_last(CallerReply(status, [], b"", detail))
         await self._linger()
 
 
--- a/ibisfront/http1/fields.py
+++ b/ibisfront/http1/fields.py
@@ -20,6 +20,9 @@
 
 _MILLISECONDS_PER_SECOND = 1000.0
 
+_LARGE_BODY_BYTES = 64 * 1024
+"""A smaller body is sent in one call with its head."""
+
 HOP_BY_HOP_FIELDS = frozenset(
     (
         b"connection",
@@ -53,15 +56,18 @@
 }
 
 
-def encode_reply(reply: CallerReply, keeps_open: bool) -> bytes:
-    """Encode an answer to a caller."""
+def encode_reply(reply: CallerReply, keeps_open: bool) -> tuple[bytes, ...]:
+    """Encode an answer to a caller, in pieces: a large body is not copied."""
     reason = _REASON_PHRASES.get(reply.status, b"Status")
     lines = [b"HTTP/1.1 %d %b" % (reply.status, reason)]
     lines += [name + b": " + value for name, value in reply.headers]
     lines.append(b"Content-Length: %d" % len(reply.body))
     if not keeps_open:
         lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + reply.body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    if len(reply.body) > _LARGE_BODY_BYTES:
+        return head, reply.body
+    return (head + reply.body,)
 
 
 def connection_options(headers: Sequence[Header]) -> frozenset[bytes]:
--- a/ibisfront/http1/listening.py
+++ b/ibisfront/http1/listening.py
@@ -18,6 +18,9 @@
 """What the kernel may hold of each connection for the process to read: on some thousand
 connections, its usual megabytes would not fit in memory."""
 
+_SEND_BUFFER_BYTES = 64 * 1024
+"""What the kernel may hold of an answer that a caller does not read."""
+
 
 def listening_socket(address: Address) -> socket.socket:
     """Return a non-blocking socket that listens on an address.
@@ -30,8 +33,9 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit it; the kernel doubles it for its own overhead.
+    # Accepted connections inherit both; the kernel doubles them for its overhead.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
     sock.setblocking(False)
     sock.bind((host, int(port)))
     sock.listen(_BACKLOG)
--- a/ibisfront/lab/connections.py
+++ b/ibisfront/lab/connections.py
@@ -70,7 +70,7 @@
     _not_modelled(raw)
 
 
-def _encode_reply(reply: CallerReply, keeps_open: bool) -> bytes:
+def _encode_reply(reply: CallerReply, keeps_open: bool) -> tuple[bytes, ...]:
     _not_modelled(reply)
 
 
--- a/ibisfront/testing/two_zones.py
+++ b/ibisfront/testing/two_zones.py
@@ -425,7 +425,7 @@
             await trio.sleep_forever()
         reply = await self._gateway.answer_instance(request)
         replies = ReplyReader(65_536)
-        replies.feed(WIRE.encode_reply(reply, True))
+        replies.feed(b"".join(WIRE.encode_reply(reply, True)))
         decoded = WIRE.decode_reply(replies.messages.pop())
         if decoded.request_id not in (None, exchange.request_id):
             # The reply belongs to another request and is ignored.
--- a/ibisfront/tests/test_http1_caller_memory.py
+++ b/ibisfront/tests/test_http1_caller_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import unittest
 
 import trio
@@ -213,6 +214,82 @@
             nursery.cancel_scope.cancel()
 
 
+ANSWER_BYTES = 4_000_000
+
+
+class UnreadAnswerTest(unittest.TestCase):
+    """Answers that their callers do not read, or read slowly."""
+
+    async def _listen(self, nursery, *, idle_timeout_ms, memory_bytes):
+        async def answer(request):
+            return CallerReply(200, [], b"x" * ANSWER_BYTES, "test")
+
+        memory = CallerMemory(memory_bytes=memory_bytes, clock=Clock())
+        sock = listening_socket("127.0.0.1:0")
+        address = sock.getsockname()
+        listener = CallerListener(
+            sock,
+            answer=answer,
+            wire=WIRE,
+            limits=lambda: CallerLimits(idle_timeout_ms=idle_timeout_ms),
+            clock=Clock(),
+            memory=memory,
+        )
+        nursery.start_soon(listener.run)
+        return listener, address
+
+    async def _request(self, address):
+        sock = trio.socket.socket()
+        # Otherwise the kernel would take most of an answer.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        await sock.connect(address)
+        stream = trio.SocketStream(sock)
+        await stream.send_all(request_bytes(b"r"))
+        return stream
+
+    @trio_test_real_clock
+    async def test_connection_of_a_caller_that_does_not_read_is_closed(self):
+        """Guards against answers that are kept for as long as a caller likes."""
+        async with trio.open_nursery() as nursery:
+            listener, address = await self._listen(
+                nursery, idle_timeout_ms=200.0, memory_bytes=200_000_000
+            )
+            async with await self._request(address):
+                with trio.fail_after(20.0):
+                    await wait_until(lambda: listener.memory.drawn_bytes)
+                    await wait_until(lambda: not listener.connections)
+                self.assertEqual(listener.memory.drawn_bytes, 0)
+            nursery.cancel_scope.cancel()
+
+    @trio_test_real_clock
+    async def test_slow_reader_gets_its_whole_answer_beside_those_that_stall(self):
+        """Guards against cutting off a caller that makes progress."""
+        async with trio.open_nursery() as nursery:
+            listener, address = await self._listen(
+                nursery, idle_timeout_ms=60_000.0, memory_bytes=50_000_000
+            )
+            stalled = [await self._request(address) for _ in range(2)]
+            with trio.fail_after(20.0):
+                await wait_until(lambda: listener.memory.drawn_bytes > ANSWER_BYTES)
+            reader = await self._request(address)
+            nursery.start_soon(self._stall_more, address)
+            received = 0
+            with trio.fail_after(30.0):
+                async with reader:
+                    while received < ANSWER_BYTES:
+                        received += len(await reader.receive_some(200_000))
+                await wait_until(lambda: listener.memory.drawn_bytes <= 10_000_000)
+            self.assertGreater(received, ANSWER_BYTES)
+            for stream in stalled:
+                await trio.aclose_forcefully(stream)
+            nursery.cancel_scope.cancel()
+
+    async def _stall_more(self, address):
+        streams = [await self._request(address) for _ in range(6)]
+        await trio.sleep_forever()
+        del streams
+
+
 class FakeConnection:
     """A connection that holds some bytes since some time."""
 
