Logs: queued lines are bounded in bytes, not only in number

What could be seen: memory that grows with refused requests while nobody reads a process's output. Cause: 2,000 lines may be queued, "about 1 MB", but a line of a refused request holds its id, host and path, each as long as a head may be. Change: nothing is queued above 1 MB; lines beyond are counted as dropped, as before. The bound of 2,000 lines stays. A line itself keeps its values whole: one that is cut is no JSON, and operators look requests up by their ids.

--- a/ibisfront/core/bounded_log.py
+++ b/ibisfront/core/bounded_log.py
@@ -27,7 +27,11 @@
 """Burst size, in seconds of the rate, for the many lines of a start or change."""
 
 _MAX_QUEUED_LINES = 2_000
-"""Maximum number of queued lines, about 1 MB."""
+"""Maximum number of queued lines."""
+
+_MAX_QUEUED_BYTES = 1_000_000
+"""Maximum size of all queued lines: one may hold several values of a caller, each as
+long as the head of its request."""
 
 _FLUSH_INTERVAL_MS = 250.0
 """Interval between writes; one wake-up writes many lines."""
@@ -82,6 +86,7 @@
         self._descriptor = descriptor
         self._clock = clock
         self._lines: deque[bytes] = deque()
+        self._queued_bytes = 0
         self._dropped: Counter[str] = Counter()
         self._unwritten = b""
         self._buckets: dict[int, _TokenBucket] = {}
@@ -96,7 +101,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it as dropped."""
-        if not self._is_allowed(record) or len(self._lines) >= _MAX_QUEUED_LINES:
+        if not self._is_allowed(record) or self._is_full:
             self._dropped[record.levelname.lower()] += 1
             return
         if self._dropped:
@@ -106,7 +111,9 @@
             line = self.format(record)
         except (TypeError, ValueError) as error:
             line = f'{{"level": "ERROR", "message": "instance: bad record: {error!r}"}}'
-        self._lines.append(line.encode() + b"\n")
+        encoded = line.encode() + b"\n"
+        self._lines.append(encoded)
+        self._queued_bytes += len(encoded)
 
     def flush(self) -> None:
         """Write as much as the output accepts now; keep the rest."""
@@ -121,6 +128,7 @@
                 # The output is closed, and there is nowhere else to report it.
                 self._unwritten = b""
                 self._lines.clear()
+                self._queued_bytes = 0
                 return
             self._unwritten = self._unwritten[written:]
 
@@ -130,6 +138,13 @@
             await self._clock.sleep_ms(_FLUSH_INTERVAL_MS)
             self.flush()
 
+    @property
+    def _is_full(self) -> bool:
+        return (
+            len(self._lines) >= _MAX_QUEUED_LINES
+            or self._queued_bytes >= _MAX_QUEUED_BYTES
+        )
+
     def _is_allowed(self, record: logging.LogRecord) -> bool:
         now_ms = self._now_ms()
         bucket = self._buckets.get(record.levelno)
@@ -152,4 +167,5 @@
         while self._lines and size < _WRITE_CHUNK_BYTES:
             lines.append(self._lines.popleft())
             size += len(lines[-1])
+        self._queued_bytes -= size
         return b"".join(lines)
--- a/ibisfront/tests/test_bounded_log.py
+++ b/ibisfront/tests/test_bounded_log.py
@@ -102,6 +102,18 @@
         self.pipe.handler.flush()
         self.assertGreater(self.pipe.lines()[-1]["dropped"]["warning"], 0)
 
+    @trio_test
+    async def test_long_values_of_callers_do_not_fill_the_memory(self):
+        """Guards against an unread output whose queue is bounded in lines only."""
+        for _ in range(100):
+            for _ in range(40):
+                self.pipe.log.warning("Refused.", extra={"path": "x" * 16_000})
+            self.pipe.handler.flush()
+            await trio.sleep(1.0)
+        queued_bytes = sum(len(line) for line in self.pipe.handler._lines)
+        self.assertLess(queued_bytes, 1_100_000)
+        self.assertGreater(queued_bytes, 900_000)
+
 
 class ExplainTest(unittest.TestCase):
     """The lines of a request are found in the logs of several instances."""
