Servers: an answer with a status outside the protocol is no answer

Callers saw: a server's status 600, 700 or 999 as their answer, with its stamp; after 000, 001 or 099 they waited until their time-out and got 504. Cause: a status below 200 was taken for interim, whatever it was, and any above for final. Change: the reader of replies rejects a status below 100 or above 599 when its head is complete. It counts as a bad reply of its server at once: the request may have run, so that one that must not be repeated gets 502 and no promise, and others may be sent again. 100 to 199 stay interim. The same reader serves gathered queries, other instances and the store. Ruled out: 502 by the gateway only (the time-out would stay).

--- a/ibisfront/http1/parser.py
+++ b/ibisfront/http1/parser.py
@@ -14,6 +14,10 @@
     "RequestReader",
 ]
 
+_FIRST_STATUS = 100
+_LAST_STATUS = 599
+"""All statuses of the protocol are between these."""
+
 _FIRST_FINAL_STATUS = 200
 """Statuses below this are interim; the final reply follows."""
 
@@ -284,6 +288,9 @@
         """Determine whether the reply states its length."""
         self.head_complete = True
         status = self._parser.get_status_code()
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            # Below, it would be taken for interim, and the final reply awaited in vain.
+            raise MalformedMessageError(400, f"the status {status:03} is impossible")
         self._ends_with_stream = status not in (204, 304) and not any(
             name.lower() in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
