Own interface: bodies and connections of callers are limited by the memory

Callers saw: the same end of a process for lack of memory at ibisfrontd: a body of legal size may take 10 s to arrive, in any number. Cause: nothing bounded the sum of the bodies that are read, of those whose requests run, or of connections.

Change: CallerMemory counts here too, over both listeners. hypercorn owns the connections, so each is wrapped with what its requests hold; a body that is still read is refused with `overloaded` (503, ran: no), one that was read is kept, and connections that wait longest are closed above the limit. Sockets have the small buffers of the front. New setting memory.process_bytes, default 2 GB: 400 MB of bodies of 64 KB are 3,000 at once with both copies counted.

Ruled out: a limit in hypercorn's settings (it has none over connections); reading less at once (its buffers are its own).

The front's daemon is unchanged but for the place of two lines in listening.py.

--- a/ibisfront/adapters/asgi.py
+++ b/ibisfront/adapters/asgi.py
@@ -28,9 +28,11 @@
     read_headers,
     read_request_id,
 )
+from ibisfront.adapters.metered_connection import METER_KEY
 from ibisfront.core.errors import ANSWERS, ErrorKind, IbisfrontError, Ran
 
 if TYPE_CHECKING:
+    from ibisfront.adapters.metered_connection import MeteredHttpConnection
     from ibisfront.core.clock import Clock
 
 __all__ = [
@@ -96,10 +98,11 @@
             await send({"type": "websocket.close"})
         else:
             cycle = _RequestResponseCycle(scope, receive, clock, maximum_body_bytes)
-            response = await cycle.respond(routes, authorize)
-            observe(cycle.exchange(response))
-            if response is not None:
-                await cycle.send(response, send)
+            with cycle:
+                response = await cycle.respond(routes, authorize)
+                observe(cycle.exchange(response))
+                if response is not None:
+                    await cycle.send(response, send)
 
     return application
 
@@ -124,6 +127,7 @@
         "_clock",
         "_error",
         "_maximum_body_bytes",
+        "_meter",
         "_method",
         "_path",
         "_path_params",
@@ -143,6 +147,9 @@
         self._clock = clock
         self._receive = receive
         self._maximum_body_bytes = maximum_body_bytes
+        self._meter: MeteredHttpConnection | None = scope.get("state", {}).get(
+            METER_KEY
+        )
         self._received_at_ms = clock.now_ms()
         self._method: str = scope["method"]
         self._path = _raw_path(scope)
@@ -152,6 +159,13 @@
         self._path_params: tuple[str, ...] = ()
         self._error: BaseException | None = None
 
+    def __enter__(self) -> None:
+        """Begin the request."""
+
+    def __exit__(self, *exception: object) -> None:
+        """Release what it holds."""
+        self._body.release()
+
     async def respond(
         self, routes: tuple[Route, ...], authorize: Authorize
     ) -> HttpResponse | None:
@@ -219,6 +233,7 @@
             headers,
             clock=self._clock,
             maximum_bytes=self._maximum_body_bytes,
+            meter=self._meter,
         )
         request = HttpRequest(
             method=self._method,
--- a/ibisfront/adapters/http_input.py
+++ b/ibisfront/adapters/http_input.py
@@ -11,6 +11,9 @@
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 
 if TYPE_CHECKING:
+    import trio
+
+    from ibisfront.adapters.metered_connection import MeteredHttpConnection
     from ibisfront.core.clock import Clock
 
 __all__ = [
@@ -123,9 +126,27 @@
         The tier's clock.
     maximum_bytes : int
         A longer body is rejected.
+    meter : MeteredHttpConnection, optional
+        Its connection, which counts the memory that it uses.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether the whole body was read.
     """
 
-    __slots__ = ("_clock", "_ended", "_headers", "_maximum_bytes", "_receive")
+    __slots__ = (
+        "_body",
+        "_clock",
+        "_ended",
+        "_headers",
+        "_is_refused",
+        "_maximum_bytes",
+        "_meter",
+        "_receive",
+        "_scope",
+        "is_complete",
+    )
 
     def __init__(
         self,
@@ -134,7 +155,13 @@
         *,
         clock: Clock,
         maximum_bytes: int,
+        meter: MeteredHttpConnection | None = None,
     ) -> None:
+        self._body = bytearray()
+        self._is_refused = False
+        self._meter = meter
+        self._scope: trio.CancelScope | None = None
+        self.is_complete = False
         self._receive = receive
         self._headers = headers
         self._clock = clock
@@ -147,22 +174,45 @@
         Raises
         ------
         IbisfrontError
-            ``body_too_large`` as soon as that is known, or ``bad_request`` if
-            the body was truncated or sent too slowly.
+            ``body_too_large`` as soon as that is known, ``bad_request`` if the body
+            was truncated or sent too slowly, or ``overloaded`` if the bodies of all
+            callers use up the memory.
         """
         length = self._headers.get("content-length", "")
         if length.isdigit() and len(length.lstrip("0")) > len(str(self._maximum_bytes)):
             raise self._too_large()
         if length.isdigit() and int(length) > self._maximum_bytes:
             raise self._too_large()
+        if self._meter is not None:
+            self._meter.add(self)
         # A sender that never ends its body would occupy this task forever.
-        with self._clock.timeout_ms(_BODY_TIMEOUT_MS):
+        with self._clock.timeout_ms(_BODY_TIMEOUT_MS) as self._scope:
             return await self._read_chunks()
+        if self._is_refused:
+            raise _no_memory_error()
         raise IbisfrontError(
             ErrorKind.BAD_REQUEST,
             f"the body was not complete in {_BODY_TIMEOUT_MS:.0f} ms: send it faster",
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the body uses; a complete one is held decoded as well."""
+        return len(self._body) * 2
+
+    def refuse(self) -> None:
+        """Drop the body; :meth:`read` raises ``overloaded``."""
+        self._is_refused = True
+        self._body = bytearray()
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def release(self) -> None:
+        """Release the memory of the body, when its request has ended."""
+        self._body = bytearray()
+        if self._meter is not None:
+            self._meter.remove(self)
+
     async def discard(self) -> None:
         """Read and discard the rest of the body, up to a limit.
 
@@ -178,16 +228,20 @@
                 self._record_end(message)
 
     async def _read_chunks(self) -> bytes:
-        body = bytearray()
         while not self._ended:
             message = await self._receive()
             self._record_end(message)
             if message["type"] == "http.disconnect":
                 raise IbisfrontError(ErrorKind.BAD_REQUEST, "the body was truncated")
-            body += message.get("body", b"")
-            if len(body) > self._maximum_bytes:
+            self._body += message.get("body", b"")
+            if len(self._body) > self._maximum_bytes:
                 raise self._too_large()
-        return bytes(body)
+            if self._meter is not None:
+                self._meter.record()
+            if self._is_refused:
+                raise _no_memory_error()
+        self.is_complete = True
+        return bytes(self._body)
 
     def _record_end(self, message: AsgiMessage) -> None:
         self._ended = not message.get("more_body", False)
@@ -199,6 +253,12 @@
         )
 
 
+def _no_memory_error() -> IbisfrontError:
+    return IbisfrontError(
+        ErrorKind.OVERLOADED, "the bodies of all callers use up the memory: retry later"
+    )
+
+
 def _path_param_error(param: str) -> IbisfrontError:
     return IbisfrontError(
         ErrorKind.BAD_REQUEST,
--- a/ibisfront/adapters/listener.py
+++ b/ibisfront/adapters/listener.py
@@ -14,14 +14,19 @@
 from hypercorn.typing import ConnectionState, LifespanState
 from hypercorn.utils import wrap_app
 
+from ibisfront.adapters.metered_connection import METER_KEY, MeteredHttpConnection
 from ibisfront.core.errors import ErrorKind, IbisfrontError
 from ibisfront.core.logs import LOGGER_NAME, LogPart, part_logger
+from ibisfront.http1.listening import limit_buffers
 
 if TYPE_CHECKING:
     from hypercorn.typing import ASGIFramework
 
     from ibisfront.adapters.asgi import AsgiApplication
+    from ibisfront.core.clock import Clock
     from ibisfront.core.types import Address
+    from ibisfront.gateway.state.configuration import CallerLimits
+    from ibisfront.http1.caller_memory import CallerMemory
 
 __all__ = ["listen_error", "open_listening_socket", "serve_until"]
 
@@ -56,6 +61,7 @@
     bound_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    limit_buffers(bound_socket)
     try:
         bound_socket.bind((host, int(port)))
     except OSError as error:
@@ -65,7 +71,13 @@
 
 
 async def serve_until(
-    closing: trio.Event, application: AsgiApplication, bound_socket: socket.socket
+    closing: trio.Event,
+    application: AsgiApplication,
+    bound_socket: socket.socket,
+    *,
+    memory: CallerMemory,
+    limits: CallerLimits,
+    clock: Clock,
 ) -> None:
     """Serve requests on a socket until an event is set.
 
@@ -77,9 +89,16 @@
         The ASGI application.
     bound_socket : socket
         The socket to listen on; ownership is transferred.
+    memory : CallerMemory
+        Limits what callers use, over all listeners that share it.
+    limits : CallerLimits
+        Limits of a single request.
+    clock : Clock
+        The clock.
     """
     bound_socket.listen(_BACKLOG)
-    connections = _Connections(application)
+    connections = _Connections(application, memory, limits, clock)
+    memory.add_listener(connections)
     async with trio.open_nursery() as connection_nursery:
         async with trio.open_nursery() as accepting:
             accepting.start_soon(
@@ -112,11 +131,40 @@
     ----------
     application : callable
         The ASGI application.
+    memory : CallerMemory
+        Limits what callers use.
+    limits : CallerLimits
+        Limits of a single request.
+    clock : Clock
+        The clock.
+
+    Attributes
+    ----------
+    metered : set of MeteredHttpConnection
+        The open connections.
     """
 
-    __slots__ = ("_application", "_config", "_context")
+    __slots__ = (
+        "_application",
+        "_clock",
+        "_config",
+        "_context",
+        "_limits",
+        "_memory",
+        "metered",
+    )
 
-    def __init__(self, application: AsgiApplication) -> None:
+    def __init__(
+        self,
+        application: AsgiApplication,
+        memory: CallerMemory,
+        limits: CallerLimits,
+        clock: Clock,
+    ) -> None:
+        self._memory = memory
+        self._limits = limits
+        self._clock = clock
+        self.metered: set[MeteredHttpConnection] = set()
         self._application = wrap_app(
             cast("ASGIFramework", application), _NO_WSGI_BODY_BYTES, "asgi"
         )
@@ -126,18 +174,31 @@
         self._context = WorkerContext(None)
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one connection until it ends."""
+        """Serve one connection until it ends or is closed for want of room."""
+        connection = MeteredHttpConnection(self._memory, self._limits, self._clock)
+        self.metered.add(connection)
+        try:
+            if self._memory.admit(connection):
+                with connection.scope:
+                    await self._serve(stream, connection)
+        finally:
+            self.metered.discard(connection)
+            await trio.aclose_forcefully(stream)
+
+    async def _serve(
+        self, stream: trio.SocketStream, connection: MeteredHttpConnection
+    ) -> None:
+        state = LifespanState({METER_KEY: connection})
         try:
             await TCPServer(
                 self._application,
                 self._config,
                 self._context,
-                ConnectionState(LifespanState({})),
+                ConnectionState(state),
                 cast("trio.SSLStream[trio.SocketStream]", stream),
             )
         except Exception as error:
             _LOG.warning("Closed a connection after an unexpected error: %r.", error)
-            await trio.aclose_forcefully(stream)
 
     async def close_idle(self) -> None:
         """Close idle connections now, and the others when their request ends."""
--- a/ibisfront/applications.py
+++ b/ibisfront/applications.py
@@ -18,9 +18,9 @@
     from ibisfront.core.settings import Settings
     from ibisfront.instance import EntryInstance
 
-__all__ = ["admin_application", "caller_application"]
+__all__ = ["MAXIMUM_ADMIN_BODY_BYTES", "admin_application", "caller_application"]
 
-_MAXIMUM_ADMIN_BODY_BYTES = 2_000_000
+MAXIMUM_ADMIN_BODY_BYTES = 2_000_000
 
 
 def caller_application(
@@ -49,7 +49,7 @@
     return asgi_application(
         admin_routes(instance, platform=platform, clock=clock),
         clock=clock,
-        maximum_body_bytes=_MAXIMUM_ADMIN_BODY_BYTES,
+        maximum_body_bytes=MAXIMUM_ADMIN_BODY_BYTES,
         observe=observe_exchanges(LogPart.ADMIN, counters=instance.counters),
         authorize=bearer_authorization(settings.admin.token),
     )
--- a/ibisfront/core/settings.py
+++ b/ibisfront/core/settings.py
@@ -33,6 +33,7 @@
     "CallerSettings",
     "InstanceSettings",
     "LogSettings",
+    "MemorySettings",
     "PeerSettings",
     "PlatformSettings",
     "QuerySettings",
@@ -177,6 +178,20 @@
     ] = 2_000
 
 
+class MemorySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Memory of the process."""
+
+    process_bytes: Annotated[
+        int,
+        Meta(
+            ge=64_000_000,
+            le=1_000_000_000_000,
+            description="Memory that the process may use. Bodies of requests get up"
+            " to a fifth of it together, and connections another fifth.",
+        ),
+    ] = 2_000_000_000
+
+
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Log, written to standard error."""
 
@@ -198,6 +213,7 @@
     stop: StopSettings = StopSettings()
     shares: ShareSettings = ShareSettings()
     query: QuerySettings = QuerySettings()
+    memory: MemorySettings = MemorySettings()
     logs: LogSettings = LogSettings()
 
 
--- a/ibisfront/daemon.py
+++ b/ibisfront/daemon.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import argparse
+import resource
 import signal
 import sys
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,12 +16,19 @@
 from ibisfront.adapters.factory import AdapterFactory
 from ibisfront.adapters.listener import open_listening_socket, serve_until
 from ibisfront.adapters.log_output import configure_logging
-from ibisfront.applications import admin_application, caller_application
+from ibisfront.adapters.metered_connection import HTTP_CONNECTION_BYTES
+from ibisfront.applications import (
+    MAXIMUM_ADMIN_BODY_BYTES,
+    admin_application,
+    caller_application,
+)
 from ibisfront.core.clock import Clock
 from ibisfront.core.errors import IbisfrontError
 from ibisfront.core.logs import LogPart, part_logger
 from ibisfront.core.settings import read_settings
 from ibisfront.core.stopping import stop_in_order
+from ibisfront.gateway.state.configuration import CallerLimits
+from ibisfront.http1.caller_memory import DEFAULT_DESCRIPTORS, CallerMemory
 from ibisfront.instance import EntryInstance
 
 if TYPE_CHECKING:
@@ -84,9 +93,25 @@
         admin_app = admin_application(
             instance, platform=platform, settings=settings, clock=clock
         )
+        memory = CallerMemory(
+            memory_bytes=settings.memory.process_bytes,
+            maximum_descriptors=_maximum_descriptors(),
+            clock=clock,
+            counters=instance.counters,
+            connection_bytes=HTTP_CONNECTION_BYTES,
+        )
         async with trio.open_nursery() as listeners:
-            listeners.start_soon(serve_until, closing, caller_app, caller_socket)
-            listeners.start_soon(serve_until, closing, admin_app, admin_socket)
+            for application, sock, maximum_body_bytes in (
+                (caller_app, caller_socket, settings.callers.maximum_body_bytes),
+                (admin_app, admin_socket, MAXIMUM_ADMIN_BODY_BYTES),
+            ):
+                serve = partial(
+                    serve_until,
+                    memory=memory,
+                    limits=CallerLimits(maximum_body_bytes=maximum_body_bytes),
+                    clock=clock,
+                )
+                listeners.start_soon(serve, closing, application, sock)
         # Shares are released only after the listeners are closed: a load balancer
         # that is slower than its configured lag may still send requests, and
         # without shares each of them would be rejected.
@@ -95,6 +120,11 @@
     _LOG.info("%s has stopped.", settings.instance.name)
 
 
+def _maximum_descriptors() -> int:
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return DEFAULT_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
+
+
 async def _stop_on_signal(
     instance: EntryInstance, clock: Clock, closing: trio.Event
 ) -> None:
--- a/ibisfront/http1/caller_memory.py
+++ b/ibisfront/http1/caller_memory.py
@@ -123,6 +123,8 @@
         The clock.
     counters : Counters, optional
         Counts what was refused or closed.
+    connection_bytes : int
+        Memory of a connection that carries nothing.
 
     Attributes
     ----------
@@ -132,6 +134,7 @@
 
     __slots__ = (
         "_clock",
+        "_connection_bytes",
         "_counters",
         "_is_making_room",
         "_listeners",
@@ -149,7 +152,9 @@
         maximum_descriptors: int = DEFAULT_DESCRIPTORS,
         clock: Clock,
         counters: Counters | None = None,
+        connection_bytes: int = _CONNECTION_BYTES,
     ) -> None:
+        self._connection_bytes = connection_bytes
         self._memory_bytes = memory_bytes
         self._maximum_descriptors = maximum_descriptors
         self._clock = clock
@@ -168,7 +173,7 @@
     @property
     def maximum_connections(self) -> int:
         """Connections above which some are closed."""
-        each_bytes = _CONNECTION_BYTES + ALLOWANCE_BYTES
+        each_bytes = self._connection_bytes + ALLOWANCE_BYTES
         by_memory = self._memory_bytes * _CONNECTIONS_SHARE / each_bytes
         descriptors = self._maximum_descriptors
         sockets = max(descriptors - _FILE_DESCRIPTORS, descriptors // 2)
--- a/ibisfront/http1/listening.py
+++ b/ibisfront/http1/listening.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from ibisfront.core.types import Address
 
-__all__ = ["RECEIVE_BUFFER_BYTES", "listening_socket"]
+__all__ = ["RECEIVE_BUFFER_BYTES", "limit_buffers", "listening_socket"]
 
 _BACKLOG = 1_024
 """Connections that the kernel queues until they are accepted: those of one
@@ -22,6 +22,15 @@
 """What the kernel may hold of an answer that a caller does not read."""
 
 
+def limit_buffers(sock: socket.socket) -> None:
+    """Limit what the kernel holds of each connection that a socket will accept.
+
+    They inherit both sizes, which the kernel doubles for its overhead.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+
+
 def listening_socket(address: Address) -> socket.socket:
     """Return a non-blocking socket that listens on an address.
 
@@ -33,9 +42,7 @@
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit both; the kernel doubles them for its overhead.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
+    limit_buffers(sock)
     sock.setblocking(False)
     sock.bind((host, int(port)))
     sock.listen(_BACKLOG)
--- a/ibisfront/tests/crowd.py
+++ b/ibisfront/tests/crowd.py
@@ -153,7 +153,7 @@
 
     def _record(self):
         try:
-            held_bytes = _resident_bytes(self.process_id)
+            held_bytes = resident_bytes(self.process_id)
             descriptors = len(os.listdir(f"/proc/{self.process_id}/fd"))
         except OSError:
             return  # the process has ended, which the check reports
@@ -163,7 +163,14 @@
         self.descriptors = max(self.descriptors, descriptors)
 
 
-def _resident_bytes(process_id):
+def raise_own_descriptors():
+    """Let this process open a connection for each caller of a crowd."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (_OWN_DESCRIPTORS, hard))
+
+
+def resident_bytes(process_id):
+    """Return the resident memory of a process."""
     for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) * 1024
@@ -189,8 +196,7 @@
         self, *, memory_mb=MEMORY_MB, maximum_descriptors=MAXIMUM_DESCRIPTORS
     ):
         """Run a front process; check at the end that it lived within its limits."""
-        hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-        resource.setrlimit(resource.RLIMIT_NOFILE, (_OWN_DESCRIPTORS, hard))
+        raise_own_descriptors()
         with tempfile.TemporaryDirectory() as folder:
             world = CrowdWorld(
                 folder, memory_mb=memory_mb, maximum_descriptors=maximum_descriptors
@@ -258,9 +264,14 @@
             for number in range(self._callers):
                 nursery.start_soon(self._return_and_stay, number)
 
+    @property
+    def has_settled(self):
+        """Whether every caller stays or has given up."""
+        return self._staying >= self._callers
+
     async def wait_until_settled(self):
         """Wait until every caller stays or has given up."""
-        while self._staying < self._callers:  # noqa: ASYNC110
+        while not self.has_settled:  # noqa: ASYNC110
             await trio.sleep(0.05)
 
     async def _return_and_stay(self, number):
