Callers: who gives up is decided by what is left, and no more give up than have to

Ages of a few ms decided between answers of the same size.

Only crowds reach this code: it runs when the pool is used up.

--- a/ibisfront/http1/caller_connection.py
+++ b/ibisfront/http1/caller_connection.py
@@ -121,6 +121,7 @@
         "_rtt_ms",
         "_scope",
         "_sock",
+        "_taken_bytes",
         "_unsent_bytes",
         "_wait_scope",
         "_waiting_since_ms",
@@ -148,7 +149,9 @@
         self._closes_when_idle = False
         self._in_work: InboundRequest | None = None
         self._in_work_bytes = 0
+        # Of the answer that is sent, all of which is held until its end.
         self._unsent_bytes = 0
+        self._taken_bytes = 0
         self._has_given_up = False
         self._is_closing = False
         self._is_first = True
@@ -159,7 +162,7 @@
 
     @property
     def releasable_bytes(self) -> int:
-        """Memory that :meth:`give_up` frees."""
+        """Memory that :meth:`give_up` frees, less what the caller has taken of it."""
         unread_bytes = 2 * RECEIVE_BUFFER_BYTES if self._is_queue_full else 0
         return (
             self._reader.held_bytes
@@ -216,7 +219,7 @@
         """
         self._has_given_up = True
         if self._unsent_bytes:
-            self._unsent_bytes = 0
+            self._unsent_bytes = self._taken_bytes = 0
             self.close()
         self._queue.clear()
         self._queue_changed.set()
@@ -238,7 +241,8 @@
                 await self._read_all()
         finally:
             self._queue.clear()
-            self._queued_bytes = self._in_work_bytes = self._unsent_bytes = 0
+            self._queued_bytes = self._in_work_bytes = 0
+            self._unsent_bytes = self._taken_bytes = 0
             self._reader.close()
             self._record_memory()
             self._host.remove_connection(self)
@@ -339,7 +343,7 @@
 
     def _record_memory(self) -> None:
         """Record what this connection uses; it may have to give up."""
-        held_bytes = self.releasable_bytes + self._in_work_bytes
+        held_bytes = self.releasable_bytes + self._in_work_bytes + self._taken_bytes
         self._host.memory.record(self, held_bytes, self._host.limits())
 
     async def _answer_all(self, scope: trio.CancelScope) -> None:
@@ -412,15 +416,16 @@
                 try:
                     view = view[self._sock.send(view) :]
                 except BlockingIOError:
-                    await self._wait_writable(len(data))
+                    await self._wait_writable(len(data), unsent_bytes=len(view))
         finally:
             if self._unsent_bytes:
-                self._unsent_bytes = 0
+                self._unsent_bytes = self._taken_bytes = 0
                 self._record_memory()
 
-    async def _wait_writable(self, held_bytes: int) -> None:
+    async def _wait_writable(self, size: int, *, unsent_bytes: int) -> None:
         clock = self._host.clock
-        self._unsent_bytes = held_bytes
+        self._unsent_bytes = unsent_bytes
+        self._taken_bytes = size - unsent_bytes
         self._waiting_since_ms = clock.now_ms()
         self._record_memory()
         with clock.timeout_ms(self._host.limits().idle_timeout_ms):
--- a/ibisfront/http1/caller_memory.py
+++ b/ibisfront/http1/caller_memory.py
@@ -68,7 +68,9 @@
 _SHORTEST_HEADER_BYTES = 4
 """A header on the wire: a name of one byte, a colon and the end of the line."""
 
-_SMALLEST_AGE_MS = 1.0
+_SMALLEST_AGE_MS = 100.0
+"""A caller that has been waited for less has not stalled: up to there sizes decide."""
+
 _LOG_INTERVAL_MS = 1_000.0
 
 
@@ -85,7 +87,7 @@
 
     @property
     def releasable_bytes(self) -> int:
-        """Memory that :meth:`give_up` frees."""
+        """Memory that :meth:`give_up` frees, less what the caller has taken of it."""
 
     @property
     def is_in_work(self) -> bool:
@@ -244,14 +246,19 @@
         if self.drawn_bytes > pool_bytes:
             self._is_making_room = True
             try:
-                self._make_room(int(pool_bytes * _REFILL_SHARE))
+                self._make_room(pool_bytes)
             finally:
                 self._is_making_room = False
 
-    def _make_room(self, target_bytes: int) -> None:
-        """Let connections give up, those first that have held most for longest."""
+    def _make_room(self, pool_bytes: int) -> None:
+        """Let connections give up, those first that have held most for longest.
+
+        Room is left for what comes next, unless requests in work have taken it: then
+        no more give up than have to.
+        """
         now_ms = self._clock.now_ms()
         candidates = []
+        releasable_bytes = 0
         for listener in self._listeners:
             for connection in listener.metered:
                 size = connection.releasable_bytes
@@ -259,7 +266,11 @@
                     age_ms = now_ms - connection.stalled_since_ms
                     weight = size * max(age_ms, _SMALLEST_AGE_MS)
                     candidates.append((weight, connection))
+                    releasable_bytes += size
         candidates.sort(key=lambda item: item[0], reverse=True)
+        target_bytes = int(pool_bytes * _REFILL_SHARE)
+        if self.drawn_bytes - releasable_bytes > target_bytes:
+            target_bytes = pool_bytes
         for _, connection in candidates:
             if self.drawn_bytes <= target_bytes:
                 return
