Tests: crowds run one at a time

A crowd that gets no further counts as settled after 10 s: one whose connections are not read any more waited for the whole 60 s. Crowds, limits and checks are the same.

--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,8 @@
 	touch $@
 
 test: $(VENV)/.ready  ## run every test; ends with the count of passed, failed and skipped
-	$(PYTHON) -m nose2 --config crowd.cfg
-	$(PYTHON) -m nose2 --config unittest.cfg
+	$(PYTHON) -m nose2 --config crowds.cfg
+	$(PYTHON) -m nose2 --config tests.cfg
 	@$(PYTHON) -m ibisfront.testing.proofs
 
 lint: $(VENV)/.ready  ## formatter, linter, type checker and import layers
--- a/ibisfront/tests/crowd.py
+++ b/ibisfront/tests/crowd.py
@@ -32,6 +32,7 @@
 _START_TIMEOUT_S = 30.0
 _ANSWER_TIMEOUT_S = 30.0
 _SETTLE_TIMEOUT_S = 60.0
+_NO_PROGRESS_S = 10.0
 _SAMPLE_PAUSE_S = 0.02
 _CONNECTS_AT_ONCE = 50
 _RETURNS = 2
@@ -257,6 +258,7 @@
         self._callers = callers
         self._reads = reads
         self._staying = 0
+        self._progress_at_s = trio.current_time()
         self._connecting = trio.CapacityLimiter(_CONNECTS_AT_ONCE)
 
     async def run(self):
@@ -270,8 +272,10 @@
         return self._staying >= self._callers
 
     async def wait_until_settled(self):
-        """Wait until every caller stays or has given up."""
-        while not self.has_settled:  # noqa: ASYNC110
+        """Wait until every caller stays or has given up, or none gets any further."""
+        while not self.has_settled:
+            if trio.current_time() - self._progress_at_s > _NO_PROGRESS_S:
+                return
             await trio.sleep(0.05)
 
     async def _return_and_stay(self, number):
@@ -291,6 +295,7 @@
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
             for piece in self._pieces(number):
                 await stream.send_all(piece)
+                self._progress_at_s = trio.current_time()
             self._staying += 1
             try:
                 if not self._reads:
