Tests: the slow reader's test sets the time in which others stall

Traced: the two callers that are to stall had been waited for less than 100 ms when the reader came, which is not stalled by the product's rule, so that sizes decided, and the kernel had taken fewer bytes of the reader's answer. The test never made sure of its own premise; under load the reader itself could also be waited for longer than those that came after it. Time now passes only when the test says so: the two have stalled for 5 s, the others for nothing. The check is the same, and a reader that is cut off fails at once, not after 30 s.

Product code is unchanged.

--- a/ibisfront/tests/test_http1_caller_memory.py
+++ b/ibisfront/tests/test_http1_caller_memory.py
@@ -47,6 +47,16 @@
         await super().sleep_ms(duration_ms)
 
 
+class ManualClock(Clock):
+    """Its time passes only when a test says so."""
+
+    at_ms = 0.0
+
+    def now_ms(self):
+        """Return the time that the test has set."""
+        return self.at_ms
+
+
 class MeteredFixture:
     """A listener with little memory, whose answers wait if they are told to."""
 
@@ -220,11 +230,13 @@
 class UnreadAnswerTest(unittest.TestCase):
     """Answers that their callers do not read, or read slowly."""
 
-    async def _listen(self, nursery, *, idle_timeout_ms, memory_bytes):
+    async def _listen(self, nursery, *, idle_timeout_ms, memory_bytes, clock=None):
+        clock = clock or Clock()
+
         async def answer(request):
             return CallerReply(200, [], b"x" * ANSWER_BYTES, "test")
 
-        memory = CallerMemory(memory_bytes=memory_bytes, clock=Clock())
+        memory = CallerMemory(memory_bytes=memory_bytes, clock=clock)
         sock = listening_socket("127.0.0.1:0")
         address = sock.getsockname()
         listener = CallerListener(
@@ -232,7 +244,7 @@
             answer=answer,
             wire=WIRE,
             limits=lambda: CallerLimits(idle_timeout_ms=idle_timeout_ms),
-            clock=Clock(),
+            clock=clock,
             memory=memory,
         )
         nursery.start_soon(listener.run)
@@ -265,18 +277,22 @@
     async def test_slow_reader_gets_its_whole_answer_beside_those_that_stall(self):
         """Guards against cutting off a caller that makes progress."""
         async with trio.open_nursery() as nursery:
+            clock = ManualClock()
             listener, address = await self._listen(
-                nursery, idle_timeout_ms=60_000.0, memory_bytes=50_000_000
+                nursery, idle_timeout_ms=6e5, memory_bytes=50_000_000, clock=clock
             )
             stalled = [await self._request(address) for _ in range(2)]
             with trio.fail_after(20.0):
                 await wait_until(lambda: listener.memory.drawn_bytes > ANSWER_BYTES)
+            clock.at_ms += 5_000.0
             reader = await self._request(address)
             received = 0
             with trio.fail_after(30.0):
                 async with reader:
                     while received < ANSWER_BYTES // 2:
-                        received += len(await reader.receive_some(200_000))
+                        data = await reader.receive_some(200_000)
+                        self.assertTrue(data, f"cut off after {received} bytes")
+                        received += len(data)
                     nursery.start_soon(self._stall_more, address)
                     await wait_until(lambda: listener.connections >= 4)
                     while data := await reader.receive_some(200_000):
